--- /dev/null
+++ b/include/jasminespread/backend_transport.h
@@ -0,0 +1,64 @@
+#pragma once
+
+#include <jasminespread/enum_names.h>
+#include <jasminespread/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jasminespread {
+
+struct HeaderField {
+    std::string name;
+    std::string value;
+};
+
+/// One request to one backend server.
+struct BackendRequest {
+    std::string address; ///< IP number and port.
+    std::string method;
+    std::string target; ///< Path and query.
+    std::vector<HeaderField> headers;
+    std::string body;
+    MonotonicTime deadline;
+};
+
+/// How far a request to a backend server got.
+enum class BackendProgress : std::uint8_t {
+    Answered, ///< A whole answer arrived.
+    NotSent, ///< No byte of the request was written.
+    Broken ///< At least one byte was written and no whole answer arrived.
+};
+
+inline constexpr std::array<EnumName<BackendProgress>, 3> backendProgressNames {{
+    {BackendProgress::Answered, "answered"},
+    {BackendProgress::NotSent, "not-sent"},
+    {BackendProgress::Broken, "broken"},
+}};
+
+struct BackendResult {
+    BackendProgress progress = BackendProgress::NotSent;
+    bool timedOut = false;
+    unsigned status = 0;
+    std::vector<HeaderField> headers;
+    std::string body;
+    std::string failure; ///< Text for logs when progress is not Answered.
+};
+
+/// Sends requests to backend servers over pooled connections. All hooks belong to one thread; callbacks run there.
+struct BackendTransport {
+    using Handle = std::uint64_t;
+    using Callback = std::function<void(BackendResult)>;
+
+    /// Starts a request. The callback runs exactly once, later, unless the request is cancelled first.
+    std::function<Handle(BackendRequest, Callback)> send;
+    /// Ends a request: closes its connection and drops its callback. Unknown handles are ignored.
+    std::function<void(Handle)> cancel;
+    /// Limits open connections per address.
+    std::function<void(const std::string& address, std::uint32_t connections)> setConnectionLimit;
+};
+
+} // namespace jasminespread
--- /dev/null
+++ b/include/jasminespread/log_event.h
@@ -0,0 +1,98 @@
+#pragma once
+
+#include <jasminespread/enum_names.h>
+
+#include <cstdint>
+#include <string>
+#include <string_view>
+
+namespace jasminespread {
+
+/// Severity of a log event.
+enum class LogLevel : std::uint8_t { Debug, Info, Warning, Error };
+
+inline constexpr std::array<EnumName<LogLevel>, 4> logLevelNames {{
+    {LogLevel::Debug, "debug"},
+    {LogLevel::Info, "info"},
+    {LogLevel::Warning, "warning"},
+    {LogLevel::Error, "error"},
+}};
+
+/// Numbered log events. Numbers are never reused. docs/log-events.md lists them; CI compares both.
+/// 1xx process, 2xx configuration, 3xx membership, 4xx authority and placement, 5xx requests, 6xx platform.
+enum class LogEvent : std::uint16_t {
+    ProcessStarted = 100,
+    ProcessStopping = 101,
+    ProcessStopped = 102,
+    StartFailed = 103,
+    ConfigurationInForce = 200,
+    ConfigurationRejected = 201,
+    ConfigurationUnconfirmed = 202,
+    PeerLive = 300,
+    PeerSilent = 301,
+    PeerMessageRejected = 302,
+    GroupTakenOver = 400,
+    GroupLost = 401,
+    AuthorityLapsed = 402,
+    PartitionMoved = 403,
+    ServerLost = 404,
+    ServerReturned = 405,
+    StandbyChanged = 406,
+    GrantRefused = 407,
+    RequestRejected = 500,
+    BackendFailed = 501,
+    LateAnswerDropped = 502,
+    ForwardRejected = 503,
+    StoreUnavailable = 600,
+    StoreAvailable = 601,
+    StoreOutcomeUnknown = 602
+};
+
+struct LogEventInfo {
+    LogEvent event;
+    LogLevel level;
+    std::string_view name;
+    std::string_view meaning;
+};
+
+inline constexpr std::array<LogEventInfo, 25> logEventCatalogue {{
+    {LogEvent::ProcessStarted, LogLevel::Info, "process-started", "The process listens on all its addresses."},
+    {LogEvent::ProcessStopping, LogLevel::Info, "process-stopping", "A stop was requested; requests drain."},
+    {LogEvent::ProcessStopped, LogLevel::Info, "process-stopped", "The process ends."},
+    {LogEvent::StartFailed, LogLevel::Error, "start-failed", "The process cannot start."},
+    {LogEvent::ConfigurationInForce, LogLevel::Info, "configuration-in-force", "A revision came into force."},
+    {LogEvent::ConfigurationRejected, LogLevel::Warning, "configuration-rejected", "A revision was refused."},
+    {LogEvent::ConfigurationUnconfirmed, LogLevel::Warning, "configuration-unconfirmed",
+        "A stored revision was not confirmed by every region in time."},
+    {LogEvent::PeerLive, LogLevel::Info, "peer-live", "Heartbeats of a peer arrive."},
+    {LogEvent::PeerSilent, LogLevel::Warning, "peer-silent", "Heartbeats of a peer stopped."},
+    {LogEvent::PeerMessageRejected, LogLevel::Warning, "peer-message-rejected",
+        "A message from an unknown address or with unreadable content was dropped."},
+    {LogEvent::GroupTakenOver, LogLevel::Info, "group-taken-over", "This instance became primary of a group."},
+    {LogEvent::GroupLost, LogLevel::Warning, "group-lost", "Another instance became primary of a group."},
+    {LogEvent::AuthorityLapsed, LogLevel::Warning, "authority-lapsed",
+        "Neither standby nor store backed this primary for a lease."},
+    {LogEvent::PartitionMoved, LogLevel::Info, "partition-moved", "A partition changed its owner."},
+    {LogEvent::ServerLost, LogLevel::Warning, "server-lost", "A backend server stopped answering grants."},
+    {LogEvent::ServerReturned, LogLevel::Info, "server-returned", "A backend server answers grants again."},
+    {LogEvent::StandbyChanged, LogLevel::Info, "standby-changed", "A group got another standby."},
+    {LogEvent::GrantRefused, LogLevel::Warning, "grant-refused", "A backend server refused a grant."},
+    {LogEvent::RequestRejected, LogLevel::Warning, "request-rejected", "A malformed request was refused."},
+    {LogEvent::BackendFailed, LogLevel::Warning, "backend-failed", "A request to a backend server failed."},
+    {LogEvent::LateAnswerDropped, LogLevel::Info, "late-answer-dropped",
+        "An answer matched no waiting request and was dropped."},
+    {LogEvent::ForwardRejected, LogLevel::Warning, "forward-rejected",
+        "A forwarded request from an unknown address or with unreadable content was dropped."},
+    {LogEvent::StoreUnavailable, LogLevel::Warning, "store-unavailable", "The platform's store stopped answering."},
+    {LogEvent::StoreAvailable, LogLevel::Info, "store-available", "The platform's store answers again."},
+    {LogEvent::StoreOutcomeUnknown, LogLevel::Warning, "store-outcome-unknown",
+        "The answer to a store write was lost; the object is read back."},
+}};
+
+/// Sets up log4cplus. @p level is a name from logLevelNames; an empty @p file logs to standard error.
+/// Precondition: called once, before other threads start.
+void setUpLogging(std::string_view level, const std::string& file, const std::string& process);
+/// Writes one numbered event. Thread-safe.
+void logEvent(LogEvent event, std::string_view details);
+
+} // namespace jasminespread
--- /dev/null
+++ b/include/jasminespread/object_store.h
@@ -0,0 +1,71 @@
+#pragma once
+
+#include <jasminespread/enum_names.h>
+#include <jasminespread/instance_entry.h>
+#include <jasminespread/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <optional>
+#include <string>
+#include <vector>
+
+namespace jasminespread {
+
+/// Result of one call to the platform's object API.
+enum class StoreStatus : std::uint8_t {
+    Ok,
+    NotFound,
+    Conflict, ///< A conditional write found another version; nothing was written.
+    Unavailable, ///< Not connected or refused before the call was carried out; nothing was written.
+    Unknown ///< The answer was lost; a write may have taken effect.
+};
+
+inline constexpr std::array<EnumName<StoreStatus>, 5> storeStatusNames {{
+    {StoreStatus::Ok, "ok"},
+    {StoreStatus::NotFound, "not-found"},
+    {StoreStatus::Conflict, "conflict"},
+    {StoreStatus::Unavailable, "unavailable"},
+    {StoreStatus::Unknown, "unknown"},
+}};
+
+struct StoredObject {
+    std::string name;
+    std::uint64_t version = 0; ///< Rises over all objects of the store; 0 means that the object does not exist.
+    std::string value;
+};
+
+struct StoreListResult {
+    StoreStatus status = StoreStatus::Unavailable;
+    std::uint64_t version = 0; ///< Highest version that the answer covers.
+    std::vector<StoredObject> objects;
+};
+
+struct StoreReadResult {
+    StoreStatus status = StoreStatus::Unavailable;
+    StoredObject object;
+};
+
+struct StoreWriteResult {
+    StoreStatus status = StoreStatus::Unavailable;
+    std::uint64_t version = 0; ///< With Ok: the new version.
+};
+
+struct InstanceListResult {
+    StoreStatus status = StoreStatus::Unavailable;
+    std::vector<InstanceEntry> entries;
+};
+
+/// The platform's object API as hooks. Each hook starts one call and returns at once; the callback runs once, later,
+/// on the main context of the thread that made the call. Hooks are called from one thread only.
+struct ObjectStore {
+    std::function<void(const std::string& kind, std::function<void(StoreListResult)>)> list;
+    std::function<void(const std::string& kind, const std::string& name, std::function<void(StoreReadResult)>)> read;
+    /// Conditional write: @p expectedVersion 0 creates, any other value replaces exactly that version.
+    std::function<void(const std::string& kind, const std::string& name, std::uint64_t expectedVersion,
+        const std::string& value, std::function<void(StoreWriteResult)>)>
+        write;
+    std::function<void(std::function<void(InstanceListResult)>)> instances;
+};
+
+} // namespace jasminespread
