--- a/include/jasminespread/event.h
+++ b/include/jasminespread/event.h
@@ -86,11 +86,16 @@
     wire::HotKeyReport report;
 };
 
+/// A worker found the local route to a group refused by a backend server or a primary.
+struct RouteRefused {
+    GroupName group;
+};
+
 /// The process was asked to stop: hand groups over, then stop.
 struct ShutdownRequested { };
 
 using Event = std::variant<Tick, InstanceListReceived, StoreListed, StoreRead, StoreWritten, PeerMessageReceived,
-    GrantAnswered, OperatorRequested, HotKeysObserved, ShutdownRequested>;
+    GrantAnswered, OperatorRequested, HotKeysObserved, RouteRefused, ShutdownRequested>;
 
 struct TimedEvent {
     MonotonicTime now;
