--- a/scripts/packages.sh
+++ b/scripts/packages.sh
@@ -1,7 +1,7 @@
 #!/usr/bin/env bash
 # Installs the Debian packages that the build and the checks need, if any is missing.
 set -euo pipefail
-packages=(g++ cmake ninja-build ccache mold pkg-config clang-format clang-tidy python3 libglib2.0-dev libsoup-3.0-dev
+packages=(g++ cmake ninja-build ccache mold pkg-config curl clang-format clang-tidy python3 libglib2.0-dev libsoup-3.0-dev
     libzmq3-dev cppzmq-dev libprotobuf-dev libboost1.81-dev libboost-program-options1.81-dev
     libboost-json1.81-dev libyaml-cpp-dev liblog4cplus-dev libgtest-dev libgmock-dev libxxhash-dev)
 missing=()
