Add settings, sheet, configuration codec and configuration control

Cause: the control reducer and the daemons need typed settings, the parsed morning sheet and the life of a configuration from an operator's change to its confirmation by region.

ConfigurationControl reads the store's object before each change, writes it on condition of that version, resolves lost answers by reading back, and waits for the regions. The document goes to each other region once, through the delegate with the lowest id; heartbeats make lost copies good.

Ruled out: judging a lost answer by the change id in the store alone. When the object has meanwhile been changed again, the id is gone; the outcome is then taken from the revision number, or reported as unknown.

--- /dev/null
+++ b/include/jasminespread/sheet.h
@@ -0,0 +1,23 @@
+#pragma once
+
+#include <jasminespread/configuration.h>
+#include <jasminespread/error.h>
+
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jasminespread {
+
+/// A parsed sheet, or everything that is wrong with it.
+struct SheetResult {
+    std::optional<Configuration> configuration; ///< Present only when there are no errors; its revision is 0.
+    std::vector<Error> errors; ///< In the order of their positions.
+};
+
+/// Parses and checks a morning sheet. @p file names the source in errors. docs/settings.md lists every field.
+/// Thread-safe.
+[[nodiscard]] SheetResult parseSheet(std::string_view yaml, const std::string& file);
+
+} // namespace jasminespread
--- /dev/null
+++ b/src/control/configuration_control.cpp
@@ -0,0 +1,667 @@
+#include "control/configuration_control.h"
+
+#include "config/configuration_fields.h"
+#include "config/json_fields.h"
+
+#include <algorithm>
+
+namespace jasminespread {
+namespace {
+
+constexpr const char* configKind = "config";
+constexpr const char* configName = "current";
+
+/// Reads of a delegate once a configuration is in force. They only make good lost messages.
+constexpr Milliseconds delegateReadInterval {2'000};
+/// Reads per second of all starting instances together; a small part of the store's two thousand.
+constexpr std::size_t startReadsPerSecond = 200;
+/// Shortest time between two copies of the configuration to one peer, and between two requests for it. Longer than a
+/// round trip between regions, so that a heartbeat sent before the copy arrived does not cause another one.
+constexpr Milliseconds resendInterval {500};
+/// How long a change whose outcome is unknown is read back before the operator is told so.
+constexpr Milliseconds resolveTimeout {10'000};
+/// Revisions kept to recognize repeated changes and to explain conflicts.
+constexpr std::size_t pastRevisions = 8;
+
+boost::json::array textArray(const std::vector<std::string>& texts)
+{
+    boost::json::array array;
+    for (const std::string& text : texts) {
+        array.emplace_back(text);
+    }
+    return array;
+}
+
+/// Whether two configurations declare the same; they may differ in revision, author and change id.
+bool sameContent(const Configuration& a, const Configuration& b) { return diffConfigurations(a, b).empty(); }
+
+/// Returns the revision of a stored document, or nothing when this version cannot read it.
+std::optional<std::uint64_t> revisionOf(const std::string& document)
+{
+    return handleError(
+        [&]() -> Result<std::optional<std::uint64_t>> {
+            BOOST_LEAF_AUTO(configuration, decodeConfiguration(document));
+            return std::optional<std::uint64_t>(configuration.revision);
+        },
+        [](const Error&) { return std::optional<std::uint64_t>(); });
+}
+
+} // namespace
+
+ConfigurationControl::ConfigurationControl(const InstanceSettings& settings, std::uint64_t incarnation)
+    : m_settings(settings)
+    , m_incarnation(incarnation)
+{
+}
+
+const Configuration* ConfigurationControl::inForce() const noexcept { return m_inForce ? &*m_inForce : nullptr; }
+
+std::uint64_t ConfigurationControl::revision() const noexcept { return m_inForce ? m_inForce->revision : 0; }
+
+Effects ConfigurationControl::reduce(const TimedEvent& event, const std::vector<PeerInfo>& peers)
+{
+    m_now = event.now;
+    m_peers = &peers;
+    m_effects.clear();
+    if (const StoreRead* read = std::get_if<StoreRead>(&event.event)) {
+        if (read->kind == configKind && read->name == configName) {
+            onStoreRead(*read);
+        }
+    } else if (const StoreWritten* written = std::get_if<StoreWritten>(&event.event)) {
+        if (written->kind == configKind && written->name == configName) {
+            onStoreWritten(*written);
+        }
+    } else if (const PeerMessageReceived* message = std::get_if<PeerMessageReceived>(&event.event)) {
+        onPeerMessage(message->envelope);
+    } else if (const OperatorRequested* request = std::get_if<OperatorRequested>(&event.event)) {
+        onOperatorRequest(*request);
+    }
+    readWhenDue();
+    for (Load& load : m_loads) {
+        advanceLoad(load);
+    }
+    std::erase_if(m_loads, [](const Load& load) { return load.requests.empty(); });
+    m_peers = nullptr;
+    return std::move(m_effects);
+}
+
+void ConfigurationControl::onStoreRead(const StoreRead& read)
+{
+    const StoreStatus status = read.result.status;
+    if (status == StoreStatus::Ok || status == StoreStatus::NotFound) {
+        m_absentInStore = status == StoreStatus::NotFound;
+    }
+    if (status == StoreStatus::Ok && adopt(read.result.object.value, read.result.object.version, "the store")
+        && isDelegate()) {
+        sendToOwnRegion();
+    }
+    for (Load& load : m_loads) {
+        if (read.startedAt < load.readNotBefore) {
+            continue;
+        }
+        if (load.stage == LoadStage::ReadingBase) {
+            continueAfterRead(load, read);
+        } else if (load.stage == LoadStage::ReadingBack) {
+            resolveReadBack(load, read);
+        }
+    }
+}
+
+void ConfigurationControl::onStoreWritten(const StoreWritten& written)
+{
+    const std::vector<Load>::iterator it = std::find_if(m_loads.begin(), m_loads.end(), [&](const Load& load) {
+        return load.stage == LoadStage::Writing && load.proposed.changeId == written.changeId;
+    });
+    if (it == m_loads.end()) {
+        return;
+    }
+    Load& load = *it;
+    switch (written.result.status) {
+    case StoreStatus::Ok:
+        adopt(encodeConfiguration(load.proposed), written.result.version, "an operator");
+        if (load.stage != LoadStage::Confirming) {
+            // A later revision came into force before this answer arrived.
+            confirmLoad(load);
+        }
+        return;
+    case StoreStatus::Unknown:
+        load.outcomeUnknown = true;
+        log(LogEvent::StoreOutcomeUnknown, "config/current, change " + load.proposed.changeId);
+        readForLoad(load, LoadStage::ReadingBack);
+        return;
+    case StoreStatus::Conflict:
+    case StoreStatus::NotFound:
+        readForLoad(load, LoadStage::ReadingBack);
+        return;
+    case StoreStatus::Unavailable:
+        if (load.outcomeUnknown) {
+            // This write did nothing, but an earlier one of the same change may have taken effect.
+            load.stage = LoadStage::ReadingBack;
+            load.readNotBefore = MonotonicTime::max();
+            load.readAgainAt = m_now + m_settings.storePollInterval;
+        } else {
+            answerUnavailable(load, "the store is not available and nothing was changed; try again later");
+        }
+        return;
+    }
+}
+
+void ConfigurationControl::onPeerMessage(const wire::Envelope& envelope)
+{
+    const wire::InstanceReference& sender = envelope.sender();
+    const PeerInfo* peer = findPeer(sender.id());
+    if (envelope.has_heartbeat()) {
+        const std::uint64_t theirs = envelope.heartbeat().configuration_revision();
+        noteRevision(sender, theirs);
+        askIfHigher(theirs, sender.id());
+        // Only the delegate and an instance that waits for confirmations send unasked. The peer itself asks every
+        // instance from which it hears a higher revision.
+        const bool confirming = std::any_of(
+            m_loads.begin(), m_loads.end(), [](const Load& load) { return load.stage == LoadStage::Confirming; });
+        if (theirs < revision() && peer != nullptr
+            && (confirming || (peer->entry.region == m_settings.region && isDelegate()))) {
+            sendConfiguration(sender.id());
+        }
+    } else if (envelope.has_configuration_revision()) {
+        const wire::ConfigurationRevision& message = envelope.configuration_revision();
+        noteRevision(sender, message.revision());
+        const bool adopted = adopt(message.document(), message.object_version(), "instance " + sender.id());
+        sendAck(sender.id());
+        if (adopted && isDelegate() && (peer == nullptr || peer->entry.region != m_settings.region)) {
+            sendToOwnRegion();
+        }
+    } else if (envelope.has_configuration_request()) {
+        const std::uint64_t theirs = envelope.configuration_request().known_revision();
+        noteRevision(sender, theirs);
+        askIfHigher(theirs, sender.id());
+        if (theirs < revision()) {
+            sendConfiguration(sender.id());
+        }
+    } else if (envelope.has_configuration_ack()) {
+        noteRevision(sender, envelope.configuration_ack().revision());
+        askIfHigher(envelope.configuration_ack().revision(), sender.id());
+    }
+}
+
+void ConfigurationControl::onOperatorRequest(const OperatorRequested& request)
+{
+    if (request.action == OperatorAction::Load) {
+        startLoad(request);
+        return;
+    }
+    if (request.action != OperatorAction::ShowConfiguration) {
+        return;
+    }
+    OperatorAnswer answer {request.request, 200, ""};
+    if (m_inForce) {
+        answer.body = boost::json::serialize(
+            boost::json::object {{"revision", revision()}, {"configuration", encodeJson(*m_inForce)}});
+    } else if (m_absentInStore) {
+        answer.body = boost::json::serialize(boost::json::object {{"revision", 0}, {"configuration", nullptr}});
+    } else {
+        answer.status = 503;
+        answer.body = boost::json::serialize(boost::json::object {{"result", "unavailable"},
+            {"message", "this instance has not learned of a configuration yet; ask another instance"}});
+    }
+    m_effects.emplace_back(std::move(answer));
+}
+
+void ConfigurationControl::readWhenDue()
+{
+    if (m_now < m_nextRead) {
+        return;
+    }
+    forgetRemovedPeers();
+    if (m_inForce) {
+        m_nextRead = m_now + delegateReadInterval;
+        if (!isDelegate()) {
+            return;
+        }
+    } else {
+        const Milliseconds share {static_cast<std::int64_t>((m_peers->size() + 1) * 1'000 / startReadsPerSecond)};
+        m_nextRead = m_now + std::max(m_settings.storePollInterval, share);
+    }
+    m_effects.emplace_back(ReadObject {configKind, configName});
+}
+
+std::string ConfigurationControl::delegateOf(const std::string& region) const
+{
+    std::string lowestReady;
+    std::string lowestLive;
+    const auto consider = [&](const std::string& id, bool ready) {
+        std::string& lowest = ready ? lowestReady : lowestLive;
+        if (lowest.empty() || id < lowest) {
+            lowest = id;
+        }
+    };
+    if (region == m_settings.region) {
+        consider(m_settings.instance, m_inForce.has_value());
+    }
+    for (const PeerInfo& peer : *m_peers) {
+        if (peer.live && !peer.leaving && peer.entry.region == region) {
+            consider(peer.entry.id, peer.ready);
+        }
+    }
+    return lowestReady.empty() ? lowestLive : lowestReady;
+}
+
+bool ConfigurationControl::adopt(const std::string& document, std::uint64_t objectVersion, const std::string& source)
+{
+    if (m_inForce && document == m_document) {
+        m_objectVersion = std::max(m_objectVersion, objectVersion);
+        return false;
+    }
+    std::string reason;
+    Configuration configuration = handleError([&]() -> Result<Configuration> { return decodeConfiguration(document); },
+        [&](const Error& error) {
+            reason = describe(error);
+            return Configuration();
+        });
+    if (reason.empty() && configuration.revision < revision()) {
+        return false;
+    }
+    if (reason.empty() && configuration.revision == revision()) {
+        reason = "revision " + std::to_string(revision()) + " differs from the one in force; load a new revision";
+    }
+    if (reason.empty()) {
+        if (const std::vector<Error> errors = checkConfiguration(configuration); !errors.empty()) {
+            reason = describe(errors.front());
+        }
+    }
+    if (!reason.empty()) {
+        if (document != m_rejectedDocument) {
+            m_rejectedDocument = document;
+            log(LogEvent::ConfigurationRejected, "from " + source + ": " + reason);
+        }
+        return false;
+    }
+    m_inForce = std::move(configuration);
+    m_document = document;
+    m_objectVersion = objectVersion;
+    m_past.push_back(*m_inForce);
+    if (m_past.size() > pastRevisions) {
+        m_past.pop_front();
+    }
+    log(LogEvent::ConfigurationInForce,
+        "revision " + std::to_string(revision()) + " by \"" + m_inForce->author + "\" from " + source);
+    m_effects.emplace_back(
+        RecordMetric {"jasminespread_configuration_revision", "", static_cast<double>(revision()), true});
+    // Whichever way the revision arrived, it proves that a write with its change id took effect.
+    for (Load& load : m_loads) {
+        const bool mayHaveWritten = load.stage == LoadStage::Writing || load.stage == LoadStage::ReadingBack;
+        if (mayHaveWritten && load.proposed.changeId == m_inForce->changeId) {
+            confirmLoad(load);
+        }
+    }
+    return true;
+}
+
+void ConfigurationControl::sendToOwnRegion()
+{
+    for (const PeerInfo& peer : *m_peers) {
+        if (peer.live && peer.entry.region == m_settings.region && !hasConfirmed(peer, revision())) {
+            sendConfiguration(peer.entry.id);
+        }
+    }
+}
+
+void ConfigurationControl::sendToOtherRegions()
+{
+    for (const PeerInfo& peer : *m_peers) {
+        if (!peer.live || peer.entry.region == m_settings.region || hasConfirmed(peer, revision())) {
+            continue;
+        }
+        if (delegateOf(peer.entry.region) == peer.entry.id) {
+            sendConfiguration(peer.entry.id);
+        } else {
+            // Its copy comes from the delegate; do not answer heartbeats that are already on their way with another.
+            noteSent(peer.entry.id);
+        }
+    }
+}
+
+void ConfigurationControl::sendConfiguration(const std::string& to)
+{
+    const PeerProgress& progress = m_progress[to];
+    if (progress.sentRevision == revision() && m_now < progress.sentAt + resendInterval) {
+        return;
+    }
+    noteSent(to);
+    SendPeerMessage send;
+    send.to = to;
+    wire::ConfigurationRevision& message = *send.envelope.mutable_configuration_revision();
+    message.set_revision(revision());
+    message.set_object_version(m_objectVersion);
+    message.set_document(m_document);
+    m_effects.emplace_back(std::move(send));
+}
+
+void ConfigurationControl::noteSent(const std::string& to)
+{
+    PeerProgress& progress = m_progress[to];
+    progress.sentAt = m_now;
+    progress.sentRevision = revision();
+}
+
+void ConfigurationControl::sendAck(const std::string& to)
+{
+    SendPeerMessage send;
+    send.to = to;
+    send.envelope.mutable_configuration_ack()->set_revision(revision());
+    m_effects.emplace_back(std::move(send));
+}
+
+void ConfigurationControl::askIfHigher(std::uint64_t theirs, const std::string& peer)
+{
+    if (theirs <= revision() || m_now < m_nextRequest) {
+        return;
+    }
+    m_nextRequest = m_now + resendInterval;
+    SendPeerMessage send;
+    send.to = peer;
+    send.envelope.mutable_configuration_request()->set_known_revision(revision());
+    m_effects.emplace_back(std::move(send));
+}
+
+void ConfigurationControl::noteRevision(const wire::InstanceReference& peer, std::uint64_t theirs)
+{
+    PeerProgress& progress = m_progress[peer.id()];
+    if (progress.incarnation == peer.incarnation()) {
+        progress.revision = std::max(progress.revision, theirs);
+    } else {
+        progress = PeerProgress {peer.incarnation(), theirs, 0, MonotonicTime()};
+    }
+}
+
+void ConfigurationControl::forgetRemovedPeers()
+{
+    std::erase_if(m_progress, [&](const auto& entry) { return findPeer(entry.first) == nullptr; });
+}
+
+void ConfigurationControl::startLoad(const OperatorRequested& request)
+{
+    Load load;
+    load.requests = {request.request};
+    load.baseRevision = request.baseRevision;
+    load.deadline = m_now + resolveTimeout;
+    if (!request.configuration) {
+        refuseInvalid(load, {"the request has no configuration; send it as the body"});
+        return;
+    }
+    load.proposed = *request.configuration;
+    load.proposed.revision = request.baseRevision + 1;
+    load.proposed.changeId = request.changeId;
+    if (load.proposed.changeId.empty()) {
+        load.proposed.changeId = std::to_string(m_incarnation) + "-" + std::to_string(++m_changeCounter);
+    }
+    std::vector<std::string> errors;
+    for (const Error& error : checkConfiguration(load.proposed)) {
+        errors.push_back(describe(error));
+    }
+    if (!errors.empty()) {
+        refuseInvalid(load, errors);
+        return;
+    }
+    if (joinPendingLoad(load)) {
+        return;
+    }
+    if (!recognizePastChange(load)) {
+        readForLoad(load, LoadStage::ReadingBase);
+    }
+    m_loads.push_back(std::move(load));
+}
+
+bool ConfigurationControl::joinPendingLoad(Load& load)
+{
+    for (Load& pending : m_loads) {
+        if (pending.proposed.changeId != load.proposed.changeId) {
+            continue;
+        }
+        if (sameContent(pending.proposed, load.proposed)) {
+            pending.requests.push_back(load.requests.front());
+        } else {
+            refuseInvalid(load, {"the change id belongs to another change; draw a new one"});
+        }
+        return true;
+    }
+    return false;
+}
+
+bool ConfigurationControl::recognizePastChange(Load& load)
+{
+    const Configuration* past = pastByChangeId(load.proposed.changeId);
+    if (past == nullptr) {
+        return false;
+    }
+    if (sameContent(*past, load.proposed)) {
+        load.proposed.revision = past->revision;
+        confirmLoad(load);
+    } else {
+        refuseInvalid(load, {"the change id belongs to another change; draw a new one"});
+    }
+    return true;
+}
+
+void ConfigurationControl::readForLoad(Load& load, LoadStage stage)
+{
+    load.stage = stage;
+    load.readNotBefore = m_now;
+    load.readAgainAt = MonotonicTime::max();
+    m_effects.emplace_back(ReadObject {configKind, configName});
+}
+
+void ConfigurationControl::continueAfterRead(Load& load, const StoreRead& read)
+{
+    const StoreStatus status = read.result.status;
+    if (status != StoreStatus::Ok && status != StoreStatus::NotFound) {
+        answerUnavailable(load, "the store is not available and nothing was changed; try again later");
+        return;
+    }
+    if (status == StoreStatus::Ok) {
+        // A document that this version cannot read or accept must not be overwritten by one with a lower revision.
+        const std::optional<std::uint64_t> stored = revisionOf(read.result.object.value);
+        if (!stored || *stored > revision()) {
+            answerUnavailable(load,
+                "the stored configuration cannot be put in force by this instance's version and nothing was changed; "
+                "use an instance of the newest version");
+            return;
+        }
+    }
+    // The read may show that this change was carried out through another instance.
+    if (recognizePastChange(load)) {
+        return;
+    }
+    if (load.baseRevision != revision()) {
+        refuseConflict(load);
+        return;
+    }
+    writeLoad(load, status == StoreStatus::Ok ? read.result.object.version : 0);
+}
+
+void ConfigurationControl::writeLoad(Load& load, std::uint64_t expectedVersion)
+{
+    load.stage = LoadStage::Writing;
+    load.expectedVersion = expectedVersion;
+    load.writtenAt = m_now;
+    m_effects.emplace_back(WriteObject {
+        configKind, configName, expectedVersion, encodeConfiguration(load.proposed), load.proposed.changeId});
+}
+
+void ConfigurationControl::resolveReadBack(Load& load, const StoreRead& read)
+{
+    const StoreStatus status = read.result.status;
+    if (status != StoreStatus::Ok && status != StoreStatus::NotFound) {
+        load.readNotBefore = MonotonicTime::max();
+        load.readAgainAt = m_now + m_settings.storePollInterval;
+        return;
+    }
+    // Had the object held this change, adopt() would have moved the load on.
+    const std::uint64_t storedVersion = status == StoreStatus::Ok ? read.result.object.version : 0;
+    if (storedVersion == load.expectedVersion) {
+        // The write has not taken effect so far, but it may still be on its way. The same conditional write is safe
+        // to repeat: only one of the two can succeed.
+        const MonotonicTime nextWrite = load.writtenAt + m_settings.storePollInterval;
+        if (m_now >= nextWrite) {
+            writeLoad(load, load.expectedVersion);
+        } else {
+            load.readNotBefore = MonotonicTime::max();
+            load.readAgainAt = nextWrite;
+        }
+        return;
+    }
+    const std::optional<std::uint64_t> stored
+        = status == StoreStatus::Ok ? revisionOf(read.result.object.value) : std::nullopt;
+    // Each revision is written once. If another change holds the revision meant for this one, this one was not
+    // written and never will be, because the version on which it was conditional is gone.
+    const bool revisionTaken = stored == load.proposed.revision || pastByRevision(load.proposed.revision) != nullptr;
+    if (!load.outcomeUnknown || revisionTaken) {
+        refuseConflict(load);
+    } else {
+        answerUnknown(load,
+            "the store lost the answer to the write, and the configuration has been changed again since; compare the "
+            "configuration in force with the sheet");
+    }
+}
+
+void ConfigurationControl::confirmLoad(Load& load)
+{
+    load.stage = LoadStage::Confirming;
+    load.deadline = m_now + m_settings.confirmTimeout;
+    sendToOwnRegion();
+    sendToOtherRegions();
+}
+
+void ConfigurationControl::advanceLoad(Load& load)
+{
+    if (load.requests.empty()) {
+        return;
+    }
+    if (load.stage == LoadStage::Confirming) {
+        checkConfirmation(load);
+    } else if (m_now >= load.deadline) {
+        if (load.outcomeUnknown) {
+            answerUnknown(load,
+                "the store lost the answer to the write and could not be read back in time; compare the configuration "
+                "in force with the sheet once the store answers");
+        } else {
+            answerUnavailable(load, "the store did not answer in time and nothing was changed; try again later");
+        }
+    } else if (m_now >= load.readAgainAt) {
+        readForLoad(load, LoadStage::ReadingBack);
+    }
+}
+
+void ConfigurationControl::checkConfirmation(Load& load)
+{
+    const std::uint64_t wanted = load.proposed.revision;
+    boost::json::object regions;
+    std::string unconfirmed;
+    for (const Region& region : load.proposed.regions) {
+        std::vector<std::string> confirmed;
+        std::vector<std::string> missing;
+        std::vector<std::string> silent;
+        if (region.name == m_settings.region) {
+            confirmed.push_back(m_settings.instance);
+        }
+        for (const PeerInfo& peer : *m_peers) {
+            if (peer.entry.region == region.name) {
+                (!peer.live ? silent : hasConfirmed(peer, wanted) ? confirmed : missing).push_back(peer.entry.id);
+            }
+        }
+        if (confirmed.empty() && missing.empty()) {
+            // Nobody can confirm for a region of which no instance is heard.
+            missing = silent;
+        }
+        if (confirmed.empty() || !missing.empty()) {
+            unconfirmed += (unconfirmed.empty() ? "" : ", ") + region.name;
+        }
+        regions[region.name]
+            = boost::json::object {{"confirmed", textArray(confirmed)}, {"missing", textArray(missing)}};
+    }
+    if (unconfirmed.empty()) {
+        finish(load, 200, {{"result", "accepted"}, {"revision", wanted}, {"regions", regions}});
+    } else if (m_now >= load.deadline) {
+        log(LogEvent::ConfigurationUnconfirmed, "revision " + std::to_string(wanted) + ", regions: " + unconfirmed);
+        finish(load, 202, {{"result", "stored-not-confirmed"}, {"revision", wanted}, {"regions", regions}});
+    }
+}
+
+bool ConfigurationControl::hasConfirmed(const PeerInfo& peer, std::uint64_t wanted) const
+{
+    if (peer.configurationRevision >= wanted) {
+        return true;
+    }
+    const std::map<std::string, PeerProgress>::const_iterator it = m_progress.find(peer.entry.id);
+    return it != m_progress.end() && it->second.incarnation == peer.incarnation && it->second.revision >= wanted;
+}
+
+void ConfigurationControl::refuseInvalid(Load& load, const std::vector<std::string>& errors)
+{
+    log(LogEvent::ConfigurationRejected, "from an operator: " + errors.front());
+    finish(load, 400, {{"result", "invalid"}, {"errors", textArray(errors)}});
+}
+
+void ConfigurationControl::refuseConflict(Load& load)
+{
+    const Configuration current = m_inForce.value_or(Configuration());
+    const Configuration* base = pastByRevision(load.baseRevision);
+    const bool showsOtherChange = base != nullptr && base->revision < current.revision;
+    const std::vector<std::string> differences
+        = showsOtherChange ? diffConfigurations(*base, current) : diffConfigurations(current, load.proposed);
+    log(LogEvent::ConfigurationRejected,
+        "change based on revision " + std::to_string(load.baseRevision) + " conflicts with revision "
+            + std::to_string(current.revision));
+    finish(load, 409,
+        {{"result", "conflict"}, {"revision", current.revision}, {"author", current.author},
+            {"compared", showsOtherChange ? "base-to-current" : "current-to-proposed"},
+            {"differences", textArray(differences)}});
+}
+
+void ConfigurationControl::answerUnknown(Load& load, const std::string& message)
+{
+    finish(load, 502, {{"result", "unknown"}, {"message", message}});
+}
+
+void ConfigurationControl::answerUnavailable(Load& load, const std::string& message)
+{
+    finish(load, 503, {{"result", "unavailable"}, {"message", message}});
+}
+
+void ConfigurationControl::finish(Load& load, unsigned status, boost::json::object body)
+{
+    m_effects.emplace_back(RecordMetric {"jasminespread_configuration_changes_total",
+        "result=\"" + std::string(body.at("result").as_string()) + "\"", 1, false});
+    const std::string text = boost::json::serialize(body);
+    for (const std::uint64_t request : load.requests) {
+        m_effects.emplace_back(OperatorAnswer {request, status, text});
+    }
+    load.requests.clear();
+}
+
+const Configuration* ConfigurationControl::pastByChangeId(const std::string& changeId) const
+{
+    const std::deque<Configuration>::const_iterator it = std::find_if(
+        m_past.begin(), m_past.end(), [&](const Configuration& past) { return past.changeId == changeId; });
+    return it == m_past.end() ? nullptr : &*it;
+}
+
+const Configuration* ConfigurationControl::pastByRevision(std::uint64_t wanted) const
+{
+    const std::deque<Configuration>::const_iterator it = std::find_if(
+        m_past.begin(), m_past.end(), [&](const Configuration& past) { return past.revision == wanted; });
+    return it == m_past.end() ? nullptr : &*it;
+}
+
+void ConfigurationControl::log(LogEvent event, const std::string& details)
+{
+    m_effects.emplace_back(WriteLog {event, details});
+}
+
+const PeerInfo* ConfigurationControl::findPeer(const std::string& id) const
+{
+    const std::vector<PeerInfo>::const_iterator it
+        = std::find_if(m_peers->begin(), m_peers->end(), [&](const PeerInfo& peer) { return peer.entry.id == id; });
+    return it == m_peers->end() ? nullptr : &*it;
+}
+
+} // namespace jasminespread
--- /dev/null
+++ b/tests/configuration_control_test.cpp
@@ -0,0 +1,543 @@
+#include "configuration_samples.h"
+#include "control/configuration_control.h"
+
+#include <boost/json.hpp>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <functional>
+#include <map>
+
+namespace jasminespread {
+namespace {
+
+constexpr Milliseconds storeDelay {5};
+constexpr Milliseconds tickInterval {50};
+
+/// What the store does with the next write.
+enum class WriteFault {
+    None,
+    AnswerLostAfterEffect,
+    AnswerLostBeforeEffect,
+    DelayedBeyondAnswer,
+    StoreDownAfterEffect
+};
+
+/// A store object, several instances and the messages between them, in virtual time.
+class Fleet {
+public:
+    struct Instance {
+        InstanceSettings settings;
+        std::uint64_t incarnation = 0;
+        std::unique_ptr<ConfigurationControl> control;
+        bool running = true;
+        std::vector<std::uint64_t> revisions; ///< Every revision seen in force, in order.
+    };
+
+    void add(const std::string& id, const std::string& region)
+    {
+        Instance& instance = m_instances[id];
+        instance.settings.instance = id;
+        instance.settings.region = region;
+        instance.incarnation = ++m_incarnations;
+        instance.control = std::make_unique<ConfigurationControl>(instance.settings, instance.incarnation);
+    }
+
+    /// Runs ticks, heartbeats and everything due until the time has passed.
+    void run(Milliseconds duration)
+    {
+        const MonotonicTime end = m_now + duration;
+        while (m_now < end) {
+            const MonotonicTime nextTick = m_now + tickInterval;
+            while (!m_due.empty() && m_due.begin()->first <= nextTick) {
+                m_now = std::max(m_now, m_due.begin()->first);
+                const std::function<void()> action = m_due.begin()->second;
+                m_due.erase(m_due.begin());
+                action();
+            }
+            m_now = nextTick;
+            ++m_ticks;
+            for (auto& [id, instance] : m_instances) {
+                if (instance.running) {
+                    apply(id, Tick {});
+                    if (m_ticks % 4 == 0) {
+                        sendHeartbeats(id);
+                    }
+                }
+            }
+        }
+    }
+
+    std::uint64_t load(
+        const std::string& id, const Configuration& configuration, std::uint64_t base, const std::string& changeId)
+    {
+        OperatorRequested request;
+        request.request = ++m_requests;
+        request.action = OperatorAction::Load;
+        request.configuration = configuration;
+        request.baseRevision = base;
+        request.changeId = changeId;
+        apply(id, request);
+        return m_requests;
+    }
+
+    std::uint64_t show(const std::string& id)
+    {
+        OperatorRequested request;
+        request.request = ++m_requests;
+        request.action = OperatorAction::ShowConfiguration;
+        apply(id, request);
+        return m_requests;
+    }
+
+    void apply(const std::string& id, Event event)
+    {
+        Instance& instance = m_instances.at(id);
+        Effects effects = instance.control->reduce({m_now, WallTime(), std::move(event)}, peersOf(id));
+        const std::uint64_t revision = instance.control->revision();
+        if (instance.revisions.empty() || instance.revisions.back() != revision) {
+            instance.revisions.push_back(revision);
+        }
+        for (Effect& effect : effects) {
+            perform(id, effect);
+        }
+    }
+
+    Instance& at(const std::string& id) { return m_instances.at(id); }
+
+    unsigned status(std::uint64_t request) const
+    {
+        const std::map<std::uint64_t, OperatorAnswer>::const_iterator it = m_answers.find(request);
+        return it == m_answers.end() ? 0 : it->second.status;
+    }
+
+    boost::json::object body(std::uint64_t request) const
+    {
+        return boost::json::parse(m_answers.at(request).body).as_object();
+    }
+
+    bool storeUp = true;
+    std::string cutFromStore; ///< An instance that gets no answers from the store.
+    WriteFault nextWrite = WriteFault::None;
+    std::function<bool(const std::string& from, const std::string& to)> linked
+        = [](const std::string&, const std::string&) { return true; };
+    StoredObject object;
+    int reads = 0;
+    std::vector<std::pair<std::string, std::string>> copies; ///< Configurations sent, by sender and receiver.
+
+private:
+    void later(Milliseconds delay, std::function<void()> action) { m_due.emplace(m_now + delay, std::move(action)); }
+
+    std::vector<PeerInfo> peersOf(const std::string& id)
+    {
+        std::vector<PeerInfo> peers;
+        for (const auto& [other, instance] : m_instances) {
+            if (other != id) {
+                PeerInfo peer;
+                peer.entry.id = other;
+                peer.entry.region = instance.settings.region;
+                peer.incarnation = instance.incarnation;
+                peer.live = instance.running && linked(other, id);
+                peer.ready = instance.control->revision() > 0;
+                peer.configurationRevision = m_heard[{id, other}];
+                peers.push_back(peer);
+            }
+        }
+        return peers;
+    }
+
+    void sendHeartbeats(const std::string& id)
+    {
+        for (const auto& [other, instance] : m_instances) {
+            if (other != id) {
+                SendPeerMessage send;
+                send.to = other;
+                send.envelope.mutable_heartbeat()->set_configuration_revision(m_instances.at(id).control->revision());
+                perform(id, send);
+            }
+        }
+    }
+
+    void perform(const std::string& id, Effect effect)
+    {
+        if (SendPeerMessage* send = std::get_if<SendPeerMessage>(&effect)) {
+            deliver(id, *send);
+        } else if (std::holds_alternative<ReadObject>(effect)) {
+            ++reads;
+            const MonotonicTime startedAt = m_now;
+            later(storeDelay, [this, id, startedAt] {
+                StoreReadResult result {StoreStatus::Unavailable, {}};
+                if (storeUp && id != cutFromStore) {
+                    result = {object.version == 0 ? StoreStatus::NotFound : StoreStatus::Ok, object};
+                }
+                apply(id, StoreRead {"config", "current", startedAt, result});
+            });
+        } else if (WriteObject* write = std::get_if<WriteObject>(&effect)) {
+            carryOut(id, *write);
+        } else if (OperatorAnswer* answer = std::get_if<OperatorAnswer>(&effect)) {
+            EXPECT_TRUE(m_answers.emplace(answer->request, *answer).second) << "answered twice";
+        }
+    }
+
+    void deliver(const std::string& id, SendPeerMessage send)
+    {
+        send.envelope.mutable_sender()->set_id(id);
+        send.envelope.mutable_sender()->set_incarnation(m_instances.at(id).incarnation);
+        if (send.envelope.has_configuration_revision()) {
+            copies.emplace_back(id, send.to);
+        }
+        const bool sameRegion = m_instances.at(id).settings.region == m_instances.at(send.to).settings.region;
+        later(Milliseconds(sameRegion ? 1 : 12), [this, id, send] {
+            if (!m_instances.at(send.to).running || !linked(id, send.to)) {
+                return;
+            }
+            if (send.envelope.has_heartbeat()) {
+                m_heard[{send.to, id}] = send.envelope.heartbeat().configuration_revision();
+            }
+            apply(send.to, PeerMessageReceived {send.envelope});
+        });
+    }
+
+    StoreWriteResult writeNow(const WriteObject& write)
+    {
+        if (!storeUp) {
+            return {StoreStatus::Unavailable, 0};
+        }
+        if (object.version != write.expectedVersion) {
+            return {StoreStatus::Conflict, 0};
+        }
+        object = {"current", ++m_versions, write.value};
+        return {StoreStatus::Ok, object.version};
+    }
+
+    void carryOut(const std::string& id, const WriteObject& write)
+    {
+        const WriteFault fault = std::exchange(nextWrite, WriteFault::None);
+        const MonotonicTime startedAt = m_now;
+        if (fault == WriteFault::DelayedBeyondAnswer) {
+            // Later than the read-back that follows the lost answer.
+            later(storeDelay * 4, [this, write] { writeNow(write); });
+        }
+        later(storeDelay, [this, id, write, fault, startedAt] {
+            StoreWriteResult result {StoreStatus::Unknown, 0};
+            if (fault == WriteFault::None) {
+                result = writeNow(write);
+            } else if (fault == WriteFault::AnswerLostAfterEffect || fault == WriteFault::StoreDownAfterEffect) {
+                writeNow(write);
+                storeUp = fault != WriteFault::StoreDownAfterEffect;
+            }
+            apply(id, StoreWritten {"config", "current", write.changeId, startedAt, result});
+        });
+    }
+
+    MonotonicTime m_now {Milliseconds(1'000'000)};
+    int m_ticks = 0;
+    std::uint64_t m_incarnations = 0;
+    std::uint64_t m_requests = 0;
+    std::uint64_t m_versions = 0;
+    std::map<std::string, Instance> m_instances;
+    std::multimap<MonotonicTime, std::function<void()>> m_due;
+    std::map<std::pair<std::string, std::string>, std::uint64_t> m_heard;
+    std::map<std::uint64_t, OperatorAnswer> m_answers;
+};
+
+class ConfigurationControlTest : public testing::Test {
+protected:
+    void SetUp() override
+    {
+        fleet.add("w1", "western");
+        fleet.add("w2", "western");
+        fleet.add("c1", "central");
+        fleet.add("c2", "central");
+        fleet.run(Milliseconds(1'000));
+    }
+
+    /// Brings revision 1 into force everywhere.
+    void loadFirst()
+    {
+        const std::uint64_t request = fleet.load("w1", sampleConfiguration(), 0, "first");
+        fleet.run(Milliseconds(1'000));
+        ASSERT_EQ(fleet.status(request), 200U);
+    }
+
+    static Configuration withSlots(std::uint32_t slots, const std::string& author)
+    {
+        Configuration configuration = sampleConfiguration();
+        configuration.services[0].slotsPerServer = slots;
+        configuration.author = author;
+        return configuration;
+    }
+
+    Fleet fleet;
+};
+
+} // namespace
+
+// Guards against a report of acceptance that does not come from every instance.
+TEST_F(ConfigurationControlTest, AcceptedMeansInForceEverywhere)
+{
+    const std::uint64_t request = fleet.load("c2", sampleConfiguration(), 0, "first");
+    fleet.run(Milliseconds(1'000));
+    ASSERT_EQ(fleet.status(request), 200U);
+    for (const char* id : {"w1", "w2", "c1", "c2"}) {
+        EXPECT_EQ(fleet.at(id).control->revision(), 1U) << id;
+    }
+    const boost::json::object body = fleet.body(request);
+    EXPECT_EQ(body.at("result"), "accepted");
+    EXPECT_EQ(body.at("revision"), 1);
+    EXPECT_EQ(body.at("regions").at("western").at("confirmed"), boost::json::array({"w1", "w2"}));
+    EXPECT_EQ(body.at("regions").at("central").at("missing"), boost::json::array());
+}
+
+// Guards against sending the document over a link between regions once per instance.
+TEST_F(ConfigurationControlTest, EachRegionIsSentOneCopy)
+{
+    loadFirst();
+    EXPECT_EQ(std::count(fleet.copies.begin(), fleet.copies.end(), std::pair<std::string, std::string>("w1", "c1")), 1);
+    EXPECT_EQ(std::count(fleet.copies.begin(), fleet.copies.end(), std::pair<std::string, std::string>("w1", "c2")), 0);
+    EXPECT_EQ(fleet.copies.size(), 3U);
+}
+
+// Guards against store traffic that grows with the number of instances: one reader per region.
+TEST_F(ConfigurationControlTest, OneInstancePerRegionReadsTheStore)
+{
+    loadFirst();
+    const int before = fleet.reads;
+    fleet.run(Milliseconds(20'000));
+    EXPECT_LE(fleet.reads - before, 22);
+    EXPECT_GE(fleet.reads - before, 18);
+}
+
+// Guards against an operator being told of a failure although the write took effect.
+TEST_F(ConfigurationControlTest, LostAnswerAfterEffectIsResolvedByReadingBack)
+{
+    loadFirst();
+    fleet.nextWrite = WriteFault::AnswerLostAfterEffect;
+    const std::uint64_t request = fleet.load("w1", withSlots(7, "ana"), 1, "second");
+    fleet.run(Milliseconds(1'500));
+    EXPECT_EQ(fleet.status(request), 200U);
+    EXPECT_EQ(fleet.at("c2").control->inForce()->services[0].slotsPerServer, 7U);
+}
+
+// Guards against a report of acceptance for a write that never reached the store.
+TEST_F(ConfigurationControlTest, LostAnswerWithoutEffectIsWrittenAgain)
+{
+    loadFirst();
+    fleet.nextWrite = WriteFault::AnswerLostBeforeEffect;
+    const std::uint64_t request = fleet.load("w1", withSlots(7, "ana"), 1, "second");
+    fleet.run(Milliseconds(2'000));
+    EXPECT_EQ(fleet.status(request), 200U);
+    EXPECT_EQ(fleet.body(request).at("revision"), 2);
+    EXPECT_EQ(fleet.object.version, 2U) << "written once";
+}
+
+// Guards against a write that takes effect after the read-back: the change must not be lost or applied twice.
+TEST_F(ConfigurationControlTest, WriteThatArrivesAfterReadBackIsFoundByConflict)
+{
+    loadFirst();
+    fleet.nextWrite = WriteFault::DelayedBeyondAnswer;
+    const std::uint64_t request = fleet.load("w1", withSlots(7, "ana"), 1, "second");
+    fleet.run(Milliseconds(2'000));
+    EXPECT_EQ(fleet.status(request), 200U);
+    EXPECT_EQ(fleet.object.version, 2U) << "written once";
+    EXPECT_EQ(fleet.at("c1").control->revision(), 2U);
+}
+
+// Guards against `unavailable` (nothing was changed) when the write may have taken effect.
+TEST_F(ConfigurationControlTest, LostAnswerAndStoreDownEndsAsUnknown)
+{
+    loadFirst();
+    fleet.nextWrite = WriteFault::StoreDownAfterEffect;
+    const std::uint64_t request = fleet.load("w1", withSlots(7, "ana"), 1, "second");
+    fleet.run(Milliseconds(9'900));
+    EXPECT_EQ(fleet.status(request), 0U);
+    fleet.run(Milliseconds(300));
+    EXPECT_EQ(fleet.status(request), 502U);
+    EXPECT_EQ(fleet.body(request).at("result"), "unknown");
+    fleet.storeUp = true;
+    fleet.run(Milliseconds(3'000));
+    EXPECT_EQ(fleet.at("c2").control->revision(), 2U);
+}
+
+// Guards against one of two concurrent changes being overwritten without notice.
+TEST_F(ConfigurationControlTest, OneOfTwoRacingOperatorsGetsTheConflict)
+{
+    loadFirst();
+    const std::uint64_t ana = fleet.load("w1", withSlots(7, "ana"), 1, "by-ana");
+    const std::uint64_t ben = fleet.load("c1", withSlots(9, "ben"), 1, "by-ben");
+    fleet.run(Milliseconds(2'000));
+    ASSERT_EQ(fleet.status(ana), 200U);
+    ASSERT_EQ(fleet.status(ben), 409U);
+    const boost::json::object body = fleet.body(ben);
+    EXPECT_EQ(body.at("revision"), 2);
+    EXPECT_EQ(body.at("author"), "ana");
+    EXPECT_EQ(body.at("compared"), "base-to-current");
+    EXPECT_EQ(body.at("differences"), boost::json::array({"services[ledger].slotsPerServer: 6 -> 7"}));
+}
+
+// Guards against a change that is based on an old revision silently undoing the newer one.
+TEST_F(ConfigurationControlTest, OldBaseRevisionIsAConflict)
+{
+    loadFirst();
+    fleet.load("w1", withSlots(7, "ana"), 1, "second");
+    fleet.run(Milliseconds(1'000));
+    const std::uint64_t request = fleet.load("c2", withSlots(8, "ben"), 1, "third");
+    fleet.run(Milliseconds(1'000));
+    EXPECT_EQ(fleet.status(request), 409U);
+    EXPECT_EQ(fleet.at("c2").control->revision(), 2U);
+}
+
+// Guards against `accepted` while a region has not confirmed.
+TEST_F(ConfigurationControlTest, SilentInstanceLeavesTheChangeUnconfirmed)
+{
+    loadFirst();
+    // c2 is heard, but hears neither its peers nor the store.
+    fleet.cutFromStore = "c2";
+    fleet.linked = [](const std::string&, const std::string& to) { return to != "c2"; };
+    const std::uint64_t request = fleet.load("w1", withSlots(7, "ana"), 1, "second");
+    fleet.run(Milliseconds(2'900));
+    EXPECT_EQ(fleet.status(request), 0U);
+    fleet.run(Milliseconds(300));
+    ASSERT_EQ(fleet.status(request), 202U);
+    const boost::json::object body = fleet.body(request);
+    EXPECT_EQ(body.at("result"), "stored-not-confirmed");
+    EXPECT_EQ(body.at("regions").at("central").at("confirmed"), boost::json::array({"c1"}));
+    EXPECT_EQ(body.at("regions").at("central").at("missing"), boost::json::array({"c2"}));
+}
+
+// Guards against counting a region of which no instance is heard as confirmed.
+TEST_F(ConfigurationControlTest, RegionWithoutLiveInstanceIsMissing)
+{
+    loadFirst();
+    fleet.at("c1").running = false;
+    fleet.at("c2").running = false;
+    const std::uint64_t request = fleet.load("w1", withSlots(7, "ana"), 1, "second");
+    fleet.run(Milliseconds(3'200));
+    ASSERT_EQ(fleet.status(request), 202U);
+    EXPECT_EQ(fleet.body(request).at("regions").at("central").at("missing"), boost::json::array({"c1", "c2"}));
+}
+
+// Guards against going back to an older revision when its message arrives late.
+TEST_F(ConfigurationControlTest, LateLowerRevisionIsIgnored)
+{
+    loadFirst();
+    const StoredObject first = fleet.object;
+    fleet.load("w1", withSlots(7, "ana"), 1, "second");
+    fleet.run(Milliseconds(1'000));
+    PeerMessageReceived late;
+    late.envelope.mutable_sender()->set_id("w1");
+    late.envelope.mutable_sender()->set_incarnation(1);
+    late.envelope.mutable_configuration_revision()->set_revision(1);
+    late.envelope.mutable_configuration_revision()->set_document(first.value);
+    fleet.apply("c2", late);
+    fleet.run(Milliseconds(1'000));
+    EXPECT_EQ(fleet.at("c2").control->revision(), 2U);
+    EXPECT_EQ(fleet.at("c2").revisions, (std::vector<std::uint64_t> {0, 1, 2}));
+}
+
+// Guards against an older object in the store (restored from a copy) bringing an older revision into force.
+TEST_F(ConfigurationControlTest, OlderStoredObjectIsIgnored)
+{
+    loadFirst();
+    const StoredObject first = fleet.object;
+    fleet.load("w1", withSlots(7, "ana"), 1, "second");
+    fleet.run(Milliseconds(1'000));
+    fleet.object = first;
+    fleet.run(Milliseconds(5'000));
+    for (const char* id : {"w1", "w2", "c1", "c2"}) {
+        EXPECT_EQ(fleet.at(id).control->revision(), 2U) << id;
+    }
+}
+
+// Guards against an instance that stays without configuration for as long as the store is down.
+TEST_F(ConfigurationControlTest, InstanceStartedWhileStoreIsDownLearnsFromPeer)
+{
+    loadFirst();
+    fleet.storeUp = false;
+    fleet.add("c3", "central");
+    const std::uint64_t early = fleet.show("c3");
+    EXPECT_EQ(fleet.status(early), 503U) << "must not claim that there is no configuration";
+    fleet.run(Milliseconds(1'000));
+    EXPECT_EQ(fleet.at("c3").control->revision(), 1U);
+}
+
+// Guards against a change being accepted while it cannot be stored.
+TEST_F(ConfigurationControlTest, StoreDownIsUnavailable)
+{
+    loadFirst();
+    fleet.storeUp = false;
+    const std::uint64_t request = fleet.load("w1", withSlots(7, "ana"), 1, "second");
+    fleet.run(Milliseconds(1'000));
+    EXPECT_EQ(fleet.status(request), 503U);
+    EXPECT_EQ(fleet.at("w1").control->revision(), 1U);
+}
+
+// Guards against a repeated request (its answer was lost) being reported as a conflict with itself.
+TEST_F(ConfigurationControlTest, RepeatedChangeIsAcceptedAgain)
+{
+    loadFirst();
+    const std::uint64_t first = fleet.load("w1", withSlots(7, "ana"), 1, "second");
+    const std::uint64_t joined = fleet.load("w1", withSlots(7, "ana"), 1, "second");
+    fleet.run(Milliseconds(1'000));
+    const std::uint64_t repeated = fleet.load("c1", withSlots(7, "ana"), 1, "second");
+    const std::uint64_t reused = fleet.load("c1", withSlots(9, "ben"), 2, "second");
+    fleet.run(Milliseconds(1'000));
+    EXPECT_EQ(fleet.status(first), 200U);
+    EXPECT_EQ(fleet.status(joined), 200U);
+    EXPECT_EQ(fleet.status(repeated), 200U);
+    EXPECT_EQ(fleet.body(repeated).at("revision"), 2);
+    EXPECT_EQ(fleet.status(reused), 400U) << "another change under the same id";
+    EXPECT_EQ(fleet.object.version, 2U) << "written once";
+}
+
+// Guards against a revision that stays unknown when the instance that stored it dies before it sends it.
+TEST_F(ConfigurationControlTest, StoredRevisionSpreadsWithoutItsAuthorsInstance)
+{
+    loadFirst();
+    Configuration next = withSlots(7, "ana");
+    next.revision = 2;
+    next.changeId = "second";
+    fleet.object = {"current", 50, encodeConfiguration(next)};
+    fleet.run(Milliseconds(3'000));
+    for (const char* id : {"w1", "w2", "c1", "c2"}) {
+        EXPECT_EQ(fleet.at(id).control->revision(), 2U) << id;
+    }
+}
+
+// Guards against overwriting a document that only a newer version of the program understands.
+TEST_F(ConfigurationControlTest, UnreadableStoredDocumentIsNotOverwritten)
+{
+    loadFirst();
+    fleet.object = {"current", 50, "{\"revision\":2,\"newField\":1}"};
+    const std::uint64_t request = fleet.load("w1", withSlots(7, "ana"), 1, "second");
+    fleet.run(Milliseconds(1'000));
+    EXPECT_EQ(fleet.status(request), 503U);
+    EXPECT_EQ(fleet.object.version, 50U);
+}
+
+// Guards against storing a configuration that no instance would put in force.
+TEST_F(ConfigurationControlTest, InvalidConfigurationIsRefusedWithAllErrors)
+{
+    Configuration configuration = sampleConfiguration();
+    configuration.servers[0].address = "localhost:1";
+    configuration.servers[1].failureDomain = "western-a";
+    const std::uint64_t request = fleet.load("w1", configuration, 0, "first");
+    ASSERT_EQ(fleet.status(request), 400U);
+    EXPECT_EQ(fleet.body(request).at("errors").as_array().size(), 2U);
+    EXPECT_EQ(fleet.object.version, 0U);
+}
+
+// Guards against an empty answer to the first load, which needs to know the base revision 0.
+TEST_F(ConfigurationControlTest, ShowsRevisionZeroWhenTheStoreHasNone)
+{
+    const std::uint64_t empty = fleet.show("w1");
+    EXPECT_EQ(fleet.status(empty), 200U);
+    EXPECT_EQ(fleet.body(empty).at("revision"), 0);
+    loadFirst();
+    const std::uint64_t shown = fleet.show("c2");
+    EXPECT_EQ(fleet.body(shown).at("revision"), 1);
+    EXPECT_EQ(fleet.body(shown).at("configuration").at("author"), "ana");
+}
+
+} // namespace jasminespread
