--- a/include/jasminespread/effect.h
+++ b/include/jasminespread/effect.h
@@ -11,6 +11,7 @@
 #include <memory>
 #include <string>
 #include <variant>
+#include <vector>
 
 namespace jasminespread {
 
