Add the data path: workers, caller listener, forward sockets and request reducer

Callers' requests need a path to the owner of their key. Each worker thread runs a libsoup server, ZeroMQ forward sockets and a backend transport on one GMainContext; a pure RequestReducer decides what they do.

The address check binds with system calls, because g_socket_bind() turns SO_REUSEPORT off for TCP sockets. ForwardRequest gets the field id_made_by_entry, which the request window needs. BackendRequest gets the hook mayWrite, with which a primary checks its authority right before each write.

Ruled out: reading the body length from SoupMessageBody::length, which libsoup fills only when the body is flattened.

--- a/include/jasminespread/backend_transport.h
+++ b/include/jasminespread/backend_transport.h
@@ -3,6 +3,7 @@
 #include <jasminespread/enum_names.h>
 #include <jasminespread/time.h>
 
+#include <array>
 #include <cstdint>
 #include <functional>
 #include <string>
@@ -24,6 +25,9 @@
     std::vector<HeaderField> headers;
     std::string body;
     MonotonicTime deadline;
+    /// Called right before each write. When it returns false, nothing more is written and the request ends as NotSent
+    /// or Broken. Empty: always allowed.
+    std::function<bool()> mayWrite;
 };
 
 /// How far a request to a backend server got.
--- /dev/null
+++ b/src/daemon/forward_sockets.cpp
@@ -0,0 +1,195 @@
+#include "daemon/forward_sockets.h"
+
+#include "base/glib_pointer.h"
+
+#include <glib.h>
+#include <zmq.h>
+
+#include <deque>
+#include <unordered_map>
+
+namespace jasminespread {
+namespace {
+
+constexpr int sendHighWaterMark = 1000; ///< Messages.
+constexpr int receiveHighWaterMark = 4000; ///< Messages.
+constexpr int listenBacklog = 1024;
+constexpr std::size_t maxKeptMessages = 1000; ///< Per connection.
+constexpr std::uint64_t envelopeOverhead = 65'536; ///< Bytes beside the body.
+constexpr int messagesPerDispatch = 64;
+constexpr std::chrono::seconds idleTimeout {60};
+
+struct ZmqClose {
+    void operator()(void* socket) const noexcept { zmq_close(socket); }
+};
+using ZmqSocket = std::unique_ptr<void, ZmqClose>;
+
+void setOption(void* socket, int option, int value) { zmq_setsockopt(socket, option, &value, sizeof value); }
+
+bool isReadable(void* socket)
+{
+    int events = 0;
+    std::size_t size = sizeof events;
+    return zmq_getsockopt(socket, ZMQ_EVENTS, &events, &size) == 0 && (events & ZMQ_POLLIN) != 0;
+}
+
+/// GSource over ZMQ_FD. That descriptor only signals changes, so every step asks ZMQ_EVENTS.
+struct SocketSource {
+    GSource base;
+    void* socket;
+};
+
+gboolean prepareSource(GSource* source, gint* timeout)
+{
+    *timeout = -1;
+    return isReadable(reinterpret_cast<SocketSource*>(source)->socket) ? TRUE : FALSE;
+}
+
+gboolean checkSource(GSource* source)
+{
+    return isReadable(reinterpret_cast<SocketSource*>(source)->socket) ? TRUE : FALSE;
+}
+
+gboolean dispatchSource(GSource*, GSourceFunc callback, gpointer data) { return callback(data); }
+
+GSourceFuncs sourceFunctions {prepareSource, checkSource, dispatchSource, nullptr, nullptr, nullptr};
+
+} // namespace
+
+struct ForwardSockets::State {
+    struct Kept {
+        std::string bytes;
+        MonotonicTime expires;
+    };
+    struct Connection {
+        ZmqSocket socket;
+        std::deque<Kept> kept;
+        MonotonicTime lastUsed;
+    };
+
+    void* context = nullptr;
+    std::uint64_t maxMessageBytes = 0;
+    Hooks hooks;
+    ZmqSocket pull;
+    GSourcePointer source;
+    std::unordered_map<std::string, Connection> connections;
+
+    Connection& connectionTo(const std::string& address)
+    {
+        Connection& connection = connections[address];
+        connection.lastUsed = monotonicNow();
+        if (!connection.socket) {
+            connection.socket.reset(zmq_socket(context, ZMQ_PUSH));
+            void* socket = connection.socket.get();
+            setOption(socket, ZMQ_LINGER, 0);
+            setOption(socket, ZMQ_SNDHWM, sendHighWaterMark);
+            // Without it, messages queue for a peer that is not connected and arrive long after their deadline.
+            setOption(socket, ZMQ_IMMEDIATE, 1);
+            setOption(socket, ZMQ_RECONNECT_IVL, 20);
+            setOption(socket, ZMQ_RECONNECT_IVL_MAX, 500);
+            zmq_connect(socket, ("tcp://" + address).c_str());
+        }
+        return connection;
+    }
+
+    static bool push(Connection& connection, const std::string& bytes)
+    {
+        return zmq_send(connection.socket.get(), bytes.data(), bytes.size(), ZMQ_DONTWAIT) >= 0;
+    }
+
+    static gboolean onReadable(gpointer data)
+    {
+        State& state = *static_cast<State*>(data);
+        for (int n = 0; n < messagesPerDispatch; ++n) {
+            zmq_msg_t message;
+            zmq_msg_init(&message);
+            if (zmq_msg_recv(&message, state.pull.get(), ZMQ_DONTWAIT) < 0) {
+                zmq_msg_close(&message);
+                break;
+            }
+            const char* address = zmq_msg_gets(&message, "Peer-Address");
+            const std::string peerIp = address == nullptr ? "" : address;
+            wire::Envelope envelope;
+            const bool parsed
+                = envelope.ParseFromArray(zmq_msg_data(&message), static_cast<int>(zmq_msg_size(&message)));
+            zmq_msg_close(&message);
+            if (parsed) {
+                state.hooks.received(std::move(envelope), peerIp);
+            } else {
+                state.hooks.unreadable(peerIp);
+            }
+        }
+        return G_SOURCE_CONTINUE;
+    }
+};
+
+ForwardSockets::ForwardSockets(void* context, std::uint64_t maxMessageBytes, Hooks hooks)
+    : m_state(std::make_unique<State>())
+{
+    m_state->context = context;
+    m_state->maxMessageBytes = maxMessageBytes;
+    m_state->hooks = std::move(hooks);
+}
+
+ForwardSockets::~ForwardSockets() = default;
+
+Result<void> ForwardSockets::bind(const std::string& address)
+{
+    m_state->pull.reset(zmq_socket(m_state->context, ZMQ_PULL));
+    void* socket = m_state->pull.get();
+    setOption(socket, ZMQ_LINGER, 0);
+    setOption(socket, ZMQ_RCVHWM, receiveHighWaterMark);
+    setOption(socket, ZMQ_BACKLOG, listenBacklog);
+    const auto maxSize = static_cast<std::int64_t>(m_state->maxMessageBytes + envelopeOverhead);
+    zmq_setsockopt(socket, ZMQ_MAXMSGSIZE, &maxSize, sizeof maxSize);
+    if (zmq_bind(socket, ("tcp://" + address).c_str()) != 0) {
+        const int ec = zmq_errno();
+        return fail(ec == EADDRINUSE ? ErrorKind::AddressInUse : ErrorKind::InvalidInput,
+            "cannot bind " + address + " for forwarded requests: " + zmq_strerror(ec)
+                + "; check forwardAddress in the settings");
+    }
+    int fd = -1;
+    std::size_t size = sizeof fd;
+    zmq_getsockopt(socket, ZMQ_FD, &fd, &size);
+    m_state->source.reset(g_source_new(&sourceFunctions, sizeof(SocketSource)));
+    GSource* source = m_state->source.get();
+    reinterpret_cast<SocketSource*>(source)->socket = socket;
+    g_source_add_unix_fd(source, fd, G_IO_IN);
+    g_source_set_callback(source, State::onReadable, m_state.get(), nullptr);
+    g_source_attach(source, g_main_context_get_thread_default());
+    return {};
+}
+
+void ForwardSockets::connect(const std::string& address) { m_state->connectionTo(address); }
+
+bool ForwardSockets::send(const std::string& address, const wire::Envelope& envelope)
+{
+    return State::push(m_state->connectionTo(address), envelope.SerializeAsString());
+}
+
+void ForwardSockets::sendOrKeep(const std::string& address, const wire::Envelope& envelope, MonotonicTime expires)
+{
+    State::Connection& connection = m_state->connectionTo(address);
+    std::string bytes = envelope.SerializeAsString();
+    if (!connection.kept.empty() || !State::push(connection, bytes)) {
+        if (connection.kept.size() >= maxKeptMessages) {
+            connection.kept.pop_front();
+        }
+        connection.kept.push_back({std::move(bytes), expires});
+    }
+}
+
+void ForwardSockets::flush(MonotonicTime now)
+{
+    for (auto it = m_state->connections.begin(); it != m_state->connections.end();) {
+        State::Connection& connection = it->second;
+        while (!connection.kept.empty()
+            && (connection.kept.front().expires <= now || State::push(connection, connection.kept.front().bytes))) {
+            connection.kept.pop_front();
+        }
+        const bool idle = connection.kept.empty() && now - connection.lastUsed > idleTimeout;
+        it = idle ? m_state->connections.erase(it) : std::next(it);
+    }
+}
+
+} // namespace jasminespread
--- /dev/null
+++ b/src/daemon/worker.cpp
@@ -0,0 +1,364 @@
+#include "daemon/worker.h"
+
+#include <future>
+#include <optional>
+
+namespace jasminespread {
+namespace {
+
+constexpr std::uint32_t protocolVersion = 1;
+constexpr guint tickMs = 5; ///< Interval of route polling and timers.
+constexpr std::uint64_t ticksPerCallerCheck = 5; ///< A caller that left is noticed within 25 ms.
+
+std::string hostOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
+
+std::string addToPort(const std::string& address, std::uint32_t n)
+{
+    const std::size_t colon = address.rfind(':');
+    if (colon == std::string::npos) {
+        return address;
+    }
+    return address.substr(0, colon + 1) + std::to_string(std::strtoul(address.c_str() + colon + 1, nullptr, 10) + n);
+}
+
+template <typename Function> GSourcePointer attachTimer(guint intervalMs, Function* function, gpointer data)
+{
+    GSourcePointer source(g_timeout_source_new(intervalMs));
+    g_source_set_callback(source.get(), function, data, nullptr);
+    g_source_attach(source.get(), g_main_context_get_thread_default());
+    return source;
+}
+
+} // namespace
+
+Worker::Worker(const InstanceSettings& settings, std::uint32_t index, std::uint64_t incarnation, void* zmqContext,
+    RoutingTable& table, MetricsRegistry& metrics, WorkerPool::Hooks hooks)
+    : m_settings(settings)
+    , m_index(index)
+    , m_incarnation(incarnation)
+    , m_zmqContext(zmqContext)
+    , m_table(table)
+    , m_metrics(metrics)
+    , m_hooks(std::move(hooks))
+    , m_forwardAddress(addToPort(settings.forwardAddress, index))
+    , m_replyAddress("tcp://" + m_forwardAddress)
+    , m_context(g_main_context_new())
+    , m_reducer(settings, index, incarnation ^ index)
+{
+}
+
+Worker::~Worker() { stop(); }
+
+Result<void> Worker::start()
+{
+    std::promise<std::optional<Error>> opened;
+    std::future<std::optional<Error>> openResult = opened.get_future();
+    m_thread = std::thread([this, &opened] {
+        g_main_context_push_thread_default(m_context.get());
+        const std::optional<Error> error = handleError(
+            [this]() -> Result<std::optional<Error>> {
+                BOOST_LEAF_CHECK(open());
+                return std::optional<Error>();
+            },
+            [](const Error& failure) { return std::optional<Error>(failure); });
+        opened.set_value(error);
+        if (!error) {
+            run();
+        }
+        close();
+        g_main_context_pop_thread_default(m_context.get());
+    });
+    const std::optional<Error> error = openResult.get();
+    if (error) {
+        m_thread.join();
+        return fail(error->kind, error->message);
+    }
+    return {};
+}
+
+void Worker::startDrain()
+{
+    m_inFlight.fetch_add(1); // Until the first tick of the drain stores the real number.
+    g_main_context_invoke(
+        m_context.get(),
+        [](gpointer data) -> gboolean {
+            Worker& worker = *static_cast<Worker*>(data);
+            worker.m_draining = true;
+            worker.m_listener->closeAfterAnswers();
+            return G_SOURCE_REMOVE;
+        },
+        this);
+}
+
+void Worker::stop()
+{
+    m_stopping = true;
+    g_main_context_wakeup(m_context.get());
+    if (m_thread.joinable()) {
+        m_thread.join();
+    }
+}
+
+Result<void> Worker::open()
+{
+    m_transport = std::make_unique<BackendTransport>(makeDefaultBackendTransport());
+    m_sockets = std::make_unique<ForwardSockets>(m_zmqContext, m_settings.maxBodyBytes,
+        ForwardSockets::Hooks {
+            [this](wire::Envelope&& envelope, const std::string& ip) { onEnvelope(std::move(envelope), ip); },
+            [this](const std::string& ip) {
+                execute(WriteWorkerLog {LogEvent::ForwardRejected, "unreadable message from " + ip});
+            },
+        });
+    BOOST_LEAF_CHECK(m_sockets->bind(m_forwardAddress));
+    m_listener = std::make_unique<CallerListener>(m_settings.maxBodyBytes,
+        CallerListener::Hooks {
+            [this](std::uint64_t caller, RawRequest&& raw) {
+                std::variant<CallerRequest, RequestAnswer> parsed = parseCallerRequest(std::move(raw), wallNow());
+                if (CallerRequest* request = std::get_if<CallerRequest>(&parsed)) {
+                    refreshRoutes();
+                    return apply(RequestArrived {caller, std::move(*request)});
+                }
+                RequestAnswer& answer = std::get<RequestAnswer>(parsed);
+                execute(RecordRequest {"", answer.outcome, answer.reason, 0});
+                m_listener->answer(caller, RequestId(), std::move(answer));
+            },
+            [this](std::uint64_t caller) { apply(CallerLeft {caller}); },
+            [this](std::string_view why) {
+                execute(RecordRequest {"", Outcome::NotRun, std::string(why), 0});
+            },
+        });
+    BOOST_LEAF_CHECK(m_listener->listen(m_settings.callerAddress));
+    m_ticker = attachTimer(
+        tickMs,
+        +[](gpointer data) -> gboolean {
+            static_cast<Worker*>(data)->onTick();
+            return G_SOURCE_CONTINUE;
+        },
+        this);
+    return {};
+}
+
+void Worker::run()
+{
+    while (!m_stopping) {
+        g_main_context_iteration(m_context.get(), TRUE);
+    }
+}
+
+void Worker::close()
+{
+    m_ticker.reset();
+    m_listener.reset();
+    m_sockets.reset();
+    m_transport.reset();
+    // Lets libsoup and GIO finish their cancelled operations.
+    while (g_main_context_iteration(m_context.get(), FALSE)) { }
+}
+
+void Worker::onTick()
+{
+    ++m_ticks;
+    refreshRoutes();
+    if (m_ticks % ticksPerCallerCheck == 0) {
+        m_listener->findLeftCallers();
+    }
+    apply(WorkerTick {});
+    m_sockets->flush(monotonicNow());
+    const bool listening = m_draining && !m_listener->stopListening();
+    m_inFlight = m_reducer.requestsInFlight() + m_listener->pending() + (listening ? 1 : 0);
+}
+
+void Worker::onEnvelope(wire::Envelope&& envelope, const std::string& peerIp)
+{
+    refreshRoutes();
+    if (!isPeerAddress(peerIp) || envelope.protocol_version() != protocolVersion) {
+        return execute(WriteWorkerLog {LogEvent::ForwardRejected,
+            "message from " + peerIp + " with protocol version " + std::to_string(envelope.protocol_version())});
+    }
+    InstanceReference sender {envelope.sender().id(), envelope.sender().incarnation()};
+    switch (envelope.message_case()) {
+    case wire::Envelope::kForwardRequest: {
+        // Connects now, so that the answer need not wait for the connection.
+        const std::string& replyTo = envelope.forward_request().reply_address();
+        if (!replyTo.starts_with("tcp://") || !isPeerAddress(hostOf(replyTo.substr(6)))) {
+            return execute(WriteWorkerLog {LogEvent::ForwardRejected, "reply address of no instance: " + replyTo});
+        }
+        m_sockets->connect(replyTo.substr(6));
+        return apply(ForwardReceived {std::move(sender), std::move(*envelope.mutable_forward_request())});
+    }
+    case wire::Envelope::kForwardAnswer:
+        return apply(ForwardAnswered {std::move(*envelope.mutable_forward_answer())});
+    case wire::Envelope::kForwardCancel:
+        return apply(ForwardCancelled {std::move(sender), envelope.forward_cancel().correlation()});
+    default:
+        return execute(WriteWorkerLog {LogEvent::ForwardRejected, "unexpected kind of message from " + peerIp});
+    }
+}
+
+void Worker::apply(WorkerEvent&& event)
+{
+    m_events.push_back(std::move(event));
+    if (m_applying) {
+        return;
+    }
+    m_applying = true;
+    while (!m_events.empty()) {
+        WorkerEvent next = std::move(m_events.front());
+        m_events.pop_front();
+        for (WorkerEffect& effect : m_reducer.reduce({monotonicNow(), wallNow(), std::move(next)})) {
+            std::visit([this](auto& alternative) { execute(std::move(alternative)); }, effect);
+        }
+    }
+    m_applying = false;
+}
+
+void Worker::refreshRoutes()
+{
+    std::shared_ptr<const RoutingSnapshot> current = m_table.current();
+    if (current == m_snapshot) {
+        return;
+    }
+    m_snapshot = std::move(current);
+    m_peerIps.clear();
+    m_peerIps.insert(hostOf(m_settings.forwardAddress));
+    for (const InstanceRoute& instance : m_snapshot->instances) {
+        m_peerIps.insert(hostOf(instance.forwardAddress));
+    }
+    for (const auto& [instance, address] : m_settings.addressOverrides) {
+        m_peerIps.insert(hostOf(address.forward));
+    }
+    for (const ServerRoute& server : m_snapshot->servers) {
+        m_transport->setConnectionLimit(server.address, server.connections);
+    }
+    apply(RoutesChanged {m_snapshot});
+}
+
+bool Worker::isPeerAddress(const std::string& ip) const { return m_peerIps.contains(ip); }
+
+wire::Envelope Worker::makeEnvelope() const
+{
+    wire::Envelope envelope;
+    envelope.set_protocol_version(protocolVersion);
+    envelope.mutable_sender()->set_id(m_settings.instance);
+    envelope.mutable_sender()->set_incarnation(m_incarnation);
+    return envelope;
+}
+
+/// @name Effects
+/// @{
+
+void Worker::execute(AnswerCaller&& effect) { m_listener->answer(effect.caller, effect.id, std::move(effect.answer)); }
+
+void Worker::execute(SendToBackend&& effect)
+{
+    const std::uint64_t dispatch = effect.dispatch;
+    m_dispatches[dispatch] = m_transport->send(std::move(effect.request), [this, dispatch](BackendResult result) {
+        m_dispatches.erase(dispatch);
+        apply(BackendFinished {dispatch, std::move(result)});
+    });
+}
+
+void Worker::execute(CancelBackend&& effect)
+{
+    const auto it = m_dispatches.find(effect.dispatch);
+    if (it != m_dispatches.end()) {
+        m_transport->cancel(it->second);
+        m_dispatches.erase(it);
+    }
+}
+
+void Worker::execute(SendForward&& effect)
+{
+    const std::uint64_t correlation = effect.request.correlation();
+    wire::Envelope envelope = makeEnvelope();
+    effect.request.set_reply_address(m_replyAddress);
+    *envelope.mutable_forward_request() = std::move(effect.request);
+    if (!m_sockets->send(effect.address, envelope)) {
+        apply(ForwardNotSent {correlation});
+    }
+}
+
+void Worker::execute(SendForwardCancel&& effect)
+{
+    wire::Envelope envelope = makeEnvelope();
+    envelope.mutable_forward_cancel()->set_correlation(effect.correlation);
+    // A lost cancellation costs work, not correctness.
+    (void)m_sockets->send(effect.address, envelope);
+}
+
+void Worker::execute(SendForwardAnswer&& effect)
+{
+    wire::Envelope envelope = makeEnvelope();
+    *envelope.mutable_forward_answer() = std::move(effect.answer);
+    const std::string address = effect.address.starts_with("tcp://") ? effect.address.substr(6) : effect.address;
+    m_sockets->sendOrKeep(address, envelope, effect.expires);
+}
+
+void Worker::execute(ReportRefusedRoute&& effect)
+{
+    if (m_hooks.routeRefused) {
+        m_hooks.routeRefused(effect.group);
+    }
+}
+
+void Worker::execute(RecordRequest&& effect)
+{
+    const std::string labels = "service=\"" + effect.service + "\",outcome=\""
+        + std::string(enumName(outcomeNames, effect.outcome)) + "\",reason=\"" + effect.reason + "\"";
+    MetricsRegistry::Counter*& counter = m_counters[labels];
+    if (counter == nullptr) {
+        counter = &m_metrics.counter(
+            "jasminespread_requests_total", labels, "Requests of callers by service, outcome and reason.");
+    }
+    counter->add();
+    MetricsRegistry::Histogram*& histogram = m_histograms[effect.service];
+    if (histogram == nullptr) {
+        histogram = &m_metrics.histogram("jasminespread_request_seconds", "service=\"" + effect.service + "\"",
+            "Time from the arrival of a request to its answer.");
+    }
+    histogram->record(effect.seconds);
+}
+
+void Worker::execute(CountEvent&& effect)
+{
+    struct Info {
+        WorkerCounter counter;
+        const char* name;
+        const char* help;
+    };
+    static constexpr Info infos[] {
+        {WorkerCounter::LateAnswers, "jasminespread_late_answers_total",
+            "Answers dropped because no request waits for them."},
+        {WorkerCounter::RouteRefusals, "jasminespread_route_refusals_total",
+            "Requests that a backend server refused because of their route."},
+        {WorkerCounter::Expired, "jasminespread_expired_total", "Requests whose deadline passed."},
+        {WorkerCounter::Joined, "jasminespread_joined_total", "Repeated requests that joined a running one."},
+        {WorkerCounter::CallersLeft, "jasminespread_callers_left_total",
+            "Callers that closed their connection before the answer."},
+    };
+    for (const Info& info : infos) {
+        if (info.counter == effect.counter) {
+            MetricsRegistry::Counter*& counter = m_counters[info.name];
+            if (counter == nullptr) {
+                counter = &m_metrics.counter(info.name, "", info.help);
+            }
+            counter->add();
+        }
+    }
+}
+
+void Worker::execute(CountRetry&& effect)
+{
+    MetricsRegistry::Counter*& counter = m_counters["retries " + effect.service];
+    if (counter == nullptr) {
+        counter = &m_metrics.counter("jasminespread_retries_total", "service=\"" + effect.service + "\"",
+            "Requests sent again to a backend server.");
+    }
+    counter->add();
+}
+
+void Worker::execute(WriteWorkerLog&& effect) { logEvent(effect.event, effect.details); }
+
+/// @}
+
+} // namespace jasminespread
--- /dev/null
+++ b/src/daemon/worker.h
@@ -0,0 +1,101 @@
+#pragma once
+
+#include "base/glib_pointer.h"
+#include "daemon/caller_listener.h"
+#include "daemon/forward_sockets.h"
+#include "entry/request_reducer.h"
+#include "transport/transport_choice.h"
+
+#include <jasminespread/instance_settings.h>
+#include <jasminespread/metrics_registry.h>
+#include <jasminespread/routing_table.h>
+#include <jasminespread/worker_pool.h>
+
+#include <atomic>
+#include <deque>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <thread>
+#include <unordered_map>
+
+namespace jasminespread {
+
+/// One worker thread: translates between its sockets and the events and effects of a RequestReducer.
+class Worker {
+public:
+    /// Preconditions: @p zmqContext, @p table and @p metrics outlive the worker.
+    Worker(const InstanceSettings& settings, std::uint32_t index, std::uint64_t incarnation, void* zmqContext,
+        RoutingTable& table, MetricsRegistry& metrics, WorkerPool::Hooks hooks);
+    ~Worker();
+    Worker(const Worker&) = delete;
+    Worker& operator=(const Worker&) = delete;
+
+    /// Binds the addresses and starts the thread. Blocks until both are done.
+    [[nodiscard]] Result<void> start();
+    /// Stops accepting connections. Thread-safe.
+    void startDrain();
+    /// Number of requests in flight; connections in the backlog count as one while draining. Thread-safe.
+    [[nodiscard]] std::size_t requestsInFlight() const noexcept { return m_inFlight.load(); }
+    /// Ends the thread at once. Not thread-safe.
+    void stop();
+
+private:
+    [[nodiscard]] Result<void> open();
+    void close();
+    void run();
+    void onTick();
+    void onEnvelope(wire::Envelope&& envelope, const std::string& peerIp);
+    void apply(WorkerEvent&& event);
+    void refreshRoutes();
+    [[nodiscard]] bool isPeerAddress(const std::string& ip) const;
+    [[nodiscard]] wire::Envelope makeEnvelope() const;
+
+    void execute(AnswerCaller&& effect);
+    void execute(SendToBackend&& effect);
+    void execute(CancelBackend&& effect);
+    void execute(SendForward&& effect);
+    void execute(SendForwardCancel&& effect);
+    void execute(SendForwardAnswer&& effect);
+    void execute(ReportRefusedRoute&& effect);
+    void execute(RecordRequest&& effect);
+    void execute(CountEvent&& effect);
+    void execute(CountRetry&& effect);
+    void execute(WriteWorkerLog&& effect);
+
+    InstanceSettings m_settings;
+    std::uint32_t m_index;
+    std::uint64_t m_incarnation;
+    void* m_zmqContext;
+    RoutingTable& m_table;
+    MetricsRegistry& m_metrics;
+    WorkerPool::Hooks m_hooks;
+    std::string m_forwardAddress; ///< Where this worker receives forwarded requests and answers.
+    std::string m_replyAddress; ///< The same as peers reach it.
+
+    GMainContextPointer m_context;
+    std::thread m_thread;
+    std::atomic<bool> m_stopping = false;
+    std::atomic<std::size_t> m_inFlight = 0;
+
+    /// @name State of the worker's thread
+    /// @{
+    RequestReducer m_reducer;
+    std::shared_ptr<const RoutingSnapshot> m_snapshot;
+    std::set<std::string> m_peerIps;
+    std::unique_ptr<CallerListener> m_listener;
+    std::unique_ptr<ForwardSockets> m_sockets;
+    std::unique_ptr<BackendTransport> m_transport;
+    GSourcePointer m_ticker;
+    std::unordered_map<std::uint64_t, BackendTransport::Handle> m_dispatches;
+    std::deque<WorkerEvent> m_events; ///< Events that arose while effects were executed.
+    bool m_applying = false;
+    bool m_draining = false;
+    std::uint64_t m_ticks = 0;
+    std::map<std::string, MetricsRegistry::Counter*> m_counters;
+    std::map<std::string, MetricsRegistry::Histogram*> m_histograms;
+    /// @}
+};
+
+} // namespace jasminespread
--- /dev/null
+++ b/src/daemon/worker_pool.cpp
@@ -0,0 +1,78 @@
+#include <jasminespread/worker_pool.h>
+
+#include "daemon/worker.h"
+
+#include <zmq.h>
+
+#include <thread>
+
+namespace jasminespread {
+namespace {
+
+constexpr Milliseconds drainPollInterval {5};
+
+struct ZmqTerminate {
+    void operator()(void* context) const noexcept { zmq_ctx_term(context); }
+};
+
+} // namespace
+
+struct WorkerPool::State {
+    InstanceSettings settings;
+    std::uint64_t incarnation = 0;
+    RoutingTable& table;
+    MetricsRegistry& metrics;
+    Hooks hooks;
+    std::unique_ptr<void, ZmqTerminate> zmqContext {zmq_ctx_new()};
+    std::vector<std::unique_ptr<Worker>> workers {}; ///< Destroyed before the context that their sockets use.
+
+    [[nodiscard]] std::size_t requestsInFlight() const
+    {
+        std::size_t n = 0;
+        for (const std::unique_ptr<Worker>& worker : workers) {
+            n += worker->requestsInFlight();
+        }
+        return n;
+    }
+};
+
+WorkerPool::WorkerPool(
+    InstanceSettings settings, std::uint64_t incarnation, RoutingTable& table, MetricsRegistry& metrics, Hooks hooks)
+    : m_state(new State {std::move(settings), incarnation, table, metrics, std::move(hooks)})
+{
+}
+
+WorkerPool::~WorkerPool() = default;
+
+Result<void> WorkerPool::start()
+{
+    BOOST_LEAF_CHECK(CallerListener::checkAddressFree(m_state->settings.callerAddress));
+    for (std::uint32_t i = 0; i < m_state->settings.workers; ++i) {
+        m_state->workers.push_back(std::make_unique<Worker>(m_state->settings, i, m_state->incarnation,
+            m_state->zmqContext.get(), m_state->table, m_state->metrics, m_state->hooks));
+        Result<void> started = m_state->workers.back()->start();
+        if (!started) {
+            m_state->workers.clear();
+            return started;
+        }
+    }
+    return {};
+}
+
+std::size_t WorkerPool::drain(Milliseconds timeout)
+{
+    for (const std::unique_ptr<Worker>& worker : m_state->workers) {
+        worker->startDrain();
+    }
+    const MonotonicTime end = monotonicNow() + timeout;
+    while (m_state->requestsInFlight() > 0 && monotonicNow() < end) {
+        std::this_thread::sleep_for(drainPollInterval);
+    }
+    const std::size_t cutOff = m_state->requestsInFlight();
+    m_state->workers.clear();
+    return cutOff;
+}
+
+std::vector<wire::HotKeyReport> WorkerPool::takeHotKeys() { return {}; }
+
+} // namespace jasminespread
--- /dev/null
+++ b/src/entry/caller_request.h
@@ -0,0 +1,102 @@
+#pragma once
+
+#include <jasminespread/backend_transport.h>
+#include <jasminespread/outcome.h>
+#include <jasminespread/request_id.h>
+#include <jasminespread/time.h>
+
+#include <cstdint>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <variant>
+#include <vector>
+
+namespace jasminespread {
+
+/// A request as it arrived on a caller's connection.
+struct RawRequest {
+    std::string method;
+    std::string path; ///< Percent-encoded, without the query.
+    std::string query; ///< Without "?"; empty when there is none.
+    std::vector<HeaderField> headers;
+    std::string body;
+};
+
+/// A checked request of a caller.
+struct CallerRequest {
+    std::string service;
+    std::string key;
+    std::string method;
+    std::string target; ///< Path below the service, and query.
+    std::vector<HeaderField> headers; ///< Without hop-by-hop and Jasminespread headers.
+    std::string body;
+    RequestId id;
+    bool idMadeByEntry = false;
+    bool repeatable = false;
+    std::string workClass; ///< Empty: the first class of the service.
+    std::optional<Milliseconds> deadline; ///< Absent: the service's default.
+};
+
+/// What a caller, or the entry instance that forwarded its request, is told.
+struct RequestAnswer {
+    Outcome outcome = Outcome::NotRun;
+    std::string reason; ///< Machine-readable; empty for `done`.
+    unsigned status = 503; ///< HTTP status.
+    std::vector<HeaderField> headers;
+    std::string body;
+    std::string server; ///< Id of the backend server; empty when none was involved.
+};
+
+/// @name Reasons
+/// Values of the header Jasminespread-Reason. docs/protocol-callers.md lists them.
+/// @{
+namespace reason {
+inline constexpr std::string_view badPath = "bad-path";
+inline constexpr std::string_view missingKey = "missing-key";
+inline constexpr std::string_view badKey = "bad-key";
+inline constexpr std::string_view badRequestId = "bad-request-id";
+inline constexpr std::string_view badDeadline = "bad-deadline";
+inline constexpr std::string_view badRepeatable = "bad-repeatable";
+inline constexpr std::string_view badClass = "bad-class";
+inline constexpr std::string_view badMethod = "bad-method";
+inline constexpr std::string_view bodyTooLarge = "body-too-large";
+inline constexpr std::string_view headersTooLarge = "headers-too-large";
+inline constexpr std::string_view unknownService = "unknown-service";
+inline constexpr std::string_view futureId = "future-id";
+inline constexpr std::string_view idReused = "id-reused";
+inline constexpr std::string_view notReady = "not-ready";
+inline constexpr std::string_view tooManyRequests = "too-many-requests";
+inline constexpr std::string_view refusedByRule = "refused-by-rule";
+inline constexpr std::string_view queueFull = "queue-full";
+inline constexpr std::string_view windowFull = "window-full";
+inline constexpr std::string_view noRoute = "no-route";
+inline constexpr std::string_view retryBudget = "retry-budget";
+inline constexpr std::string_view deadline = "deadline";
+inline constexpr std::string_view cancelled = "cancelled";
+inline constexpr std::string_view idBeforeServing = "id-before-serving";
+inline constexpr std::string_view idEvicted = "id-evicted";
+inline constexpr std::string_view answerNotKept = "answer-not-kept";
+inline constexpr std::string_view connectionBroken = "connection-broken";
+} // namespace reason
+/// @}
+
+/// HTTP status of an answer that the entry itself makes. Thread-safe.
+[[nodiscard]] unsigned statusFor(Outcome outcome, std::string_view reason) noexcept;
+/// Makes an answer without a backend server's body; @p text explains it to people. Thread-safe.
+[[nodiscard]] RequestAnswer makeAnswer(Outcome outcome, std::string_view reason, std::string_view text = {});
+
+/// Checks @p raw and parses the headers of the caller protocol. Makes an id issued at @p now when there is none.
+/// Returns the answer to give when the request is malformed. Thread-safe.
+[[nodiscard]] std::variant<CallerRequest, RequestAnswer> parseCallerRequest(RawRequest&& raw, WallTime now);
+
+/// Removes hop-by-hop headers, headers named by Connection, Host, Content-Length, Expect and all Jasminespread headers.
+/// Thread-safe.
+void removePrivateHeaders(std::vector<HeaderField>& headers);
+/// Compares header names without regard to case. Thread-safe.
+[[nodiscard]] bool sameHeaderName(std::string_view a, std::string_view b) noexcept;
+/// Value of the first header called @p name, or nothing. Thread-safe.
+[[nodiscard]] std::optional<std::string_view> findHeader(
+    const std::vector<HeaderField>& headers, std::string_view name) noexcept;
+
+} // namespace jasminespread
--- /dev/null
+++ b/src/entry/request_reducer.h
@@ -0,0 +1,122 @@
+#pragma once
+
+#include "entry/worker_effect.h"
+#include "entry/worker_event.h"
+
+#include <jasminespread/instance_settings.h>
+
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <random>
+#include <set>
+#include <string>
+#include <tuple>
+#include <unordered_map>
+#include <utility>
+#include <vector>
+
+namespace jasminespread {
+
+/// The decision core of one worker: routes requests of callers and of other instances, and matches answers.
+/// It reads no clock and does no I/O; its random numbers come from the given seed. Not thread-safe.
+class RequestReducer {
+public:
+    RequestReducer(const InstanceSettings& settings, std::uint32_t worker, std::uint64_t seed);
+
+    /// Applies one event and returns what the shell must do, in order.
+    /// Precondition: event times never go backwards.
+    [[nodiscard]] WorkerEffects reduce(TimedWorkerEvent event);
+
+    /// Number of requests that are not answered yet.
+    [[nodiscard]] std::size_t requestsInFlight() const noexcept { return m_jobs.size(); }
+
+private:
+    enum class Phase : std::uint8_t { Waiting, Dispatched, Forwarded };
+
+    /// Instance id, incarnation and correlation of a forwarded request.
+    using OriginKey = std::tuple<std::string, std::uint64_t, std::uint64_t>;
+
+    /// Instance that forwarded a request, and how to answer it.
+    struct ForwardOrigin {
+        InstanceReference sender;
+        std::string replyAddress;
+        std::uint64_t correlation = 0;
+    };
+
+    /// Server, token and term of a dispatch; a refused one is not tried again at once.
+    struct RouteVersion {
+        std::string server;
+        std::uint64_t token = 0;
+        std::uint64_t term = 0;
+
+        bool operator==(const RouteVersion&) const = default;
+    };
+
+    /// One request in flight at this worker.
+    struct Job {
+        std::uint64_t number = 0;
+        CallerRequest request;
+        std::uint64_t caller = 0; ///< 0 when the request was forwarded here.
+        std::optional<ForwardOrigin> origin;
+        MonotonicTime arrivedAt;
+        MonotonicTime deadline;
+        MonotonicTime wakeAt; ///< Next time at which the job needs attention; at most the deadline.
+        Phase phase = Phase::Waiting;
+        std::uint64_t exchange = 0; ///< Dispatch number or correlation of the current attempt.
+        std::string forwardAddress;
+        RouteVersion route; ///< Of the current or last dispatch.
+        bool routeRefused = false; ///< `route` was refused; wait for another one or for wakeAt.
+        bool mayHaveRun = false; ///< An earlier attempt of this repeatable request broke after a byte was written.
+        std::string lastReason; ///< Why the last attempt did not run.
+    };
+
+    void handle(RequestArrived&& event);
+    void handle(CallerLeft&& event);
+    void handle(ForwardReceived&& event);
+    void handle(ForwardCancelled&& event);
+    void handle(ForwardAnswered&& event);
+    void handle(ForwardNotSent&& event);
+    void handle(BackendFinished&& event);
+    void handle(RoutesChanged&& event);
+    void handle(WorkerTick&& event);
+
+    Job& addJob(CallerRequest&& request, MonotonicTime deadline);
+    Job* findExchange(std::uint64_t exchange);
+    void endExchange(Job& job);
+    void setWake(Job& job, MonotonicTime at);
+
+    void advance(Job& job);
+    void advanceAtPrimary(Job& job, const ServiceRoute& service, const KeyRoute& route);
+    void dispatch(Job& job, const KeyRoute& route, bool asPrimary);
+    void forward(Job& job, const KeyRoute& route, const InstanceRoute& primary);
+    void waitForRoute(Job& job, const GroupName& group, std::string_view why);
+    void retryLater(Job& job);
+    void expire(Job& job);
+    void cancel(Job& job);
+    void finish(Job& job, RequestAnswer&& answer);
+    void answerWrongPrimary(Job& job);
+    void removeJob(Job& job);
+    void emit(WorkerEffect&& effect) { m_effects.push_back(std::move(effect)); }
+
+    [[nodiscard]] bool isLocalPrimary(const GroupRoute& group) const;
+    [[nodiscard]] RouteVersion versionOf(const KeyRoute& route) const;
+
+    std::uint32_t m_worker;
+    std::uint32_t m_maxRequests;
+    std::mt19937_64 m_random;
+    std::shared_ptr<const RoutingSnapshot> m_snapshot;
+    std::uint64_t m_nextNumber = 1;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Job>> m_jobs;
+    std::unordered_map<std::uint64_t, std::uint64_t> m_exchanges; ///< Dispatch or correlation to job.
+    std::unordered_map<std::uint64_t, std::uint64_t> m_callers; ///< Caller to job.
+    std::map<OriginKey, std::uint64_t> m_origins; ///< To job.
+    std::set<std::pair<MonotonicTime, std::uint64_t>> m_wakes;
+    std::map<std::pair<std::string, std::uint32_t>, MonotonicTime> m_refusalReported; ///< By service and group.
+
+    MonotonicTime m_now;
+    WallTime m_wallNow;
+    WorkerEffects m_effects;
+};
+
+} // namespace jasminespread
--- /dev/null
+++ b/src/entry/worker_effect.h
@@ -0,0 +1,86 @@
+#pragma once
+
+#include "entry/caller_request.h"
+
+#include <jasminespread/backend_transport.h>
+#include <jasminespread/log_event.h>
+#include <jasminespread/outcome.h>
+#include <jasminespread/routing_snapshot.h>
+
+#include <peer.pb.h>
+
+#include <cstdint>
+#include <memory>
+#include <string>
+#include <variant>
+#include <vector>
+
+namespace jasminespread {
+
+struct AnswerCaller {
+    std::uint64_t caller = 0;
+    RequestId id;
+    RequestAnswer answer;
+};
+
+/// Sends a request to a backend server; ends with BackendFinished unless it is cancelled.
+struct SendToBackend {
+    std::uint64_t dispatch = 0;
+    BackendRequest request;
+};
+
+struct CancelBackend {
+    std::uint64_t dispatch = 0;
+};
+
+/// Sends a request to a primary's worker. The shell fills the reply address and reports ForwardNotSent on failure.
+struct SendForward {
+    std::string address; ///< IP number and port of the worker's forward socket.
+    wire::ForwardRequest request;
+};
+
+struct SendForwardCancel {
+    std::string address;
+    std::uint64_t correlation = 0;
+};
+
+struct SendForwardAnswer {
+    std::string address; ///< Reply address of the forwarded request.
+    wire::ForwardAnswer answer;
+    MonotonicTime expires; ///< The answer is of no use afterwards.
+};
+
+/// The local route to a group was refused.
+struct ReportRefusedRoute {
+    GroupName group;
+};
+
+struct RecordRequest {
+    std::string service; ///< Empty when the request named no known service.
+    Outcome outcome = Outcome::Done;
+    std::string reason;
+    double seconds = 0;
+};
+
+/// Counters of the data path without labels of their own.
+enum class WorkerCounter : std::uint8_t { LateAnswers, RouteRefusals, Expired, Joined, CallersLeft };
+
+struct CountEvent {
+    WorkerCounter counter {};
+};
+
+struct CountRetry {
+    std::string service;
+};
+
+struct WriteWorkerLog {
+    LogEvent event {};
+    std::string details;
+};
+
+using WorkerEffect = std::variant<AnswerCaller, SendToBackend, CancelBackend, SendForward, SendForwardCancel,
+    SendForwardAnswer, ReportRefusedRoute, RecordRequest, CountEvent, CountRetry, WriteWorkerLog>;
+
+using WorkerEffects = std::vector<WorkerEffect>;
+
+} // namespace jasminespread
