Add the request window

A repeated id of a non-repeatable request must not run twice. The window of a group remembers ids at its primary: a repeat joins the running request or gets the stored answer; ids older than the start of serving or than the newest evicted id get unknown; ids from the future are not run. Entries and bytes are bounded; running requests are never evicted. A window is kept until a later term has another primary, because a gap in the routes does not raise servingSince.

An id that comes with another key, method, target or body is refused, so that no caller gets another's answer. Ids made by the entry are exempt from the eviction rule too, for the same reason as from the serving-start rule.

--- a/src/entry/request_reducer.cpp
+++ b/src/entry/request_reducer.cpp
@@ -43,6 +43,7 @@
 RequestReducer::RequestReducer(const InstanceSettings& settings, std::uint32_t worker, std::uint64_t seed)
     : m_worker(worker)
     , m_maxRequests(settings.maxConcurrentRequests)
+    , m_windowLimits {settings.windowEntries, settings.windowBytes, settings.clockSkewMargin}
     , m_random(seed)
     , m_snapshot(std::make_shared<const RoutingSnapshot>())
 {
@@ -121,6 +122,7 @@
     }
     Job& job = addJob(std::move(request), m_now + Milliseconds(message.remaining_ms()));
     job.origin = ForwardOrigin {std::move(event.sender), message.reply_address(), message.correlation()};
+    job.throughPrimary = true;
     m_origins.emplace(originKey, job.number);
     if (message.remaining_ms() == 0) {
         return expire(job);
@@ -227,9 +229,18 @@
 void RequestReducer::handle(RoutesChanged&& event)
 {
     m_snapshot = std::move(event.snapshot);
+    std::erase_if(m_windows, [this](const auto& entry) {
+        const auto service = m_snapshot->services.find(entry.first.first);
+        if (service == m_snapshot->services.end() || entry.first.second >= service->second.groups.size()) {
+            return false;
+        }
+        // Only a later term has a later servingSince, which refuses the ids that this window knows.
+        const GroupRoute& group = service->second.groups[entry.first.second];
+        return !isLocalPrimary(group) && group.term > entry.second.term && entry.second.requests.running() == 0;
+    });
     std::vector<std::uint64_t> waiting;
     for (const auto& [number, job] : m_jobs) {
-        if (job->phase == Phase::Waiting) {
+        if (job->phase == Phase::Waiting || (job->phase == Phase::Forwarded && job->request.repeatable)) {
             waiting.push_back(number);
         }
     }
@@ -242,6 +253,8 @@
         const auto service = m_snapshot->services.find(job.request.service);
         if (service == m_snapshot->services.end() || service->second.groups.empty()) {
             finish(job, makeAnswer(Outcome::NotRun, reason::unknownService, "the service was removed"));
+        } else if (job.phase == Phase::Forwarded) {
+            forwardAgain(job, *routeKey(service->second, job.request.key).group);
         } else if (versionOf(routeKey(service->second, job.request.key)) != job.route) {
             advance(job);
         }
@@ -264,6 +277,21 @@
 
 /// @}
 
+/// Sends a repeatable job to the new primary when the old one can no longer answer.
+void RequestReducer::forwardAgain(Job& job, const GroupRoute& group)
+{
+    if (!group.primary) {
+        return;
+    }
+    const InstanceRoute& primary = m_snapshot->instances[*group.primary];
+    if (InstanceReference {primary.id, primary.incarnation} == job.forwardedTo) {
+        return;
+    }
+    endExchange(job);
+    job.mayHaveRun = true;
+    advance(job);
+}
+
 RequestReducer::Job& RequestReducer::addJob(CallerRequest&& request, MonotonicTime deadline)
 {
     const std::uint64_t number = m_nextNumber++;
@@ -306,15 +334,17 @@
     }
     const auto it = m_snapshot->services.find(job.request.service);
     if (it == m_snapshot->services.end() || it->second.groups.empty()) {
-        if (job.origin) {
+        if (job.throughPrimary) {
+            forgetInWindow(job);
             return answerWrongPrimary(job);
         }
         return finish(job, makeAnswer(Outcome::NotRun, reason::unknownService, "the service was removed"));
     }
     const ServiceRoute& service = it->second;
     const KeyRoute route = routeKey(service, job.request.key);
+    job.group = route.group->group.index;
     const bool throughPrimary
-        = job.origin || !job.request.repeatable || service.settings.grantCheck == GrantCheck::Unchecked;
+        = job.throughPrimary || !job.request.repeatable || service.settings.grantCheck == GrantCheck::Unchecked;
     if (!throughPrimary) {
         if (!route.owner.server) {
             return waitForRoute(job, route.group->group, reason::noRoute);
@@ -324,10 +354,14 @@
     if (isLocalPrimary(*route.group)) {
         const InstanceRoute& self = m_snapshot->instances[*route.group->primary];
         if (route.group->group.index % std::max(1U, self.workers) == m_worker) {
-            return advanceAtPrimary(job, service, route);
+            return advanceAtPrimary(job, route);
         }
     }
-    if (job.origin) {
+    forgetInWindow(job);
+    if (job.caller == 0 && !job.origin) {
+        return removeJob(job); // Its caller left, and its joiners wait on their own now.
+    }
+    if (job.throughPrimary) {
         return answerWrongPrimary(job);
     }
     if (!route.group->primary) {
@@ -336,23 +370,96 @@
     forward(job, route, m_snapshot->instances[*route.group->primary]);
 }
 
-void RequestReducer::advanceAtPrimary(Job& job, const ServiceRoute&, const KeyRoute& route)
+void RequestReducer::advanceAtPrimary(Job& job, const KeyRoute& route)
 {
     const GroupRoute& group = *route.group;
     const bool hasAuthority = group.authorityUntil
         && m_now.time_since_epoch().count() < group.authorityUntil->load(std::memory_order_acquire);
     if (!hasAuthority) {
-        if (job.origin) {
+        forgetInWindow(job);
+        if (job.throughPrimary) {
             return answerWrongPrimary(job);
         }
         return waitForRoute(job, group.group, reason::noRoute);
     }
+    if (m_wallNow < group.servingSince) {
+        job.lastReason = reason::noRoute;
+        return setWake(job, m_now + (group.servingSince - m_wallNow));
+    }
+    if (!job.request.repeatable && !job.inWindow && !admit(job, group)) {
+        return;
+    }
     if (!route.owner.server) {
         return waitForRoute(job, group.group, reason::noRoute);
     }
     dispatch(job, route, true);
 }
 
+/// Asks the window of the group. False: the job was answered or joined a running one.
+bool RequestReducer::admit(Job& job, const GroupRoute& group)
+{
+    GroupWindow& window = windowOf(job.request.service, group.group.index);
+    window.term = std::max(window.term, group.term);
+    RequestWindow::Admission admission = window.requests.admit(job.request, job.number, m_wallNow, group.servingSince);
+    if (RequestAnswer* answer = std::get_if<RequestAnswer>(&admission)) {
+        finish(job, std::move(*answer));
+        return false;
+    }
+    if (const RequestWindow::Join* join = std::get_if<RequestWindow::Join>(&admission)) {
+        job.phase = Phase::Joined;
+        job.joined = join->job;
+        m_jobs.at(join->job)->joiners.push_back(job.number);
+        emit(CountEvent {WorkerCounter::Joined});
+        setWake(job, job.deadline);
+        return false;
+    }
+    job.inWindow = true;
+    return true;
+}
+
+/// Records the outcome of a job in its window and gives its answer to the jobs that joined it.
+void RequestReducer::leaveWindow(Job& job, const RequestAnswer& answer)
+{
+    if (answer.outcome == Outcome::NotRun) {
+        windowOf(job.request.service, job.group).requests.forget(job.request.id);
+    } else {
+        windowOf(job.request.service, job.group).requests.complete(job.request.id, answer);
+    }
+    job.inWindow = false;
+    for (const std::uint64_t number : std::exchange(job.joiners, {})) {
+        Job& joiner = *m_jobs.at(number);
+        joiner.joined = 0;
+        joiner.phase = Phase::Waiting;
+        // The first request's deadline is not the joiner's: it starts anew.
+        if (answer.outcome == Outcome::NotRun && answer.reason == reason::deadline) {
+            setWake(joiner, m_now);
+        } else {
+            finish(joiner, RequestAnswer(answer));
+        }
+    }
+}
+
+/// Takes a job out of its window that did not run and is to be routed again.
+void RequestReducer::forgetInWindow(Job& job)
+{
+    if (!job.inWindow) {
+        return;
+    }
+    windowOf(job.request.service, job.group).requests.forget(job.request.id);
+    job.inWindow = false;
+    for (const std::uint64_t number : std::exchange(job.joiners, {})) {
+        Job& joiner = *m_jobs.at(number);
+        joiner.joined = 0;
+        joiner.phase = Phase::Waiting;
+        setWake(joiner, m_now);
+    }
+}
+
+RequestReducer::GroupWindow& RequestReducer::windowOf(const std::string& service, std::uint32_t group)
+{
+    return m_windows.try_emplace({service, group}, GroupWindow {RequestWindow(m_windowLimits), 0}).first->second;
+}
+
 void RequestReducer::dispatch(Job& job, const KeyRoute& route, bool asPrimary)
 {
     const ServerRoute& server = m_snapshot->servers[*route.owner.server];
@@ -394,6 +501,7 @@
     m_exchanges.emplace(job.exchange, job.number);
     const std::uint32_t worker = route.group->group.index % std::max(1U, primary.workers);
     job.forwardAddress = forwardAddressOf(primary, worker);
+    job.forwardedTo = {primary.id, primary.incarnation};
 
     SendForward send;
     send.address = job.forwardAddress;
@@ -446,6 +554,9 @@
     } else if (job.phase == Phase::Forwarded) {
         emit(SendForwardCancel {job.forwardAddress, job.exchange});
     }
+    if (job.phase == Phase::Joined) {
+        std::erase(m_jobs.at(job.joined)->joiners, job.number);
+    }
     if (mayHaveRun) {
         return finish(job,
             makeAnswer(Outcome::Unknown, reason::deadline, "the deadline passed before an answer; it may have run"));
@@ -455,19 +566,45 @@
     finish(job, makeAnswer(Outcome::NotRun, reason::deadline, text));
 }
 
-/// Ends a job whose caller left. Nobody waits for the answer.
+/// Ends a job whose caller left, unless repeats of the request wait for its answer.
 void RequestReducer::cancel(Job& job)
 {
+    if (job.caller != 0) {
+        m_callers.erase(std::exchange(job.caller, 0));
+    }
+    if (job.origin) {
+        m_origins.erase({job.origin->sender.id, job.origin->sender.incarnation, job.origin->correlation});
+        job.origin.reset();
+    }
+    if (!job.joiners.empty()) {
+        return;
+    }
     if (job.phase == Phase::Dispatched) {
         emit(CancelBackend {job.exchange});
     } else if (job.phase == Phase::Forwarded) {
         emit(SendForwardCancel {job.forwardAddress, job.exchange});
+    } else if (job.phase == Phase::Joined) {
+        Job& first = *m_jobs.at(job.joined);
+        std::erase(first.joiners, job.number);
+        const bool unwanted = first.joiners.empty() && first.caller == 0 && !first.origin;
+        removeJob(job);
+        if (unwanted) {
+            cancel(first);
+        }
+        return;
+    }
+    if (job.inWindow) {
+        const Outcome outcome = job.phase == Phase::Dispatched ? Outcome::Unknown : Outcome::NotRun;
+        leaveWindow(job, makeAnswer(outcome, reason::cancelled, "the caller left"));
     }
     removeJob(job);
 }
 
 void RequestReducer::finish(Job& job, RequestAnswer&& answer)
 {
+    if (job.inWindow) {
+        leaveWindow(job, answer);
+    }
     if (job.caller != 0) {
         const double seconds = std::chrono::duration<double>(m_now - job.arrivedAt).count();
         emit(RecordRequest {job.request.service, answer.outcome, answer.reason, seconds});
@@ -494,8 +631,12 @@
     removeJob(job);
 }
 
+/// Sends a forwarded job back, which provably did not run here.
 void RequestReducer::answerWrongPrimary(Job& job)
 {
+    if (!job.origin) {
+        return removeJob(job);
+    }
     SendForwardAnswer send;
     send.address = job.origin->replyAddress;
     send.expires = job.deadline;
@@ -509,9 +650,7 @@
 
 void RequestReducer::removeJob(Job& job)
 {
-    if (job.exchange != 0) {
-        m_exchanges.erase(job.exchange);
-    }
+    m_exchanges.erase(job.exchange);
     if (job.caller != 0) {
         m_callers.erase(job.caller);
     }
--- a/src/entry/request_reducer.h
+++ b/src/entry/request_reducer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "entry/request_window.h"
 #include "entry/worker_effect.h"
 #include "entry/worker_event.h"
 
@@ -32,7 +33,7 @@
     [[nodiscard]] std::size_t requestsInFlight() const noexcept { return m_jobs.size(); }
 
 private:
-    enum class Phase : std::uint8_t { Waiting, Dispatched, Forwarded };
+    enum class Phase : std::uint8_t { Waiting, Dispatched, Forwarded, Joined };
 
     /// Instance id, incarnation and correlation of a forwarded request.
     using OriginKey = std::tuple<std::string, std::uint64_t, std::uint64_t>;
@@ -53,22 +54,33 @@
         bool operator==(const RouteVersion&) const = default;
     };
 
+    struct GroupWindow {
+        RequestWindow requests;
+        std::uint64_t term = 0; ///< Newest term in which this instance admitted requests of the group.
+    };
+
     /// One request in flight at this worker.
     struct Job {
         std::uint64_t number = 0;
         CallerRequest request;
-        std::uint64_t caller = 0; ///< 0 when the request was forwarded here.
-        std::optional<ForwardOrigin> origin;
+        std::uint64_t caller = 0; ///< 0 when the request was forwarded here or its caller left.
+        std::optional<ForwardOrigin> origin; ///< Empty when a caller sent it to this worker or the sender cancelled.
+        bool throughPrimary = false; ///< Forwarded here: only the primary may dispatch it.
         MonotonicTime arrivedAt;
         MonotonicTime deadline;
         MonotonicTime wakeAt; ///< Next time at which the job needs attention; at most the deadline.
         Phase phase = Phase::Waiting;
         std::uint64_t exchange = 0; ///< Dispatch number or correlation of the current attempt.
         std::string forwardAddress;
+        InstanceReference forwardedTo;
+        std::uint32_t group = 0;
         RouteVersion route; ///< Of the current or last dispatch.
         bool routeRefused = false; ///< `route` was refused; wait for another one or for wakeAt.
         bool mayHaveRun = false; ///< An earlier attempt of this repeatable request broke after a byte was written.
         std::string lastReason; ///< Why the last attempt did not run.
+        bool inWindow = false; ///< The window of its group holds it as running.
+        std::uint64_t joined = 0; ///< Job whose answer this one gets.
+        std::vector<std::uint64_t> joiners; ///< Jobs that get this one's answer.
     };
 
     void handle(RequestArrived&& event);
@@ -87,9 +99,14 @@
     void setWake(Job& job, MonotonicTime at);
 
     void advance(Job& job);
-    void advanceAtPrimary(Job& job, const ServiceRoute& service, const KeyRoute& route);
+    void advanceAtPrimary(Job& job, const KeyRoute& route);
     void dispatch(Job& job, const KeyRoute& route, bool asPrimary);
     void forward(Job& job, const KeyRoute& route, const InstanceRoute& primary);
+    [[nodiscard]] bool admit(Job& job, const GroupRoute& group);
+    void leaveWindow(Job& job, const RequestAnswer& answer);
+    void forgetInWindow(Job& job);
+    [[nodiscard]] GroupWindow& windowOf(const std::string& service, std::uint32_t group);
+    void forwardAgain(Job& job, const GroupRoute& group);
     void waitForRoute(Job& job, const GroupName& group, std::string_view why);
     void retryLater(Job& job);
     void expire(Job& job);
@@ -104,6 +121,7 @@
 
     std::uint32_t m_worker;
     std::uint32_t m_maxRequests;
+    RequestWindow::Limits m_windowLimits;
     std::mt19937_64 m_random;
     std::shared_ptr<const RoutingSnapshot> m_snapshot;
     std::uint64_t m_nextNumber = 1;
@@ -111,6 +129,7 @@
     std::unordered_map<std::uint64_t, std::uint64_t> m_exchanges; ///< Dispatch or correlation to job.
     std::unordered_map<std::uint64_t, std::uint64_t> m_callers; ///< Caller to job.
     std::map<OriginKey, std::uint64_t> m_origins; ///< To job.
+    std::map<std::pair<std::string, std::uint32_t>, GroupWindow> m_windows; ///< By service and group.
     std::set<std::pair<MonotonicTime, std::uint64_t>> m_wakes;
     std::map<std::pair<std::string, std::uint32_t>, MonotonicTime> m_refusalReported; ///< By service and group.
 
--- /dev/null
+++ b/src/entry/request_window.cpp
@@ -0,0 +1,147 @@
+#include "entry/request_window.h"
+
+#define XXH_INLINE_ALL
+#include <xxhash.h>
+
+#include <algorithm>
+
+namespace jasminespread {
+namespace {
+
+/// Larger answers are not kept, because each would push out many small ones.
+constexpr std::uint64_t maxKeptAnswerBytes = 65'536;
+constexpr std::uint64_t answerOverhead = 128; ///< Estimated bytes of an answer beside its texts.
+
+std::uint64_t fingerprintOf(const CallerRequest& request)
+{
+    std::uint64_t hash = 0;
+    for (const std::string* text : {&request.service, &request.key, &request.method, &request.target, &request.body}) {
+        hash = XXH3_64bits_withSeed(text->data(), text->size(), hash ^ text->size());
+    }
+    return hash;
+}
+
+std::uint64_t bytesOf(const RequestAnswer& answer)
+{
+    std::uint64_t n = answerOverhead + answer.body.size() + answer.reason.size() + answer.server.size();
+    for (const HeaderField& field : answer.headers) {
+        n += field.name.size() + field.value.size();
+    }
+    return n;
+}
+
+} // namespace
+
+RequestWindow::RequestWindow(const Limits& limits)
+    : m_limits(limits)
+{
+}
+
+RequestWindow::Admission RequestWindow::admit(
+    const CallerRequest& request, std::uint64_t job, WallTime now, WallTime servingSince)
+{
+    const std::uint64_t fingerprint = fingerprintOf(request);
+    const auto it = m_entries.find(request.id);
+    if (it != m_entries.end()) {
+        const Entry& entry = it->second;
+        if (entry.fingerprint != fingerprint) {
+            return makeAnswer(Outcome::NotRun, reason::idReused, "another request has this Jasminespread-Request-Id");
+        }
+        if (entry.running) {
+            return Join {entry.job};
+        }
+        if (entry.answer) {
+            return *entry.answer;
+        }
+        return makeAnswer(Outcome::Unknown, reason::answerNotKept,
+            "a request with this id ran or may have run; its answer is no longer stored");
+    }
+    const WallTime issued = request.id.issuedAt();
+    if (issued > now + m_limits.clockSkewMargin) {
+        return makeAnswer(Outcome::NotRun, reason::futureId,
+            "Jasminespread-Request-Id was issued in the future; set the caller's clock");
+    }
+    // Nobody can have sent an id before that the entry made for this request.
+    if (!request.idMadeByEntry) {
+        if (issued < servingSince + m_limits.clockSkewMargin) {
+            return makeAnswer(Outcome::Unknown, reason::idBeforeServing,
+                "the id is older than this primary; an earlier primary may have run the request");
+        }
+        if (m_newestEvicted && issued <= *m_newestEvicted + m_limits.clockSkewMargin) {
+            return makeAnswer(Outcome::Unknown, reason::idEvicted,
+                "the id is older than the ids that this primary remembers; the request may have run");
+        }
+    }
+    if (!makeRoom()) {
+        return makeAnswer(
+            Outcome::NotRun, reason::windowFull, "too many non-repeatable requests run in this placement group");
+    }
+    Entry& entry = m_entries[request.id];
+    entry.fingerprint = fingerprint;
+    entry.job = job;
+    return Run {};
+}
+
+void RequestWindow::complete(const RequestId& id, const RequestAnswer& answer)
+{
+    const auto it = m_entries.find(id);
+    if (it == m_entries.end() || !it->second.running) {
+        return;
+    }
+    Entry& entry = it->second;
+    entry.running = false;
+    m_completed.push_back(id);
+    const std::uint64_t bytes = bytesOf(answer);
+    if (bytes > std::min(maxKeptAnswerBytes, m_limits.bytes)) {
+        return;
+    }
+    entry.answer = answer;
+    entry.bytes = bytes;
+    m_bytes += bytes;
+    m_answers.push_back(id);
+    dropAnswers();
+}
+
+void RequestWindow::forget(const RequestId& id)
+{
+    const auto it = m_entries.find(id);
+    if (it != m_entries.end() && it->second.running) {
+        m_entries.erase(it);
+    }
+}
+
+/// Evicts the request that completed first when the window is full. False when all requests still run.
+bool RequestWindow::makeRoom()
+{
+    if (m_entries.size() < m_limits.entries) {
+        return true;
+    }
+    if (m_completed.empty()) {
+        return false;
+    }
+    const RequestId id = m_completed.front();
+    m_completed.pop_front();
+    const auto it = m_entries.find(id);
+    if (it->second.answer) {
+        m_bytes -= it->second.bytes;
+        // Answers are dropped and entries evicted in the same order, so this one is the oldest kept answer.
+        m_answers.pop_front();
+    }
+    m_entries.erase(it);
+    m_newestEvicted = std::max(m_newestEvicted.value_or(id.issuedAt()), id.issuedAt());
+    return true;
+}
+
+/// Drops the oldest answers beyond the limit of bytes; their ids stay known.
+void RequestWindow::dropAnswers()
+{
+    while (m_bytes > m_limits.bytes) {
+        Entry& entry = m_entries.at(m_answers.front());
+        m_answers.pop_front();
+        m_bytes -= entry.bytes;
+        entry.answer.reset();
+        entry.bytes = 0;
+    }
+}
+
+} // namespace jasminespread
--- /dev/null
+++ b/tests/request_reducer_test.cpp
@@ -0,0 +1,312 @@
+#include "entry/request_reducer.h"
+
+#include "support/routes.h"
+
+#include <gtest/gtest.h>
+
+namespace jasminespread {
+namespace {
+
+class RequestReducerTest : public testing::Test {
+protected:
+    RequestReducerTest() { setRoutes(GrantCheck::Checked); }
+
+    WorkerEffects apply(WorkerEvent event) { return reducer.reduce({now, wallNow, std::move(event)}); }
+
+    void setRoutes(GrantCheck check)
+    {
+        routes = test::makeRoutes(check, authority);
+        apply(RoutesChanged {routes});
+    }
+
+    /// Publishes a changed copy of the routes.
+    template <typename Change> WorkerEffects changeRoutes(Change change)
+    {
+        auto copy = std::make_shared<RoutingSnapshot>(*routes);
+        change(*copy, copy->services["ledger"].groups[0]);
+        routes = copy;
+        return apply(RoutesChanged {copy});
+    }
+
+    void pass(Milliseconds time)
+    {
+        now += time;
+        wallNow += time;
+    }
+
+    CallerRequest makeRequest(bool repeatable) const
+    {
+        CallerRequest request;
+        request.service = "ledger";
+        request.key = "loom";
+        request.method = repeatable ? "GET" : "POST";
+        request.target = "/orders";
+        request.repeatable = repeatable;
+        request.id = RequestId::generate(wallNow);
+        return request;
+    }
+
+    WorkerEffects arrive(std::uint64_t caller, const CallerRequest& request)
+    {
+        return apply(RequestArrived {caller, request});
+    }
+
+    /// Lets time pass with a tick and returns what it led to.
+    WorkerEffects tickAfter(Milliseconds time)
+    {
+        pass(time);
+        return apply(WorkerTick {});
+    }
+
+    template <typename Effect> static std::vector<Effect> all(const WorkerEffects& effects)
+    {
+        std::vector<Effect> found;
+        for (const WorkerEffect& effect : effects) {
+            if (const Effect* match = std::get_if<Effect>(&effect)) {
+                found.push_back(*match);
+            }
+        }
+        return found;
+    }
+
+    template <typename Effect> static Effect only(const WorkerEffects& effects)
+    {
+        const std::vector<Effect> found = all<Effect>(effects);
+        EXPECT_EQ(found.size(), 1U);
+        return found.empty() ? Effect {} : found.front();
+    }
+
+    static BackendResult answered(unsigned status, const std::string& body, std::vector<HeaderField> headers = {})
+    {
+        BackendResult result;
+        result.progress = BackendProgress::Answered;
+        result.status = status;
+        result.body = body;
+        result.headers = std::move(headers);
+        return result;
+    }
+
+    static BackendResult refused(unsigned status, const std::string& why)
+    {
+        return answered(status, "", {{"Jasminespread-Outcome", "not-run"}, {"Jasminespread-Reason", why}});
+    }
+
+    static BackendResult failed(BackendProgress progress)
+    {
+        BackendResult result;
+        result.progress = progress;
+        return result;
+    }
+
+    static wire::ForwardRequest makeForward(const CallerRequest& request, std::uint64_t correlation)
+    {
+        wire::ForwardRequest message;
+        message.set_correlation(correlation);
+        message.set_reply_address("tcp://127.0.0.2:2001");
+        message.set_service(request.service);
+        message.set_key(request.key);
+        message.set_request_id(request.id.bytes().data(), request.id.bytes().size());
+        message.set_method(request.method);
+        message.set_target(request.target);
+        message.set_remaining_ms(1000);
+        message.set_repeatable(request.repeatable);
+        return message;
+    }
+
+    MonotonicTime now {std::chrono::hours(1)};
+    WallTime wallNow {Milliseconds(1'796'000'060'000)};
+    std::shared_ptr<AuthorityDeadline> authority
+        = std::make_shared<AuthorityDeadline>((now + std::chrono::hours(1)).time_since_epoch().count());
+    std::shared_ptr<RoutingSnapshot> routes;
+    RequestReducer reducer {InstanceSettings {}, 0, 1};
+    const InstanceReference peer {"entry-2", 88};
+};
+
+// Guards against a detour of repeatable requests over the primary.
+TEST_F(RequestReducerTest, RepeatableRequestGoesStraightToOwner)
+{
+    changeRoutes([](RoutingSnapshot&, GroupRoute& group) { group.primary = 1; });
+    const SendToBackend send = only<SendToBackend>(arrive(1, makeRequest(true)));
+    EXPECT_EQ(send.request.address, "127.0.0.1:1001");
+    EXPECT_FALSE(send.request.mayWrite);
+    const AnswerCaller answer = only<AnswerCaller>(apply(BackendFinished {send.dispatch, answered(404, "gone")}));
+    EXPECT_EQ(answer.caller, 1U);
+    EXPECT_EQ(answer.answer.outcome, Outcome::Done);
+    EXPECT_EQ(answer.answer.status, 404U);
+    EXPECT_EQ(answer.answer.server, "server-1");
+    EXPECT_EQ(reducer.requestsInFlight(), 0U);
+}
+
+// Guards against requests for servers that do not check leases bypassing the only process that may dispatch to them.
+TEST_F(RequestReducerTest, UncheckedAndNonRepeatableRequestsGoToThePrimary)
+{
+    changeRoutes([](RoutingSnapshot&, GroupRoute& group) { group.primary = 1; });
+    const SendForward order = only<SendForward>(arrive(1, makeRequest(false)));
+    EXPECT_EQ(order.address, "127.0.0.2:2001");
+    EXPECT_LT(order.request.remaining_ms(), 1000U);
+    setRoutes(GrantCheck::Unchecked);
+    changeRoutes([](RoutingSnapshot&, GroupRoute& group) { group.primary = 1; });
+    only<SendForward>(arrive(2, makeRequest(true)));
+}
+
+// Guards against a primary that dispatches without authority or without a check right before it writes.
+TEST_F(RequestReducerTest, PrimaryWithoutAuthorityDoesNotDispatch)
+{
+    const SendToBackend send = only<SendToBackend>(arrive(1, makeRequest(false)));
+    ASSERT_TRUE(send.request.mayWrite);
+    authority->store((monotonicNow() + std::chrono::hours(1)).time_since_epoch().count());
+    EXPECT_TRUE(send.request.mayWrite());
+    authority->store((monotonicNow() - Milliseconds(1)).time_since_epoch().count());
+    EXPECT_FALSE(send.request.mayWrite());
+
+    authority->store(now.time_since_epoch().count());
+    const WorkerEffects effects = apply(ForwardReceived {peer, makeForward(makeRequest(false), 5)});
+    EXPECT_TRUE(all<SendToBackend>(effects).empty());
+    EXPECT_TRUE(only<SendForwardAnswer>(effects).answer.wrong_primary());
+}
+
+// Guards against a new primary that dispatches before earlier leases have ended.
+TEST_F(RequestReducerTest, PrimaryWaitsForServingStart)
+{
+    changeRoutes([this](RoutingSnapshot&, GroupRoute& group) { group.servingSince = wallNow + Milliseconds(100); });
+    CallerRequest request = makeRequest(false);
+    request.idMadeByEntry = true;
+    EXPECT_TRUE(all<SendToBackend>(arrive(1, request)).empty());
+    EXPECT_TRUE(all<SendToBackend>(tickAfter(Milliseconds(99))).empty());
+    only<SendToBackend>(tickAfter(Milliseconds(1)));
+}
+
+// Guards against a caller that gets the answer of another request, or an answer twice.
+TEST_F(RequestReducerTest, LateAndForeignForwardAnswersAreDropped)
+{
+    changeRoutes([](RoutingSnapshot&, GroupRoute& group) { group.primary = 1; });
+    const SendForward forward = only<SendForward>(arrive(1, makeRequest(false)));
+    wire::ForwardAnswer answer;
+    answer.set_correlation(forward.request.correlation());
+    answer.set_request_incarnation(test::localIncarnation + 1);
+    answer.set_status(200);
+    WorkerEffects effects = apply(ForwardAnswered {answer});
+    EXPECT_TRUE(all<AnswerCaller>(effects).empty());
+    EXPECT_EQ(only<CountEvent>(effects).counter, WorkerCounter::LateAnswers);
+
+    answer.set_request_incarnation(test::localIncarnation);
+    EXPECT_EQ(only<AnswerCaller>(apply(ForwardAnswered {answer})).answer.status, 200U);
+    effects = apply(ForwardAnswered {answer});
+    EXPECT_TRUE(all<AnswerCaller>(effects).empty());
+    EXPECT_EQ(only<CountEvent>(effects).counter, WorkerCounter::LateAnswers);
+}
+
+// Guards against a repeated id that runs twice when it comes over two instances.
+TEST_F(RequestReducerTest, RepeatOfRunningRequestGetsTheSameAnswer)
+{
+    const CallerRequest request = makeRequest(false);
+    const SendToBackend send = only<SendToBackend>(arrive(1, request));
+    EXPECT_TRUE(all<SendToBackend>(apply(ForwardReceived {peer, makeForward(request, 5)})).empty());
+    const WorkerEffects effects = apply(BackendFinished {send.dispatch, answered(201, "order 12")});
+    EXPECT_EQ(only<AnswerCaller>(effects).answer.body, "order 12");
+    EXPECT_EQ(only<SendForwardAnswer>(effects).answer.body(), "order 12");
+    EXPECT_EQ(only<AnswerCaller>(arrive(2, request)).answer.body, "order 12");
+    EXPECT_EQ(reducer.requestsInFlight(), 0U);
+}
+
+// Guards against losing the first caller's work for a repeat that waits for it.
+TEST_F(RequestReducerTest, RequestRunsOnWhileARepeatWaits)
+{
+    const CallerRequest request = makeRequest(false);
+    const SendToBackend send = only<SendToBackend>(arrive(1, request));
+    arrive(2, request);
+    EXPECT_TRUE(all<CancelBackend>(apply(CallerLeft {1})).empty());
+    EXPECT_EQ(only<CancelBackend>(apply(CallerLeft {2})).dispatch, send.dispatch);
+    EXPECT_EQ(reducer.requestsInFlight(), 0U);
+    // It may have run: the window remembers that.
+    EXPECT_EQ(only<AnswerCaller>(arrive(3, request)).answer.outcome, Outcome::Unknown);
+}
+
+// Guards against a non-repeatable request that runs twice after a broken connection.
+TEST_F(RequestReducerTest, NonRepeatableRequestIsNeverSentAgainAfterAWrittenByte)
+{
+    const CallerRequest request = makeRequest(false);
+    const SendToBackend send = only<SendToBackend>(arrive(1, request));
+    const WorkerEffects effects = apply(BackendFinished {send.dispatch, failed(BackendProgress::Broken)});
+    EXPECT_TRUE(all<SendToBackend>(effects).empty());
+    EXPECT_EQ(only<AnswerCaller>(effects).answer.outcome, Outcome::Unknown);
+    EXPECT_TRUE(all<SendToBackend>(tickAfter(Milliseconds(500))).empty());
+    EXPECT_EQ(only<AnswerCaller>(arrive(2, request)).answer.outcome, Outcome::Unknown);
+}
+
+// Guards against refusing a non-repeatable request that provably did not run.
+TEST_F(RequestReducerTest, NonRepeatableRequestIsSentAgainWhenNothingWasWritten)
+{
+    const SendToBackend send = only<SendToBackend>(arrive(1, makeRequest(false)));
+    apply(BackendFinished {send.dispatch, failed(BackendProgress::NotSent)});
+    only<SendToBackend>(tickAfter(Milliseconds(100)));
+}
+
+// Guards against a move of a partition that callers see as an error.
+TEST_F(RequestReducerTest, RefusedRouteWaitsForTheNextSnapshot)
+{
+    const SendToBackend send = only<SendToBackend>(arrive(1, makeRequest(false)));
+    WorkerEffects effects = apply(BackendFinished {send.dispatch, refused(409, "not-owner")});
+    EXPECT_EQ(only<ReportRefusedRoute>(effects).group.service, "ledger");
+    EXPECT_TRUE(all<SendToBackend>(effects).empty());
+    effects = changeRoutes([](RoutingSnapshot&, GroupRoute& group) { group.partitions[0] = {1, 42}; });
+    EXPECT_EQ(only<SendToBackend>(effects).request.address, "127.0.0.1:1002");
+}
+
+// Guards against a request that waits beyond its deadline or is dispatched after it.
+TEST_F(RequestReducerTest, NothingIsDispatchedAfterItsDeadline)
+{
+    changeRoutes([](RoutingSnapshot&, GroupRoute& group) { group.partitions.clear(); });
+    EXPECT_TRUE(all<SendToBackend>(arrive(1, makeRequest(false))).empty());
+    const WorkerEffects effects = tickAfter(Milliseconds(1000));
+    const AnswerCaller answer = only<AnswerCaller>(effects);
+    EXPECT_EQ(answer.answer.outcome, Outcome::NotRun);
+    EXPECT_EQ(answer.answer.reason, "deadline");
+    EXPECT_TRUE(all<SendToBackend>(changeRoutes([](RoutingSnapshot&, GroupRoute& group) {
+        group.partitions[0] = {0, 41};
+    })).empty());
+
+    wire::ForwardRequest late = makeForward(makeRequest(false), 9);
+    late.set_remaining_ms(0);
+    EXPECT_TRUE(all<SendToBackend>(apply(ForwardReceived {peer, late})).empty());
+}
+
+// Guards against telling a caller `not-run` for a request that may still run.
+TEST_F(RequestReducerTest, DeadlineOfADispatchedRequestIsUnknown)
+{
+    const SendToBackend send = only<SendToBackend>(arrive(1, makeRequest(false)));
+    const WorkerEffects effects = tickAfter(Milliseconds(1000));
+    EXPECT_EQ(only<CancelBackend>(effects).dispatch, send.dispatch);
+    EXPECT_EQ(only<AnswerCaller>(effects).answer.outcome, Outcome::Unknown);
+    EXPECT_EQ(only<AnswerCaller>(effects).answer.status, 504U);
+}
+
+// Guards against losing the window of a term when the routes show no primary for a moment.
+TEST_F(RequestReducerTest, WindowOutlivesAGapInTheRoutes)
+{
+    const CallerRequest request = makeRequest(false);
+    const SendToBackend send = only<SendToBackend>(arrive(1, request));
+    apply(BackendFinished {send.dispatch, answered(200, "order 12")});
+    changeRoutes([](RoutingSnapshot&, GroupRoute& group) { group.primary.reset(); });
+    changeRoutes([](RoutingSnapshot&, GroupRoute& group) { group.primary = 0; });
+    EXPECT_EQ(only<AnswerCaller>(arrive(2, request)).answer.body, "order 12");
+}
+
+// Guards against work that goes on for a caller that left.
+TEST_F(RequestReducerTest, CallerThatLeavesCancelsItsWork)
+{
+    const SendToBackend send = only<SendToBackend>(arrive(1, makeRequest(true)));
+    EXPECT_EQ(only<CancelBackend>(apply(CallerLeft {1})).dispatch, send.dispatch);
+    changeRoutes([](RoutingSnapshot&, GroupRoute& group) { group.primary = 1; });
+    const SendForward forward = only<SendForward>(arrive(2, makeRequest(false)));
+    EXPECT_EQ(only<SendForwardCancel>(apply(CallerLeft {2})).correlation, forward.request.correlation());
+
+    changeRoutes([](RoutingSnapshot&, GroupRoute& group) { group.primary = 0; });
+    const SendToBackend forwarded
+        = only<SendToBackend>(apply(ForwardReceived {peer, makeForward(makeRequest(false), 5)}));
+    EXPECT_EQ(only<CancelBackend>(apply(ForwardCancelled {peer, 5})).dispatch, forwarded.dispatch);
+    EXPECT_EQ(reducer.requestsInFlight(), 0U);
+}
+
+} // namespace
+} // namespace jasminespread
