Add peer transport, grant client, control loop and operator API

Cause: the control thread had no I/O. Change: ZeroMQ transport that binds its connections to the own control address and accepts messages only from listed addresses, grant client on libsoup with its own session and a bounded reply, control loop that turns I/O into events and carries out effects one event at a time, operator HTTP API with bounded bodies. A change request without an answer ends as 502 unknown, not as 503, because it may have taken effect. Ruled out: SoupSession's own timeout for grants, which counts whole seconds.

--- /dev/null
+++ b/src/daemon/control_loop.cpp
@@ -0,0 +1,344 @@
+#include "daemon/control_loop.h"
+
+#include "daemon/operator_api.h"
+#include "grants/grant_client.h"
+#include "peer/peer_transport.h"
+
+#include <jasminespread/log_event.h>
+
+#include <glib-unix.h>
+#include <glib.h>
+
+#include <atomic>
+#include <csignal>
+#include <deque>
+#include <map>
+#include <utility>
+
+namespace jasminespread {
+
+namespace {
+
+constexpr guint tickIntervalMs = 50;
+constexpr int maxClosingTurns = 10'000;
+constexpr guint hotKeyIntervalMs = 1000;
+/// Time for the reducer's answer beyond the confirmation of a configuration.
+constexpr Milliseconds operatorAnswerMargin {2000};
+
+template <typename... Handlers> struct Overloaded : Handlers... {
+    using Handlers::operator()...;
+};
+template <typename... Handlers> Overloaded(Handlers...) -> Overloaded<Handlers...>;
+
+/// Main context that is the thread's default as long as this object lives.
+class ThreadContext {
+public:
+    ThreadContext()
+        : m_context(g_main_context_new())
+    {
+        g_main_context_push_thread_default(m_context);
+    }
+    ~ThreadContext()
+    {
+        g_main_context_pop_thread_default(m_context);
+        g_main_context_unref(m_context);
+    }
+    ThreadContext(const ThreadContext&) = delete;
+    ThreadContext& operator=(const ThreadContext&) = delete;
+
+    [[nodiscard]] GMainContext* get() const noexcept { return m_context; }
+
+private:
+    GMainContext* m_context;
+};
+
+} // namespace
+
+struct ControlLoop::State {
+    InstanceSettings settings;
+    RoutingTable& table;
+    MetricsRegistry& metrics;
+    Hooks hooks;
+    ThreadContext context;
+    GMainLoop* loop = g_main_loop_new(context.get(), FALSE);
+    ObjectStore store;
+    PeerTransport peers;
+    std::unique_ptr<GrantClient> grants;
+    OperatorApi operatorApi;
+    std::vector<GSource*> sources;
+    /// Callbacks of calls in flight hold a copy and do nothing once it is false.
+    std::shared_ptr<bool> alive = std::make_shared<bool>(true);
+    std::deque<TimedEvent> pending;
+    bool reducing = false;
+    bool stopping = false;
+    bool shutdownReported = false;
+    std::map<std::pair<std::string, std::string>, MetricsRegistry::Counter*> counters;
+    std::map<std::pair<std::string, std::string>, MetricsRegistry::Gauge*> gauges;
+    MetricsRegistry::Counter& events;
+    MetricsRegistry::Counter& busyMicroseconds;
+    MetricsRegistry::Counter& storeCalls;
+    MetricsRegistry::Counter& grantCalls;
+
+    State(const InstanceSettings& instanceSettings, std::uint64_t incarnation, RoutingTable& routingTable,
+        MetricsRegistry& registry, Hooks loopHooks)
+        : settings(instanceSettings)
+        , table(routingTable)
+        , metrics(registry)
+        , hooks(std::move(loopHooks))
+        , peers(settings, incarnation, registry,
+              [this](wire::Envelope envelope) { apply(PeerMessageReceived {std::move(envelope)}); })
+        , operatorApi(settings.operatorAddress, settings.confirmTimeout + operatorAnswerMargin,
+              {[this](OperatorRequested request) { apply(std::move(request)); },
+                  [this] { return !stopping && table.current()->ready; }, [this] { return metrics.exposition(); },
+                  nullptr})
+        , events(registry.counter("jasminespread_control_events_total", "", "Events that the control thread handled."))
+        , busyMicroseconds(registry.counter("jasminespread_control_busy_microseconds_total", "",
+              "Time that the control thread spent on decisions and on starting their effects."))
+        , storeCalls(registry.counter("jasminespread_store_calls_total", "", "Calls to the platform's store."))
+        , grantCalls(registry.counter("jasminespread_grant_calls_total", "", "Grant messages sent to backend servers."))
+    {
+    }
+
+    ~State()
+    {
+        *alive = false;
+        for (GSource* source : sources) {
+            g_source_destroy(source);
+            g_source_unref(source);
+        }
+        // Cancelled calls end in callbacks that free their memory.
+        grants.reset();
+        for (int i = 0; i < maxClosingTurns && g_main_context_iteration(context.get(), FALSE) != FALSE; ++i) { }
+        g_main_loop_unref(loop);
+    }
+
+    /// Reduces @p event and carries out the effects. An event that arises meanwhile is handled afterwards.
+    void apply(Event event)
+    {
+        if (!*alive) {
+            return;
+        }
+        pending.push_back(TimedEvent {monotonicNow(), wallNow(), std::move(event)});
+        if (reducing) {
+            return;
+        }
+        reducing = true;
+        while (!pending.empty()) {
+            const MonotonicTime start = monotonicNow();
+            const TimedEvent next = std::move(pending.front());
+            pending.pop_front();
+            for (Effect& effect : hooks.reduce(next)) {
+                std::visit([this](auto& part) { carryOut(part); }, effect);
+            }
+            events.add();
+            const auto busy = std::chrono::duration_cast<std::chrono::microseconds>(monotonicNow() - start);
+            busyMicroseconds.add(static_cast<std::uint64_t>(busy.count()));
+        }
+        reducing = false;
+    }
+
+    /// Wraps a callback so that it does nothing after the loop has ended.
+    template <typename Callback> auto whileAlive(Callback callback)
+    {
+        return [isAlive = alive, callback = std::move(callback)](auto&& result) {
+            if (*isAlive) {
+                callback(std::forward<decltype(result)>(result));
+            }
+        };
+    }
+
+    void carryOut(const ReadInstanceList&)
+    {
+        storeCalls.add();
+        store.instances(
+            whileAlive([this](InstanceListResult result) { apply(InstanceListReceived {std::move(result)}); }));
+    }
+
+    void carryOut(const ListObjects& effect)
+    {
+        storeCalls.add();
+        const MonotonicTime startedAt = monotonicNow();
+        store.list(effect.kind, whileAlive([this, kind = effect.kind, startedAt](StoreListResult result) {
+            apply(StoreListed {kind, startedAt, std::move(result)});
+        }));
+    }
+
+    void carryOut(const ReadObject& effect)
+    {
+        storeCalls.add();
+        const MonotonicTime startedAt = monotonicNow();
+        store.read(effect.kind, effect.name,
+            whileAlive([this, kind = effect.kind, name = effect.name, startedAt](StoreReadResult result) {
+                apply(StoreRead {kind, name, startedAt, std::move(result)});
+            }));
+    }
+
+    void carryOut(const WriteObject& effect)
+    {
+        storeCalls.add();
+        const MonotonicTime startedAt = monotonicNow();
+        store.write(effect.kind, effect.name, effect.expectedVersion, effect.value,
+            whileAlive([this, kind = effect.kind, name = effect.name, changeId = effect.changeId, startedAt](
+                           StoreWriteResult result) {
+                apply(StoreWritten {kind, name, changeId, startedAt, result});
+            }));
+    }
+
+    void carryOut(SendPeerMessage& effect) { peers.send(effect.to, std::move(effect.envelope)); }
+
+    void carryOut(const ConnectPeers& effect) { peers.setPeers(effect.peers); }
+
+    void carryOut(const SendGrants& effect)
+    {
+        grantCalls.add();
+        const MonotonicTime sentAt = monotonicNow();
+        grants->send(effect.batch, whileAlive([this, batch = effect.batch, sentAt](std::optional<GrantReply> reply) {
+            apply(GrantAnswered {batch.server, batch, sentAt, std::move(reply)});
+        }));
+    }
+
+    void carryOut(const PublishRouting& effect) { table.publish(effect.snapshot); }
+
+    void carryOut(const OperatorAnswer& effect) { operatorApi.answer(effect.request, effect.status, effect.body); }
+
+    void carryOut(const WriteLog& effect) { logEvent(effect.event, effect.details); }
+
+    void carryOut(const RecordMetric& effect)
+    {
+        // The catalogue of metrics is docs/metrics.md; a name recorded by the reducer has no help text of its own.
+        const std::pair<std::string, std::string> key(effect.name, effect.labels);
+        if (effect.gauge) {
+            MetricsRegistry::Gauge*& cell = gauges[key];
+            if (!cell) {
+                cell = &metrics.gauge(effect.name, effect.labels, "See docs/metrics.md.");
+            }
+            cell->set(effect.value);
+        } else {
+            MetricsRegistry::Counter*& cell = counters[key];
+            if (!cell) {
+                cell = &metrics.counter(effect.name, effect.labels, "See docs/metrics.md.");
+            }
+            cell->add(static_cast<std::uint64_t>(effect.value));
+        }
+    }
+
+    void carryOut(const ShutdownFinished&) { reportShutdown(); }
+
+    void reportShutdown()
+    {
+        if (stopping && !shutdownReported) {
+            shutdownReported = true;
+            hooks.shutdownFinished();
+        }
+    }
+
+    void requestShutdown()
+    {
+        if (stopping) {
+            return;
+        }
+        stopping = true;
+        logEvent(LogEvent::ProcessStopping, "instance=" + settings.instance);
+        addTimer(
+            static_cast<guint>(settings.shutdownTimeout.count()), G_PRIORITY_DEFAULT, [](gpointer data) -> gboolean {
+                static_cast<State*>(data)->reportShutdown();
+                return G_SOURCE_REMOVE;
+            });
+        apply(ShutdownRequested {});
+    }
+
+    void add(GSource* source, int priority, GSourceFunc callback)
+    {
+        g_source_set_priority(source, priority);
+        g_source_set_callback(source, callback, this, nullptr);
+        g_source_attach(source, context.get());
+        sources.push_back(source);
+    }
+
+    void addTimer(guint intervalMs, int priority, GSourceFunc callback)
+    {
+        add(g_timeout_source_new(intervalMs), priority, callback);
+    }
+
+    static gboolean onTick(gpointer data)
+    {
+        static_cast<State*>(data)->apply(Tick {});
+        return G_SOURCE_CONTINUE;
+    }
+
+    static gboolean onHotKeyTimer(gpointer data)
+    {
+        State& state = *static_cast<State*>(data);
+        for (wire::HotKeyReport& report : state.hooks.takeHotKeys()) {
+            state.apply(HotKeysObserved {std::move(report)});
+        }
+        return G_SOURCE_CONTINUE;
+    }
+
+    static gboolean onStopSignal(gpointer data)
+    {
+        static_cast<State*>(data)->requestShutdown();
+        return G_SOURCE_CONTINUE;
+    }
+};
+
+ControlLoop::ControlLoop(const InstanceSettings& settings, std::uint64_t incarnation, RoutingTable& table,
+    MetricsRegistry& metrics, Hooks hooks)
+    : m_state(std::make_unique<State>(settings, incarnation, table, metrics, std::move(hooks)))
+{
+}
+
+ControlLoop::~ControlLoop() = default;
+
+Result<void> ControlLoop::start()
+{
+    State& state = *m_state;
+    BOOST_LEAF_CHECK(state.peers.start(state.context.get()));
+    BOOST_LEAF_CHECK(state.operatorApi.start());
+    state.store = state.hooks.makeStore();
+    state.grants = std::make_unique<GrantClient>(state.settings.grantTimeout);
+    // Ticks come before other sources, so that a flood of requests or messages does not delay leases.
+    state.addTimer(tickIntervalMs, G_PRIORITY_HIGH, State::onTick);
+    state.addTimer(hotKeyIntervalMs, G_PRIORITY_DEFAULT, State::onHotKeyTimer);
+    return {};
+}
+
+void ControlLoop::run()
+{
+    // The first decisions need not wait for the timer. They run inside the main loop, so that quit() ends it.
+    post([state = m_state.get()] { state->apply(Tick {}); });
+    g_main_loop_run(m_state->loop);
+}
+
+void ControlLoop::quit() noexcept { g_main_loop_quit(m_state->loop); }
+
+void ControlLoop::requestShutdown() { m_state->requestShutdown(); }
+
+void ControlLoop::routeRefused(const GroupName& group)
+{
+    post([state = m_state.get(), group] { state->apply(RouteRefused {group}); });
+}
+
+void ControlLoop::post(std::function<void()> task)
+{
+    GSource* source = g_idle_source_new();
+    g_source_set_priority(source, G_PRIORITY_DEFAULT);
+    g_source_set_callback(
+        source,
+        [](gpointer data) -> gboolean {
+            (*static_cast<std::function<void()>*>(data))();
+            return G_SOURCE_REMOVE;
+        },
+        new std::function<void()>(std::move(task)),
+        [](gpointer data) { delete static_cast<std::function<void()>*>(data); });
+    g_source_attach(source, m_state->context.get());
+    g_source_unref(source);
+}
+
+void ControlLoop::handleStopSignals()
+{
+    m_state->add(g_unix_signal_source_new(SIGTERM), G_PRIORITY_HIGH, State::onStopSignal);
+    m_state->add(g_unix_signal_source_new(SIGINT), G_PRIORITY_HIGH, State::onStopSignal);
+}
+
+} // namespace jasminespread
--- /dev/null
+++ b/src/daemon/operator_api.h
@@ -0,0 +1,49 @@
+#pragma once
+
+#include <jasminespread/error.h>
+#include <jasminespread/event.h>
+#include <jasminespread/time.h>
+
+#include <cstdint>
+#include <functional>
+#include <memory>
+#include <string>
+
+namespace jasminespread {
+
+/// The operators' HTTP interface of an instance. Not thread-safe: constructed, used and destroyed on one thread, whose
+/// default main context runs it.
+class OperatorApi {
+public:
+    struct Answer {
+        unsigned status = 200;
+        std::string contentType;
+        std::string body;
+    };
+    struct Hooks {
+        /// Takes a request that ends with a call of answer(), now or later.
+        std::function<void(OperatorRequested)> request;
+        std::function<bool()> ready;
+        std::function<std::string()> metrics;
+        /// Renders the burn report in the given format ("text", "json" or "html"). Absent: 404.
+        std::function<Answer(const std::string& format)> report;
+    };
+
+    /// @param timeout after which a request without an answer ends with an error.
+    OperatorApi(std::string address, Milliseconds timeout, Hooks hooks);
+    /// Closes all connections.
+    ~OperatorApi();
+    OperatorApi(const OperatorApi&) = delete;
+    OperatorApi& operator=(const OperatorApi&) = delete;
+
+    /// Starts listening. Fails with AddressInUse or InvalidInput.
+    [[nodiscard]] Result<void> start();
+    /// Answers request number @p request with a JSON body. Ignores numbers without a waiting request.
+    void answer(std::uint64_t request, unsigned status, const std::string& body);
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace jasminespread
--- /dev/null
+++ b/src/peer/peer_transport.cpp
@@ -0,0 +1,334 @@
+#include "peer/peer_transport.h"
+
+#include <jasminespread/log_event.h>
+#include <jasminespread/time.h>
+
+#include <zmq.h>
+
+#include <cerrno>
+#include <map>
+#include <optional>
+#include <set>
+#include <string_view>
+#include <utility>
+
+namespace jasminespread {
+
+namespace {
+
+constexpr std::size_t maxMessageBytes = 4'194'304;
+/// Messages that wait for one peer. Heartbeats replace each other, so older ones have no value.
+constexpr int sendQueueMessages = 128;
+constexpr int receiveQueueMessages = 4096;
+constexpr int reconnectIntervalMs = 50;
+constexpr int reconnectIntervalMaxMs = 200;
+constexpr int connectTimeoutMs = 500;
+/// A connection without sign of life for this long is closed and made again, so that messages of before a network
+/// partition do not delay those after it.
+constexpr int connectionCheckIntervalMs = 500;
+constexpr int connectionCheckTimeoutMs = 1500;
+/// Messages handled in one turn of the main loop, so that a flood does not delay ticks.
+constexpr int messagesPerTurn = 64;
+constexpr Milliseconds rejectLogInterval {1000};
+
+struct SocketCloser {
+    void operator()(void* socket) const noexcept { zmq_close(socket); }
+};
+using SocketPtr = std::unique_ptr<void, SocketCloser>;
+
+struct ContextCloser {
+    void operator()(void* context) const noexcept { zmq_ctx_term(context); }
+};
+using ContextPtr = std::unique_ptr<void, ContextCloser>;
+
+class Message {
+public:
+    Message() noexcept { zmq_msg_init(&m_message); }
+    ~Message() { zmq_msg_close(&m_message); }
+    Message(const Message&) = delete;
+    Message& operator=(const Message&) = delete;
+
+    [[nodiscard]] zmq_msg_t* get() noexcept { return &m_message; }
+
+private:
+    zmq_msg_t m_message {};
+};
+
+/// Returns the IP number of "ip:port" or "[ip]:port".
+std::string hostOf(std::string_view address)
+{
+    const std::size_t colon = address.rfind(':');
+    std::string_view host = address.substr(0, colon);
+    if (host.size() >= 2 && host.front() == '[' && host.back() == ']') {
+        host = host.substr(1, host.size() - 2);
+    }
+    return std::string(host);
+}
+
+bool isWildcard(const std::string& host) { return host.empty() || host == "0.0.0.0" || host == "::" || host == "*"; }
+
+void setOption(void* socket, int option, int value) { zmq_setsockopt(socket, option, &value, sizeof(value)); }
+
+void setConnectionOptions(void* socket, std::string_view address)
+{
+    setOption(socket, ZMQ_LINGER, 0);
+    setOption(socket, ZMQ_IPV6, address.starts_with('[') ? 1 : 0);
+    setOption(socket, ZMQ_HEARTBEAT_IVL, connectionCheckIntervalMs);
+    setOption(socket, ZMQ_HEARTBEAT_TIMEOUT, connectionCheckTimeoutMs);
+}
+
+/// Watches the PULL socket. ZMQ_FD is edge-triggered: it becomes readable when ZMQ_EVENTS may have changed, so that
+/// both prepare and check read ZMQ_EVENTS.
+struct PullSource {
+    GSource base;
+    void* socket;
+
+    static bool isReadable(GSource* source) noexcept
+    {
+        int events = 0;
+        std::size_t size = sizeof(events);
+        return zmq_getsockopt(reinterpret_cast<PullSource*>(source)->socket, ZMQ_EVENTS, &events, &size) == 0
+            && (events & ZMQ_POLLIN) != 0;
+    }
+    static gboolean prepare(GSource* source, gint* timeout)
+    {
+        *timeout = -1;
+        return isReadable(source) ? TRUE : FALSE;
+    }
+    static gboolean check(GSource* source) { return isReadable(source) ? TRUE : FALSE; }
+    static gboolean dispatch(GSource*, GSourceFunc callback, gpointer data) { return callback(data); }
+};
+
+GSourceFuncs pullSourceFuncs {PullSource::prepare, PullSource::check, PullSource::dispatch, nullptr, nullptr, nullptr};
+
+} // namespace
+
+struct PeerTransport::State {
+    struct Peer {
+        std::string address;
+        SocketPtr socket;
+    };
+
+    std::string self;
+    std::uint64_t incarnation;
+    std::string controlAddress;
+    std::map<std::string, InstanceSettings::PeerAddress> overrides;
+    Receiver receiver;
+    MetricsRegistry::Counter& received;
+    MetricsRegistry::Counter& rejectedCounter;
+    MetricsRegistry::Counter& sent;
+    MetricsRegistry::Counter& sendDropped;
+    ContextPtr context {zmq_ctx_new()};
+    SocketPtr pull;
+    GSource* source = nullptr;
+    std::map<std::string, Peer> peers;
+    std::set<std::string> allowedHosts;
+    std::uint64_t rejected = 0;
+    std::uint64_t rejectedSinceLog = 0;
+    std::optional<MonotonicTime> lastRejectLog;
+
+    State(const InstanceSettings& settings, std::uint64_t ownIncarnation, MetricsRegistry& metrics, Receiver hook)
+        : self(settings.instance)
+        , incarnation(ownIncarnation)
+        , controlAddress(settings.controlAddress)
+        , overrides(settings.addressOverrides)
+        , receiver(std::move(hook))
+        , received(metrics.counter("jasminespread_peer_messages_received_total", "", "Accepted control messages."))
+        , rejectedCounter(metrics.counter("jasminespread_peer_messages_rejected_total", "",
+              "Control messages dropped because of their address, size, version or content."))
+        , sent(metrics.counter("jasminespread_peer_messages_sent_total", "", "Control messages handed to ZeroMQ."))
+        , sendDropped(metrics.counter("jasminespread_peer_messages_send_dropped_total", "",
+              "Control messages not sent because the peer is unknown, not connected or too slow."))
+    {
+    }
+
+    ~State()
+    {
+        if (source) {
+            g_source_destroy(source);
+            g_source_unref(source);
+        }
+        peers.clear();
+        pull.reset();
+    }
+
+    void reject(const std::string& address, std::string_view reason)
+    {
+        ++rejected;
+        ++rejectedSinceLog;
+        rejectedCounter.add();
+        const MonotonicTime now = monotonicNow();
+        if (lastRejectLog && now - *lastRejectLog < rejectLogInterval) {
+            return;
+        }
+        logEvent(LogEvent::PeerMessageRejected,
+            "address=" + address + " reason=" + std::string(reason) + " count=" + std::to_string(rejectedSinceLog));
+        lastRejectLog = now;
+        rejectedSinceLog = 0;
+    }
+
+    /// Receives the other parts of a multi-part message and drops them.
+    void dropFurtherParts(zmq_msg_t* first)
+    {
+        bool more = zmq_msg_more(first) != 0;
+        while (more) {
+            Message part;
+            if (zmq_msg_recv(part.get(), pull.get(), ZMQ_DONTWAIT) < 0) {
+                return;
+            }
+            more = zmq_msg_more(part.get()) != 0;
+        }
+    }
+
+    void accept(zmq_msg_t* message)
+    {
+        const char* property = zmq_msg_gets(message, "Peer-Address");
+        const std::string address = property ? property : "";
+        if (!allowedHosts.contains(address)) {
+            reject(address, "unknown-address");
+            return;
+        }
+        const std::size_t size = zmq_msg_size(message);
+        if (zmq_msg_more(message) != 0 || size > maxMessageBytes) {
+            dropFurtherParts(message);
+            reject(address, "size");
+            return;
+        }
+        wire::Envelope envelope;
+        if (!envelope.ParseFromArray(zmq_msg_data(message), static_cast<int>(size))) {
+            reject(address, "unreadable");
+            return;
+        }
+        if (envelope.protocol_version() != peerProtocolVersion) {
+            reject(address, "protocol-version");
+            return;
+        }
+        if (envelope.sender().id().empty() || envelope.sender().incarnation() == 0
+            || envelope.message_case() == wire::Envelope::MESSAGE_NOT_SET) {
+            reject(address, "incomplete");
+            return;
+        }
+        received.add();
+        receiver(std::move(envelope));
+    }
+
+    static gboolean onReadable(gpointer data)
+    {
+        State& state = *static_cast<State*>(data);
+        for (int i = 0; i < messagesPerTurn; ++i) {
+            Message message;
+            if (zmq_msg_recv(message.get(), state.pull.get(), ZMQ_DONTWAIT) < 0) {
+                break;
+            }
+            state.accept(message.get());
+        }
+        return G_SOURCE_CONTINUE;
+    }
+
+    /// Connects from the own control IP number, because peers accept only listed addresses.
+    [[nodiscard]] SocketPtr connect(const std::string& address)
+    {
+        SocketPtr socket(zmq_socket(context.get(), ZMQ_PUSH));
+        setConnectionOptions(socket.get(), address);
+        setOption(socket.get(), ZMQ_SNDHWM, sendQueueMessages);
+        setOption(socket.get(), ZMQ_IMMEDIATE, 1);
+        setOption(socket.get(), ZMQ_RECONNECT_IVL, reconnectIntervalMs);
+        setOption(socket.get(), ZMQ_RECONNECT_IVL_MAX, reconnectIntervalMaxMs);
+        setOption(socket.get(), ZMQ_CONNECT_TIMEOUT, connectTimeoutMs);
+        const std::string ownHost = controlAddress.substr(0, controlAddress.rfind(':'));
+        const std::string from = isWildcard(hostOf(controlAddress)) ? "" : ownHost + ":0;";
+        if (zmq_connect(socket.get(), ("tcp://" + from + address).c_str()) != 0) {
+            return nullptr;
+        }
+        return socket;
+    }
+};
+
+PeerTransport::PeerTransport(
+    const InstanceSettings& settings, std::uint64_t incarnation, MetricsRegistry& metrics, Receiver receiver)
+    : m_state(std::make_unique<State>(settings, incarnation, metrics, std::move(receiver)))
+{
+}
+
+PeerTransport::~PeerTransport() = default;
+
+Result<void> PeerTransport::start(GMainContext* context)
+{
+    State& state = *m_state;
+    state.pull.reset(zmq_socket(state.context.get(), ZMQ_PULL));
+    setConnectionOptions(state.pull.get(), state.controlAddress);
+    setOption(state.pull.get(), ZMQ_RCVHWM, receiveQueueMessages);
+    // Larger messages end the connection before they are buffered.
+    const std::int64_t limit = maxMessageBytes;
+    zmq_setsockopt(state.pull.get(), ZMQ_MAXMSGSIZE, &limit, sizeof(limit));
+    if (zmq_bind(state.pull.get(), ("tcp://" + state.controlAddress).c_str()) != 0) {
+        const int code = errno;
+        return fail(code == EADDRINUSE ? ErrorKind::AddressInUse : ErrorKind::InvalidInput,
+            "control address " + state.controlAddress + ": " + zmq_strerror(code)
+                + "; set controlAddress to a free IP number and port of this machine");
+    }
+    int fd = -1;
+    std::size_t size = sizeof(fd);
+    zmq_getsockopt(state.pull.get(), ZMQ_FD, &fd, &size);
+    state.source = g_source_new(&pullSourceFuncs, sizeof(PullSource));
+    reinterpret_cast<PullSource*>(state.source)->socket = state.pull.get();
+    g_source_set_name(state.source, "peer messages");
+    g_source_add_unix_fd(state.source, fd, G_IO_IN);
+    g_source_set_callback(state.source, State::onReadable, &state, nullptr);
+    g_source_attach(state.source, context);
+    return {};
+}
+
+void PeerTransport::setPeers(const std::vector<InstanceEntry>& peers)
+{
+    State& state = *m_state;
+    std::map<std::string, State::Peer> kept;
+    state.allowedHosts.clear();
+    for (const auto& [id, address] : state.overrides) {
+        if (!address.control.empty()) {
+            state.allowedHosts.insert(hostOf(address.control));
+        }
+    }
+    for (const InstanceEntry& entry : peers) {
+        if (entry.id == state.self || entry.controlAddress.empty()) {
+            continue;
+        }
+        state.allowedHosts.insert(hostOf(entry.controlAddress));
+        const auto replacement = state.overrides.find(entry.id);
+        const std::string& address = replacement != state.overrides.end() && !replacement->second.control.empty()
+            ? replacement->second.control
+            : entry.controlAddress;
+        const auto it = state.peers.find(entry.id);
+        if (it != state.peers.end() && it->second.address == address) {
+            kept[entry.id] = std::move(it->second);
+        } else if (SocketPtr socket = state.connect(address)) {
+            kept[entry.id] = State::Peer {address, std::move(socket)};
+        }
+    }
+    state.peers = std::move(kept);
+}
+
+bool PeerTransport::send(const std::string& to, wire::Envelope envelope)
+{
+    State& state = *m_state;
+    const auto it = state.peers.find(to);
+    if (it == state.peers.end()) {
+        state.sendDropped.add();
+        return false;
+    }
+    envelope.set_protocol_version(peerProtocolVersion);
+    envelope.mutable_sender()->set_id(state.self);
+    envelope.mutable_sender()->set_incarnation(state.incarnation);
+    const std::string bytes = envelope.SerializeAsString();
+    if (bytes.size() > maxMessageBytes
+        || zmq_send(it->second.socket.get(), bytes.data(), bytes.size(), ZMQ_DONTWAIT) < 0) {
+        state.sendDropped.add();
+        return false;
+    }
+    state.sent.add();
+    return true;
+}
+
+std::uint64_t PeerTransport::rejectedMessages() const noexcept { return m_state->rejected; }
+
+} // namespace jasminespread
--- /dev/null
+++ b/tests/control_loop_test.cpp
@@ -0,0 +1,168 @@
+#include "daemon/control_loop.h"
+#include "loopback_address.h"
+
+#include <gtest/gtest.h>
+
+#include <glib.h>
+#include <thread>
+
+namespace jasminespread {
+
+namespace {
+
+/// Runs a control loop with a reducer given as a function, and a store that answers on the next turn.
+class ControlLoopTest : public testing::Test {
+protected:
+    ControlLoopTest()
+    {
+        m_settings.instance = "a";
+        m_settings.operatorAddress = freeLoopbackAddress();
+        m_settings.controlAddress = freeLoopbackAddress();
+        m_settings.shutdownTimeout = Milliseconds(200);
+        m_hooks.makeStore = [this] { return makeStore(); };
+        m_hooks.takeHotKeys = [] { return std::vector<wire::HotKeyReport>(); };
+        m_hooks.shutdownFinished = [this] {
+            ++m_shutdowns;
+            m_loop->quit();
+        };
+    }
+
+    ObjectStore makeStore()
+    {
+        ObjectStore store;
+        store.instances = [this](const std::function<void(InstanceListResult)>& callback) {
+            m_loop->post([callback] { callback(InstanceListResult {StoreStatus::Ok, {}}); });
+        };
+        store.read
+            = [this](const std::string&, const std::string&, const std::function<void(StoreReadResult)>& callback) {
+                  m_loop->post([callback] { callback(StoreReadResult {StoreStatus::NotFound, {}}); });
+              };
+        return store;
+    }
+
+    void run()
+    {
+        m_loop.emplace(m_settings, 7, m_table, m_metrics, m_hooks);
+        ASSERT_TRUE(m_loop->start());
+        m_loop->run();
+    }
+
+    InstanceSettings m_settings;
+    RoutingTable m_table;
+    MetricsRegistry m_metrics;
+    ControlLoop::Hooks m_hooks;
+    std::optional<ControlLoop> m_loop;
+    int m_shutdowns = 0;
+};
+
+} // namespace
+
+// Guards against store answers without the time at which the call started, on which authority over groups depends, and
+// against events that go back in time.
+TEST_F(ControlLoopTest, ReadsStartTimeBeforeTheCall)
+{
+    bool asked = false;
+    MonotonicTime askedAt {};
+    MonotonicTime last {};
+    std::optional<StoreRead> answer;
+    m_hooks.reduce = [&](const TimedEvent& event) -> Effects {
+        EXPECT_GE(event.now, last);
+        last = event.now;
+        if (!asked && std::holds_alternative<Tick>(event.event)) {
+            asked = true;
+            askedAt = event.now;
+            return {ReadObject {"group", "desk.0"}, ReadInstanceList {}};
+        }
+        if (const auto* read = std::get_if<StoreRead>(&event.event)) {
+            answer = *read;
+            EXPECT_LE(read->startedAt, event.now);
+        }
+        if (std::holds_alternative<InstanceListReceived>(event.event)) {
+            m_loop->quit();
+        }
+        return {};
+    };
+    run();
+    ASSERT_TRUE(answer);
+    EXPECT_EQ(answer->kind, "group");
+    EXPECT_EQ(answer->name, "desk.0");
+    EXPECT_EQ(answer->result.status, StoreStatus::NotFound);
+    EXPECT_GE(answer->startedAt, askedAt);
+}
+
+// Guards against ticks that arrive too rarely for leases, or stop.
+TEST_F(ControlLoopTest, TicksArriveEvery50Milliseconds)
+{
+    std::vector<MonotonicTime> ticks;
+    m_hooks.reduce = [&](const TimedEvent& event) -> Effects {
+        ticks.push_back(event.now);
+        if (ticks.size() == 11) {
+            m_loop->quit();
+        }
+        return {};
+    };
+    run();
+    const auto elapsed = std::chrono::duration_cast<Milliseconds>(ticks.back() - ticks.front());
+    EXPECT_GE(elapsed.count(), 450);
+    EXPECT_LE(elapsed.count(), 2000);
+}
+
+// Guards against refused routes that are lost on the way from worker threads.
+TEST_F(ControlLoopTest, TakesRefusedRoutesFromOtherThreads)
+{
+    std::thread worker;
+    bool started = false;
+    m_hooks.reduce = [&](const TimedEvent& event) -> Effects {
+        if (!started) {
+            started = true;
+            worker = std::thread([this] { m_loop->routeRefused(GroupName {"desk", 3}); });
+        }
+        if (const auto* refused = std::get_if<RouteRefused>(&event.event)) {
+            EXPECT_EQ(refused->group, (GroupName {"desk", 3}));
+            m_loop->quit();
+        }
+        return {};
+    };
+    run();
+    worker.join();
+}
+
+// Guards against a process that never stops because the reducer cannot hand its groups over.
+TEST_F(ControlLoopTest, ShutdownEndsOnceEvenWithoutTheReducer)
+{
+    int requests = 0;
+    bool asked = false;
+    m_hooks.reduce = [&](const TimedEvent& event) -> Effects {
+        if (std::holds_alternative<ShutdownRequested>(event.event)) {
+            ++requests;
+        }
+        if (!asked) {
+            asked = true;
+            m_loop->requestShutdown();
+            m_loop->requestShutdown();
+        }
+        return {};
+    };
+    run();
+    EXPECT_EQ(requests, 1);
+    EXPECT_EQ(m_shutdowns, 1);
+}
+
+// Guards against snapshots and metrics of the reducer that do not arrive.
+TEST_F(ControlLoopTest, PublishesSnapshotsAndMetrics)
+{
+    m_hooks.reduce = [&](const TimedEvent&) -> Effects {
+        auto snapshot = std::make_shared<RoutingSnapshot>();
+        snapshot->revision = 12;
+        m_loop->quit();
+        return {PublishRouting {snapshot}, RecordMetric {"moves_total", "service=\"desk\"", 2, false},
+            RecordMetric {"peers_live", "", 4, true}, RecordMetric {"moves_total", "service=\"desk\"", 1, false}};
+    };
+    run();
+    EXPECT_EQ(m_table.current()->revision, 12U);
+    const std::string text = m_metrics.exposition();
+    EXPECT_NE(text.find("moves_total{service=\"desk\"} 3\n"), std::string::npos);
+    EXPECT_NE(text.find("peers_live 4\n"), std::string::npos);
+}
+
+} // namespace jasminespread
