Add decision core: membership, group authority, leases, placement

Cause: the design names pure reducers for authority over ownership, but there was no code. The group object names the servers whose leases a superseded primary may still extend, so that later primaries wait for them as well. Ruled out: keeping declarations of operators in the store, because an old one could apply to a returned server.

--- a/include/jasminespread/effect.h
+++ b/include/jasminespread/effect.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <jasminespread/grant.h>
+#include <jasminespread/instance_entry.h>
 #include <jasminespread/log_event.h>
 #include <jasminespread/routing_snapshot.h>
 
--- a/include/jasminespread/group_record.h
+++ b/include/jasminespread/group_record.h
@@ -17,7 +17,8 @@
     std::string service;
     std::uint32_t index = 0;
 
-    auto operator<=>(const GroupName&) const = default;
+    // The check takes the 0 of a rewritten `<` for a null pointer.
+    auto operator<=>(const GroupName&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Text form "<service>.<index>", used as the object's name in the store. Thread-safe.
@@ -30,7 +31,8 @@
     std::string id;
     std::uint64_t incarnation = 0;
 
-    auto operator<=>(const InstanceReference&) const = default;
+    // The check takes the 0 of a rewritten `<` for a null pointer.
+    auto operator<=>(const InstanceReference&) const = default; // NOLINT(modernize-use-nullptr)
 };
 
 /// Owner and fence token of one partition. An empty owner means that nobody owns it.
@@ -52,6 +54,11 @@
     std::uint64_t nextToken = 1;
     std::vector<PartitionAssignment> partitions; ///< Sorted by partition.
     std::map<std::string, std::uint32_t> overrides; ///< Hot key to its own partition.
+    /// Servers that have accepted no grant since a takeover by an instance that was not the standby. A superseded
+    /// primary may extend their leases until the extension limit, so later primaries must wait for them as well.
+    std::vector<std::string> unconfirmedServers;
+    /// Ids of the superseded instances that may extend those leases; empty when unconfirmedServers is.
+    std::vector<std::string> possibleGranters;
     std::string changeId; ///< Written by the last change; resolves a lost answer.
 
     bool operator==(const GroupRecord&) const = default;
--- /dev/null
+++ b/src/control/control_reducer.cpp
@@ -0,0 +1,525 @@
+#include <jasminespread/control_reducer.h>
+
+#include "control/configuration_control.h"
+#include "control/group_authority.h"
+#include "control/group_reader.h"
+#include "control/group_view.h"
+#include "control/membership.h"
+#include "control/routing_builder.h"
+#include "control/status_report.h"
+
+#include <algorithm>
+#include <tuple>
+
+namespace jasminespread {
+namespace {
+
+constexpr Milliseconds viewRequestInterval {50};
+constexpr Milliseconds declarationHolds {10'000}; // A server that answers later than this has returned.
+
+} // namespace
+
+struct ControlReducer::State {
+    State(InstanceSettings instanceSettings, std::uint64_t incarnation);
+
+    [[nodiscard]] Effects reduce(const TimedEvent& event);
+
+private:
+    /// @name Events
+    /// @{
+    void handle(const ReduceContext& context, const Tick& event);
+    void handle(const ReduceContext& context, const InstanceListReceived& event);
+    void handle(const ReduceContext& context, const StoreListed& event);
+    void handle(const ReduceContext& context, const StoreRead& event);
+    void handle(const ReduceContext& context, const StoreWritten& event);
+    void handle(const ReduceContext& context, const PeerMessageReceived& event);
+    void handle(const ReduceContext& context, const GrantAnswered& event);
+    void handle(const ReduceContext& context, const OperatorRequested& event);
+    void handle(const ReduceContext& context, const HotKeysObserved& event);
+    void handle(const ReduceContext& context, const RouteRefused& event);
+    void handle(const ReduceContext& context, const ShutdownRequested& event);
+    /// @}
+
+    /// @name Peer messages
+    /// @{
+    void receiveHeartbeat(
+        const ReduceContext& context, const wire::InstanceReference& sender, const wire::Heartbeat& heartbeat);
+    void receiveReply(const wire::InstanceReference& sender, const wire::HeartbeatReply& reply);
+    void answerViewRequest(
+        const ReduceContext& context, const wire::InstanceReference& sender, const wire::ViewRequest& request);
+    void receiveDeclaration(MonotonicTime now, const wire::Declaration& declaration);
+    void fillHeartbeat(const PeerInfo& peer, wire::Heartbeat& heartbeat) const;
+    /// @}
+
+    void declare(const ReduceContext& context, const OperatorRequested& request);
+    void adoptConfiguration();
+    void expireDeclarations(MonotonicTime now);
+    void seeStored(const ReduceContext& context, const StoredObject& object, MonotonicTime startedAt);
+    void decide(const ReduceContext& context);
+    void decideGroups(const ReduceContext& context);
+    void publish(const ReduceContext& context);
+    void finishShutdown(const ReduceContext& context);
+    [[nodiscard]] std::map<std::string, std::uint32_t> countPartitions() const;
+    [[nodiscard]] std::set<std::string> configuredHotKeys(const Service& service, const GroupName& group) const;
+    [[nodiscard]] GroupAuthority* findGroup(const GroupName& name);
+
+    InstanceSettings m_settings;
+    InstanceReference m_self;
+    Membership m_membership;
+    ConfigurationControl m_configuration;
+    std::uint64_t m_configuredRevision = 0;
+    ServerLeases m_leases;
+    Declarations m_declarations;
+    PlacementPolicy m_policy = placeOnLeastLoaded;
+    GroupReader m_reader;
+    std::map<GroupName, GroupAuthority> m_groups;
+    std::map<GroupName, MonotonicTime> m_viewRequestedAt;
+    std::tuple<std::uint64_t, std::uint64_t, std::uint64_t> m_publishedState {};
+    std::optional<MonotonicTime> m_stoppingSince;
+    bool m_shutdownFinished = false;
+};
+
+ControlReducer::ControlReducer(InstanceSettings settings, std::uint64_t incarnation)
+    : m_state(std::make_unique<State>(std::move(settings), incarnation))
+{
+}
+
+ControlReducer::~ControlReducer() = default;
+
+Effects ControlReducer::reduce(const TimedEvent& event) { return m_state->reduce(event); }
+
+ControlReducer::State::State(InstanceSettings instanceSettings, std::uint64_t incarnation)
+    : m_settings(std::move(instanceSettings))
+    , m_self {m_settings.instance, incarnation}
+    , m_membership(m_settings, m_self)
+    , m_configuration(m_settings, incarnation)
+{
+}
+
+Effects ControlReducer::State::reduce(const TimedEvent& event)
+{
+    Effects effects = m_configuration.reduce(event, m_membership.peers());
+    adoptConfiguration();
+    const ReduceContext context {event.now, event.wall, m_settings, m_self, m_membership, m_configuration.inForce(),
+        m_stoppingSince.has_value(), effects};
+    std::visit([&](const auto& concrete) { handle(context, concrete); }, event.event);
+    decide(context);
+    return effects;
+}
+
+void ControlReducer::State::adoptConfiguration()
+{
+    const Configuration* configuration = m_configuration.inForce();
+    if (configuration == nullptr || configuration->revision == m_configuredRevision) {
+        return;
+    }
+    m_configuredRevision = configuration->revision;
+    m_leases.configure(*configuration);
+    for (const Service& service : configuration->services) {
+        for (std::uint32_t index = 0; index < service.groups; ++index) {
+            const GroupName name {service.name, index};
+            m_groups.try_emplace(name, name, service);
+        }
+    }
+}
+
+void ControlReducer::State::handle(const ReduceContext& context, const Tick&)
+{
+    m_membership.tick(
+        context.now, [this](const PeerInfo& peer, wire::Heartbeat& heartbeat) { fillHeartbeat(peer, heartbeat); },
+        context.effects);
+    expireDeclarations(context.now);
+}
+
+void ControlReducer::State::fillHeartbeat(const PeerInfo& peer, wire::Heartbeat& heartbeat) const
+{
+    heartbeat.set_configuration_revision(m_configuration.revision());
+    heartbeat.set_ready(m_configuration.inForce() != nullptr);
+    const InstanceReference reference {peer.entry.id, peer.incarnation};
+    for (const auto& [name, group] : m_groups) {
+        if (!group.primary()) {
+            continue;
+        }
+        wire::GroupVersion& version = *heartbeat.add_group_versions();
+        toWire(name, *version.mutable_group());
+        version.set_object_version(group.publishedVersion());
+        if (const std::optional<std::uint64_t> term = group.backingWanted(reference)) {
+            wire::BackingRequest& request = *heartbeat.add_backing_requests();
+            toWire(name, *request.mutable_group());
+            request.set_term(*term);
+        }
+    }
+}
+
+void ControlReducer::State::expireDeclarations(MonotonicTime now)
+{
+    std::erase_if(m_declarations.goneServers, [&](const auto& entry) {
+        const ServerLeases::ServerHealth health = m_leases.health(entry.first);
+        return health.contacted && !health.lost && now - entry.second > declarationHolds;
+    });
+    std::erase_if(m_declarations.lostInstances, [&](const auto& entry) {
+        const PeerInfo* peer = m_membership.find(entry.first);
+        return peer != nullptr && peer->live;
+    });
+}
+
+void ControlReducer::State::handle(const ReduceContext& context, const InstanceListReceived& event)
+{
+    m_membership.receiveList(context.now, event.result, context.effects);
+}
+
+void ControlReducer::State::handle(const ReduceContext& context, const StoreListed& event)
+{
+    if (event.kind != "group") {
+        return;
+    }
+    m_reader.finished(context, event.result.status);
+    if (event.result.status != StoreStatus::Ok) {
+        return;
+    }
+    std::set<std::string> seen;
+    for (const StoredObject& object : event.result.objects) {
+        seen.insert(object.name);
+        seeStored(context, object, event.startedAt);
+    }
+    for (auto& [name, group] : m_groups) {
+        if (!seen.contains(toText(name))) {
+            group.seeMissing(event.startedAt);
+        }
+    }
+}
+
+void ControlReducer::State::seeStored(const ReduceContext& context, const StoredObject& object, MonotonicTime startedAt)
+{
+    const std::optional<GroupName> name = parseGroupName(object.name);
+    GroupAuthority* group = name ? findGroup(*name) : nullptr;
+    if (group == nullptr) {
+        return;
+    }
+    const std::optional<GroupRecord> record = handleError(
+        [&]() -> Result<std::optional<GroupRecord>> {
+            BOOST_LEAF_AUTO(decoded, decodeGroupRecord(object.value));
+            return std::optional(std::move(decoded));
+        },
+        [&](const Error& error) -> std::optional<GroupRecord> {
+            context.log(LogEvent::PeerMessageRejected, object.name + ": " + describe(error));
+            return std::nullopt;
+        });
+    if (record && record->group == *name) {
+        group->seeStored(context, *record, object.version, startedAt);
+    }
+}
+
+void ControlReducer::State::handle(const ReduceContext& context, const StoreRead& event)
+{
+    const std::optional<GroupName> name = event.kind == "group" ? parseGroupName(event.name) : std::nullopt;
+    GroupAuthority* group = name ? findGroup(*name) : nullptr;
+    if (group == nullptr) {
+        return;
+    }
+    if (event.result.status == StoreStatus::Ok) {
+        StoredObject object = event.result.object;
+        object.name = event.name;
+        seeStored(context, object, event.startedAt);
+    }
+    group->readFinished(context, event.result.status);
+}
+
+void ControlReducer::State::handle(const ReduceContext& context, const StoreWritten& event)
+{
+    const std::optional<GroupName> name = event.kind == "group" ? parseGroupName(event.name) : std::nullopt;
+    GroupAuthority* group = name ? findGroup(*name) : nullptr;
+    if (group != nullptr) {
+        group->written(context, event);
+    }
+}
+
+void ControlReducer::State::handle(const ReduceContext& context, const PeerMessageReceived& event)
+{
+    const wire::Envelope& envelope = event.envelope;
+    const wire::InstanceReference& sender = envelope.sender();
+    if (!m_membership.receiveFrom(sender)) {
+        context.log(LogEvent::PeerMessageRejected, "sender " + sender.id() + " is not listed or was replaced");
+        return;
+    }
+    switch (envelope.message_case()) {
+    case wire::Envelope::kHeartbeat:
+        receiveHeartbeat(context, sender, envelope.heartbeat());
+        break;
+    case wire::Envelope::kHeartbeatReply:
+        receiveReply(sender, envelope.heartbeat_reply());
+        break;
+    case wire::Envelope::kGroupView:
+        if (GroupAuthority* group = findGroup(fromWire(envelope.group_view().group()))) {
+            group->seeView(context, envelope.group_view());
+        }
+        break;
+    case wire::Envelope::kViewRequest:
+        answerViewRequest(context, sender, envelope.view_request());
+        break;
+    case wire::Envelope::kConfigurationAck:
+        m_membership.receiveConfigurationAck(sender.id(), envelope.configuration_ack().revision());
+        break;
+    case wire::Envelope::kDeclaration:
+        receiveDeclaration(context.now, envelope.declaration());
+        break;
+    default:
+        break;
+    }
+}
+
+void ControlReducer::State::receiveHeartbeat(
+    const ReduceContext& context, const wire::InstanceReference& sender, const wire::Heartbeat& heartbeat)
+{
+    m_membership.receiveHeartbeat(context.now, sender, heartbeat, context.effects);
+    SendPeerMessage answer;
+    answer.to = sender.id();
+    wire::HeartbeatReply& reply = *answer.envelope.mutable_heartbeat_reply();
+    reply.set_sequence(heartbeat.sequence());
+    const InstanceReference primary {sender.id(), sender.incarnation()};
+    for (const wire::BackingRequest& request : heartbeat.backing_requests()) {
+        const GroupAuthority* group = findGroup(fromWire(request.group()));
+        if (group != nullptr && !context.stopping && group->backs(m_self, primary, request.term())) {
+            *reply.add_backed() = request;
+        }
+    }
+    context.effects.push_back(std::move(answer));
+    SendPeerMessage question;
+    question.to = sender.id();
+    for (const wire::GroupVersion& version : heartbeat.group_versions()) {
+        const GroupAuthority* group = findGroup(fromWire(version.group()));
+        if (group != nullptr && group->version() < version.object_version()) {
+            *question.envelope.mutable_view_request()->add_groups() = version.group();
+        }
+    }
+    if (question.envelope.has_view_request()) {
+        context.effects.push_back(std::move(question));
+    }
+}
+
+void ControlReducer::State::receiveReply(const wire::InstanceReference& sender, const wire::HeartbeatReply& reply)
+{
+    const std::optional<MonotonicTime> requestedAt = m_membership.heartbeatSentAt(reply.sequence());
+    if (!requestedAt) {
+        return;
+    }
+    for (const wire::BackingRequest& backed : reply.backed()) {
+        if (GroupAuthority* group = findGroup(fromWire(backed.group()))) {
+            group->receiveBacking({sender.id(), sender.incarnation()}, backed.term(), *requestedAt);
+        }
+    }
+}
+
+void ControlReducer::State::answerViewRequest(
+    const ReduceContext& context, const wire::InstanceReference& sender, const wire::ViewRequest& request)
+{
+    std::set<GroupName> wanted;
+    for (const wire::GroupReference& group : request.groups()) {
+        wanted.insert(fromWire(group));
+    }
+    for (const auto& [name, group] : m_groups) {
+        if (group.publishedRecord() != nullptr && (wanted.empty() || wanted.contains(name))) {
+            SendPeerMessage answer;
+            answer.to = sender.id();
+            *answer.envelope.mutable_group_view() = group.view();
+            context.effects.push_back(std::move(answer));
+        }
+    }
+}
+
+void ControlReducer::State::receiveDeclaration(MonotonicTime now, const wire::Declaration& declaration)
+{
+    if (!declaration.gone_server().empty()) {
+        m_declarations.goneServers[declaration.gone_server()] = now;
+    }
+    if (!declaration.lost_instance().empty()) {
+        m_declarations.lostInstances[declaration.lost_instance()] = now;
+    }
+}
+
+void ControlReducer::State::handle(const ReduceContext& context, const GrantAnswered& event)
+{
+    for (const GroupName& name : m_leases.receive(context, event)) {
+        if (GroupAuthority* group = findGroup(name)) {
+            group->suspectTakeover();
+        }
+    }
+}
+
+void ControlReducer::State::handle(const ReduceContext& context, const OperatorRequested& event)
+{
+    switch (event.action) {
+    case OperatorAction::ShowStatus:
+        context.effects.push_back(OperatorAnswer {event.request, 200, statusReport(context, m_groups, m_leases)});
+        break;
+    case OperatorAction::DeclareServerGone:
+    case OperatorAction::DeclareInstanceLost:
+        declare(context, event);
+        break;
+    case OperatorAction::Load:
+    case OperatorAction::ShowConfiguration:
+        break; // ConfigurationControl answers.
+    }
+}
+
+void ControlReducer::State::declare(const ReduceContext& context, const OperatorRequested& request)
+{
+    wire::Declaration declaration;
+    bool known = false;
+    if (request.action == OperatorAction::DeclareServerGone) {
+        declaration.set_gone_server(request.argument);
+        known = context.configuration != nullptr
+            && std::ranges::find(context.configuration->servers, request.argument, &BackendServer::id)
+                != context.configuration->servers.end();
+    } else {
+        declaration.set_lost_instance(request.argument);
+        // A lost instance may no longer be listed, but then it is named by a group object.
+        known = m_membership.find(request.argument) != nullptr || std::ranges::any_of(m_groups, [&](const auto& entry) {
+            const GroupRecord* record = entry.second.record();
+            return record != nullptr
+                && (record->primary.id == request.argument
+                    || std::ranges::find(record->possibleGranters, request.argument) != record->possibleGranters.end());
+        });
+    }
+    if (context.configuration == nullptr || !known) {
+        const unsigned status = context.configuration == nullptr ? 503 : 404;
+        context.effects.push_back(OperatorAnswer {request.request, status, R"({"result":"unknown-name"})"});
+        return;
+    }
+    receiveDeclaration(context.now, declaration);
+    for (const PeerInfo& peer : m_membership.peers()) {
+        SendPeerMessage message;
+        message.to = peer.entry.id;
+        *message.envelope.mutable_declaration() = declaration;
+        context.effects.push_back(std::move(message));
+    }
+    context.effects.push_back(OperatorAnswer {request.request, 200, R"({"result":"declared"})"});
+}
+
+void ControlReducer::State::handle(const ReduceContext&, const HotKeysObserved&) { }
+
+void ControlReducer::State::handle(const ReduceContext& context, const RouteRefused& event)
+{
+    const GroupAuthority* group = findGroup(event.group);
+    if (group == nullptr || group->record() == nullptr || group->primary()) {
+        return;
+    }
+    const auto last = m_viewRequestedAt.find(event.group);
+    if (last != m_viewRequestedAt.end() && context.now - last->second < viewRequestInterval) {
+        return;
+    }
+    m_viewRequestedAt[event.group] = context.now;
+    SendPeerMessage question;
+    question.to = group->record()->primary.id;
+    toWire(event.group, *question.envelope.mutable_view_request()->add_groups());
+    context.effects.push_back(std::move(question));
+}
+
+void ControlReducer::State::handle(const ReduceContext& context, const ShutdownRequested&)
+{
+    if (!m_stoppingSince) {
+        m_stoppingSince = context.now;
+        m_membership.setLeaving();
+    }
+}
+
+void ControlReducer::State::decide(const ReduceContext& context)
+{
+    if (context.configuration != nullptr) {
+        decideGroups(context);
+        publish(context);
+    }
+    finishShutdown(context);
+}
+
+void ControlReducer::State::decideGroups(const ReduceContext& context)
+{
+    const std::map<std::string, std::uint32_t> partitions = countPartitions();
+    std::set<std::string> probed;
+    bool wanted = false;
+    bool urgent = false;
+    for (const Service& service : context.configuration->services) {
+        for (std::uint32_t index = 0; index < service.groups; ++index) {
+            GroupAuthority& group = m_groups.at({service.name, index});
+            const std::set<std::string> hotKeys = configuredHotKeys(service, {service.name, index});
+            group.decide(context, service, {m_leases, m_declarations, m_policy, partitions, hotKeys});
+            group.updateLeases(context, m_leases);
+            group.refreshDeadline();
+            wanted = wanted || group.wantsRead(context);
+            urgent = urgent || group.wantsReadNow(context);
+            if (group.primary()) {
+                probed.insert(service.name);
+            }
+        }
+    }
+    m_reader.tick(context, wanted, urgent);
+    m_leases.probe(std::move(probed));
+    m_leases.send(context, [this](const GroupName& name) {
+        const GroupAuthority* group = findGroup(name);
+        return group != nullptr ? group->authorityUntil() : MonotonicTime();
+    });
+}
+
+std::map<std::string, std::uint32_t> ControlReducer::State::countPartitions() const
+{
+    std::map<std::string, std::uint32_t> counts;
+    for (const auto& [name, group] : m_groups) {
+        if (group.record() == nullptr) {
+            continue;
+        }
+        for (const PartitionAssignment& assignment : group.record()->partitions) {
+            ++counts[assignment.owner];
+        }
+    }
+    return counts;
+}
+
+std::set<std::string> ControlReducer::State::configuredHotKeys(const Service& service, const GroupName& group) const
+{
+    std::set<std::string> keys;
+    for (const HotKey& hotKey : m_configuration.inForce()->hotKeys) {
+        if (hotKey.service == service.name
+            && partitionOf(hotKey.key, service.partitions) % service.groups == group.index) {
+            keys.insert(hotKey.key);
+        }
+    }
+    return keys;
+}
+
+void ControlReducer::State::publish(const ReduceContext& context)
+{
+    std::uint64_t generations = 0;
+    for (const auto& [name, group] : m_groups) {
+        generations += group.generation();
+    }
+    const std::tuple state(m_configuredRevision, m_membership.generation(), generations);
+    if (state == m_publishedState) {
+        return;
+    }
+    m_publishedState = state;
+    context.effects.push_back(PublishRouting {buildRouting(context, m_groups)});
+}
+
+void ControlReducer::State::finishShutdown(const ReduceContext& context)
+{
+    if (!m_stoppingSince || m_shutdownFinished) {
+        return;
+    }
+    const bool handedOver = std::ranges::none_of(
+        m_groups, [&](const auto& entry) { return entry.second.primary() || entry.second.standby(m_self); });
+    const bool alone = std::ranges::none_of(m_membership.peers(), &PeerInfo::live);
+    // The other half of the time is left to the requests in flight.
+    const bool timeOver = context.now - *m_stoppingSince >= m_settings.shutdownTimeout / 2;
+    if (handedOver || alone || timeOver) {
+        m_shutdownFinished = true;
+        context.effects.push_back(ShutdownFinished {});
+    }
+}
+
+GroupAuthority* ControlReducer::State::findGroup(const GroupName& name)
+{
+    const auto it = m_groups.find(name);
+    return it != m_groups.end() ? &it->second : nullptr;
+}
+
+} // namespace jasminespread
--- /dev/null
+++ b/src/control/group_authority.cpp
@@ -0,0 +1,475 @@
+#include "control/group_authority.h"
+
+#include "control/group_view.h"
+#include "control/instance_choice.h"
+#include "control/membership.h"
+
+#include <algorithm>
+#include <set>
+
+namespace jasminespread {
+namespace {
+
+constexpr Milliseconds readValidity {1000}; // A takeover is decided on an object read within this time.
+constexpr Milliseconds createAfter {500}; // Leaves time to hear the peers, so that all rank them equally.
+constexpr Milliseconds createStagger {2000}; // A lower-ranked instance creates only when the higher ones did not.
+constexpr Milliseconds takeoverStagger {500};
+constexpr Milliseconds isolatedTakeoverDelay {5000}; // An instance that hears nobody is probably cut off itself.
+constexpr Milliseconds publishAtLatest {500}; // An owner that does not answer must not hold back other changes.
+
+std::int64_t nanoseconds(MonotonicTime time) { return time.time_since_epoch().count(); }
+
+void addName(std::vector<std::string>& names, const std::string& name)
+{
+    if (std::ranges::find(names, name) == names.end()) {
+        names.push_back(name);
+    }
+}
+
+/// Notes that a superseded primary may extend grants of all owners until its extension limit.
+void noteUnconfirmedOwners(const GroupRecord& before, GroupRecord& record)
+{
+    for (const PartitionAssignment& assignment : before.partitions) {
+        if (!assignment.owner.empty()) {
+            addName(record.unconfirmedServers, assignment.owner);
+        }
+    }
+    if (!record.unconfirmedServers.empty()) {
+        addName(record.possibleGranters, before.primary.id);
+        addName(record.possibleGranters, before.standby->id);
+    }
+}
+
+} // namespace
+
+GroupAuthority::GroupAuthority(GroupName group, const Service& service)
+    : m_group(std::move(group))
+    , m_writer(m_group)
+{
+    setService(service);
+}
+
+void GroupAuthority::setService(const Service& service)
+{
+    m_grantCheck = service.grantCheck;
+    m_lease = service.lease;
+    m_longestLease = std::max(m_longestLease, service.lease);
+    m_longestExtension = std::max(m_longestExtension, service.extensionLimit);
+}
+
+void GroupAuthority::decide(const ReduceContext& context, const Service& service, const OwnershipInput& input)
+{
+    setService(service);
+    m_writer.tick(context);
+    if (m_primary) {
+        decideAsPrimary(context, service, input);
+        return;
+    }
+    if (context.stopping || !m_writer.ready(context.now) || !readRecently(context)) {
+        return;
+    }
+    if (!m_record) {
+        if (mayCreate(context, service)) {
+            create(context, service, input);
+        }
+    } else if (m_fromStore && takeoverPossible(context)) {
+        // Only a standby can have backed the superseded primary; without one, its authority ends with its last read.
+        const bool bounded = standby(context.self) || !m_record->standby;
+        takeOver(context, bounded ? ChangePurpose::StandbyTakeover : ChangePurpose::ThirdPartyTakeover);
+    }
+}
+
+bool GroupAuthority::readRecently(const ReduceContext& context) const
+{
+    return m_readAt && context.now - *m_readAt < readValidity;
+}
+
+bool GroupAuthority::takeoverPossible(const ReduceContext& context) const
+{
+    if (!m_record || m_primary || context.stopping || context.configuration == nullptr) {
+        return false;
+    }
+    if (standby(context.self)) {
+        return context.membership.silence(m_record->primary, context.now) >= context.settings.suspectAfter;
+    }
+    return thirdPartyMayTakeOver(context);
+}
+
+bool GroupAuthority::thirdPartyMayTakeOver(const ReduceContext& context) const
+{
+    const Membership& membership = context.membership;
+    if (context.settings.region != m_record->homeRegion) {
+        return false;
+    }
+    Milliseconds silence = membership.silence(m_record->primary, context.now);
+    if (m_record->standby) {
+        silence = std::min(silence, membership.silence(*m_record->standby, context.now));
+    }
+    Milliseconds delay = context.settings.thirdPartyAfter;
+    if (silence < delay) {
+        return false;
+    }
+    delay += rankInRegion(context, m_group) * takeoverStagger;
+    const auto other = [&](const PeerInfo& peer) {
+        return peer.entry.id != m_record->primary.id && (!m_record->standby || peer.entry.id != m_record->standby->id);
+    };
+    const bool othersListed = std::ranges::any_of(membership.peers(), other);
+    const bool othersLive
+        = std::ranges::any_of(membership.peers(), [&](const PeerInfo& peer) { return other(peer) && peer.live; });
+    if (othersListed && !othersLive) {
+        delay += isolatedTakeoverDelay;
+    }
+    return silence >= delay;
+}
+
+bool GroupAuthority::mayCreate(const ReduceContext& context, const Service& service) const
+{
+    if (!m_missingSince || homeRegionOf(*context.configuration, service, m_group.index) != context.settings.region) {
+        return false;
+    }
+    return context.now - *m_missingSince >= createAfter + rankInRegion(context, m_group) * createStagger;
+}
+
+void GroupAuthority::create(const ReduceContext& context, const Service& service, const OwnershipInput& input)
+{
+    GroupRecord record;
+    record.group = m_group;
+    record.homeRegion = context.settings.region;
+    record.term = 1;
+    record.primary = context.self;
+    record.standby = chooseStandby(context, m_group, record.homeRegion, context.self);
+    for (std::uint32_t partition = m_group.index; partition < service.partitions; partition += service.groups) {
+        record.partitions.push_back({partition, "", record.nextToken++});
+    }
+    m_ownership.begin(record, {});
+    m_ownership.plan(context, service, input, record);
+    m_writer.start(context, std::move(record), 0, ChangePurpose::Create);
+}
+
+// From here on backs() is false, so that no new evidence forms for the superseded primary.
+void GroupAuthority::takeOver(const ReduceContext& context, ChangePurpose purpose)
+{
+    GroupRecord record = *m_record;
+    ++record.term;
+    record.primary = context.self;
+    record.standby = chooseStandby(context, m_group, record.homeRegion, context.self);
+    if (purpose == ChangePurpose::ThirdPartyTakeover) {
+        noteUnconfirmedOwners(*m_record, record);
+    }
+    m_writer.start(context, std::move(record), m_version, purpose);
+}
+
+void GroupAuthority::decideAsPrimary(const ReduceContext& context, const Service& service, const OwnershipInput& input)
+{
+    if (m_clock.update(context.now)) {
+        context.log(LogEvent::AuthorityLapsed, toText(m_group));
+    }
+    if (m_ownership.updateConfirmed(context, service, *m_record, input)) {
+        m_servingSince = context.wall;
+        ++m_generation;
+    }
+    if (m_publishedVersion != m_version && (acceptedByOwners(input) || context.now - m_changedAt >= publishAtLatest)) {
+        publish(context);
+    }
+    if (!m_fromStore || !m_writer.ready(context.now)) {
+        return;
+    }
+    if (context.stopping) {
+        handOver(context);
+    } else {
+        update(context, service, input);
+    }
+}
+
+void GroupAuthority::update(const ReduceContext& context, const Service& service, const OwnershipInput& input)
+{
+    GroupRecord proposed = *m_record;
+    m_ownership.plan(context, service, input, proposed);
+    // Evidence of the old standby is given up, so the store must answer first.
+    if (standbyMustChange(context) && m_clock.confirmedByStore(context.now)) {
+        proposed.standby = chooseStandby(context, m_group, proposed.homeRegion, context.self);
+    }
+    if (proposed == *m_record) {
+        return;
+    }
+    if (proposed.standby != m_record->standby) {
+        m_clock.discardBacking(context.now);
+    }
+    m_writer.start(context, std::move(proposed), m_version, ChangePurpose::Update);
+}
+
+bool GroupAuthority::standbyMustChange(const ReduceContext& context) const
+{
+    if (!m_record->standby) {
+        return chooseStandby(context, m_group, m_record->homeRegion, context.self).has_value();
+    }
+    const PeerInfo* peer = context.membership.find(m_record->standby->id);
+    return peer == nullptr || peer->leaving
+        || context.membership.silence(*m_record->standby, context.now) >= context.settings.suspectAfter;
+}
+
+void GroupAuthority::handOver(const ReduceContext& context)
+{
+    // A failed attempt ends here; until the next one the authority may be extended again.
+    m_clock.setFrozen(false);
+    m_handingOver = false;
+    std::optional<InstanceReference> successor = m_record->standby;
+    if (!successor || standbyMustChange(context)) {
+        successor = chooseStandby(context, m_group, m_record->homeRegion, context.self);
+    }
+    if (!successor) {
+        return;
+    }
+    GroupRecord record = *m_record;
+    ++record.term;
+    record.primary = *successor;
+    record.standby = chooseStandby(context, m_group, record.homeRegion, *successor);
+    // The successor counts on no evidence of this instance later than the write.
+    m_clock.setFrozen(true);
+    m_handingOver = true;
+    m_writer.start(context, std::move(record), m_version, ChangePurpose::Handover);
+}
+
+void GroupAuthority::seeStored(
+    const ReduceContext& context, const GroupRecord& record, std::uint64_t version, MonotonicTime startedAt)
+{
+    m_missingSince.reset();
+    if (version < m_version) {
+        return;
+    }
+    const std::optional<AppliedChange> applied = m_writer.observe(record, version, startedAt);
+    if (applied) {
+        apply(context, *applied);
+    } else if (version > m_version) {
+        adopt(context, record, version, std::nullopt);
+    } else if (!m_fromStore) {
+        m_record = record;
+    }
+    m_fromStore = true;
+    m_readAt = std::max(m_readAt.value_or(startedAt), startedAt);
+    m_suspected = false;
+    if (m_primary) {
+        m_clock.recordStore(startedAt, context.now);
+    }
+}
+
+void GroupAuthority::seeMissing(MonotonicTime startedAt)
+{
+    if (!m_record) {
+        m_missingSince = std::min(m_missingSince.value_or(startedAt), startedAt);
+        m_readAt = startedAt;
+    }
+}
+
+void GroupAuthority::seeView(const ReduceContext& context, const wire::GroupView& view)
+{
+    if (view.object_version() <= m_version) {
+        return;
+    }
+    adopt(context, fromView(view), view.object_version(), std::nullopt);
+    m_fromStore = false;
+}
+
+void GroupAuthority::written(const ReduceContext& context, const StoreWritten& event)
+{
+    const std::optional<AppliedChange> applied = m_writer.written(context, event);
+    if (applied) {
+        apply(context, *applied);
+    }
+}
+
+void GroupAuthority::apply(const ReduceContext& context, const AppliedChange& change)
+{
+    if (change.version > m_version) {
+        adopt(context, change.record, change.version, change.purpose);
+        m_fromStore = true;
+        m_readAt = std::max(m_readAt.value_or(change.startedAt), change.startedAt);
+    }
+    if (m_primary && m_version == change.version) {
+        m_clock.recordStore(change.startedAt, context.now);
+    }
+}
+
+void GroupAuthority::adopt(
+    const ReduceContext& context, GroupRecord record, std::uint64_t version, std::optional<ChangePurpose> ownChange)
+{
+    const bool newTerm = !m_record || m_record->term != record.term;
+    const bool newStandby = !m_record || m_record->standby != record.standby;
+    const std::optional<GroupRecord> before = std::move(m_record);
+    m_record = std::move(record);
+    m_version = version;
+    m_changedAt = context.now;
+    m_missingSince.reset();
+    const bool owned = m_record->primary == context.self;
+    if (owned && (newTerm || !m_primary)) {
+        becomePrimary(context, ownChange);
+    } else if (owned && newStandby) {
+        m_clock.discardBacking(context.now);
+        context.log(
+            LogEvent::StandbyChanged, toText(m_group) + " " + (m_record->standby ? m_record->standby->id : "none"));
+    } else if (!owned && m_primary) {
+        stepDown(context);
+    }
+    if (!owned || newTerm) {
+        publish(context);
+    }
+    if (!owned && ownChange == ChangePurpose::Handover) {
+        broadcastView(context);
+    }
+}
+
+void GroupAuthority::becomePrimary(const ReduceContext& context, std::optional<ChangePurpose> ownChange)
+{
+    m_primary = true;
+    m_handingOver = false;
+    m_clock.reset(m_lease, m_longestExtension);
+    m_deadline = std::make_shared<AuthorityDeadline>(0);
+    m_servingSince = context.wall;
+    GroupOwnership::EarlierGrants earlier {};
+    if (ownChange != ChangePurpose::Create) {
+        earlier.until = context.now + m_longestLease + context.settings.driftMargin;
+        earlier.unconfirmedUntil = earlier.until + m_longestExtension;
+    }
+    m_ownership.begin(*m_record, earlier);
+    context.log(LogEvent::GroupTakenOver, toText(m_group) + " term " + std::to_string(m_record->term));
+}
+
+void GroupAuthority::stepDown(const ReduceContext& context)
+{
+    m_primary = false;
+    m_handingOver = false;
+    m_clock.reset(m_lease, m_longestExtension);
+    m_deadline->store(0);
+    m_deadline.reset();
+    context.log(LogEvent::GroupLost, toText(m_group) + " to " + m_record->primary.id);
+}
+
+void GroupAuthority::receiveBacking(const InstanceReference& standby, std::uint64_t term, MonotonicTime requestedAt)
+{
+    if (backingWanted(standby) == term) {
+        m_clock.recordBacking(requestedAt);
+    }
+}
+
+std::optional<std::uint64_t> GroupAuthority::backingWanted(const InstanceReference& peer) const
+{
+    if (!m_primary || m_handingOver || m_record->standby != peer) {
+        return std::nullopt;
+    }
+    const GroupWriter::Pending* pending = m_writer.pending();
+    if (pending != nullptr && pending->record.standby != m_record->standby) {
+        return std::nullopt;
+    }
+    return m_record->term;
+}
+
+bool GroupAuthority::backs(const InstanceReference& self, const InstanceReference& primary, std::uint64_t term) const
+{
+    return standby(self) && m_record->primary == primary && m_record->term == term && m_writer.pending() == nullptr;
+}
+
+bool GroupAuthority::standby(const InstanceReference& self) const { return m_record && m_record->standby == self; }
+
+void GroupAuthority::updateLeases(const ReduceContext& context, ServerLeases& leases)
+{
+    if (!m_primary) {
+        if (m_leased) {
+            leases.dropGroup(m_group);
+            m_leased = false;
+        }
+        return;
+    }
+    m_leased = true;
+    std::map<std::string, std::vector<GrantedPartition>> partitions;
+    for (const BackendServer& server : context.configuration->servers) {
+        if (server.service == m_group.service) {
+            partitions[server.id];
+        }
+    }
+    const GroupWriter::Pending* pending = m_writer.pending();
+    for (const PartitionAssignment& assignment : m_record->partitions) {
+        if (assignment.owner.empty()) {
+            continue;
+        }
+        std::vector<GrantedPartition>& granted = partitions[assignment.owner];
+        // While a change is pending, its effect is unknown, so the partition is granted to neither owner.
+        const bool changing = pending != nullptr
+            && std::ranges::find(pending->record.partitions, assignment) == pending->record.partitions.end();
+        if (!changing && !m_ownership.releasing(assignment.partition)) {
+            granted.push_back({assignment.partition, assignment.token});
+        }
+    }
+    for (auto& [server, granted] : partitions) {
+        leases.setPartitions(m_group, m_record->term, server, m_lease, std::move(granted));
+    }
+}
+
+void GroupAuthority::refreshDeadline() const
+{
+    if (m_deadline) {
+        m_deadline->store(nanoseconds(m_clock.deadline()));
+    }
+}
+
+bool GroupAuthority::acceptedByOwners(const OwnershipInput& input) const
+{
+    if (m_grantCheck == GrantCheck::Unchecked) {
+        return true;
+    }
+    return std::ranges::all_of(m_record->partitions, [&](const PartitionAssignment& assignment) {
+        const bool unchanged
+            = m_published && std::ranges::find(m_published->partitions, assignment) != m_published->partitions.end();
+        return unchanged || assignment.owner.empty()
+            || input.leases.holds(m_group, assignment.owner, {assignment.partition, assignment.token});
+    });
+}
+
+void GroupAuthority::publish(const ReduceContext& context)
+{
+    m_published = m_record;
+    m_publishedVersion = m_version;
+    ++m_generation;
+    if (m_primary) {
+        broadcastView(context);
+    }
+}
+
+void GroupAuthority::broadcastView(const ReduceContext& context) const
+{
+    const wire::GroupView message = view();
+    for (const PeerInfo& peer : context.membership.peers()) {
+        SendPeerMessage send;
+        send.to = peer.entry.id;
+        *send.envelope.mutable_group_view() = message;
+        context.effects.push_back(std::move(send));
+    }
+}
+
+wire::GroupView GroupAuthority::view() const
+{
+    return toView(*m_published, m_publishedVersion, m_servingSince.time_since_epoch().count());
+}
+
+bool GroupAuthority::wantsRead(const ReduceContext& context) const
+{
+    if (!m_record || m_suspected) {
+        return true;
+    }
+    if (m_primary) {
+        return !m_fromStore || !m_clock.backed(context.now) || standbyMustChange(context);
+    }
+    return takeoverPossible(context);
+}
+
+bool GroupAuthority::wantsReadNow(const ReduceContext& context) const
+{
+    if (m_suspected) {
+        return true;
+    }
+    if (m_primary) {
+        return !m_fromStore || (standbyMustChange(context) && !m_clock.confirmedByStore(context.now));
+    }
+    return takeoverPossible(context) && (!m_fromStore || !readRecently(context));
+}
+
+} // namespace jasminespread
--- /dev/null
+++ b/src/control/group_ownership.h
@@ -0,0 +1,92 @@
+#pragma once
+
+#include "control/placement.h"
+#include "control/reduce_context.h"
+#include "control/server_leases.h"
+
+#include <jasminespread/group_record.h>
+
+#include <cstdint>
+#include <map>
+#include <set>
+#include <string>
+
+namespace jasminespread {
+
+/// Operators' declarations, which count as proof. Kept only in memory: an old declaration must not apply to a server
+/// or instance that returned later.
+struct Declarations {
+    std::map<std::string, MonotonicTime> goneServers;
+    std::map<std::string, MonotonicTime> lostInstances;
+};
+
+/// What ownership decisions of one group need to know besides its record.
+struct OwnershipInput {
+    const ServerLeases& leases;
+    const Declarations& declarations;
+    const PlacementPolicy& policy;
+    const std::map<std::string, std::uint32_t>& partitionsOfServer; ///< Over all groups.
+    const std::set<std::string>& hotKeys; ///< Keys that shall have their own partitions in this group.
+};
+
+/// Decides as primary of one group which partitions move, and holds the proofs that allow it.
+class GroupOwnership {
+public:
+    /// Until when grants of earlier primaries may run.
+    struct EarlierGrants {
+        MonotonicTime until; ///< On servers in general.
+        MonotonicTime unconfirmedUntil; ///< On servers in GroupRecord::unconfirmedServers.
+    };
+
+    /// Starts a term. Owners named by @p record count as unconfirmed until they accept a grant of this term or the
+    /// earlier grants have ended.
+    void begin(const GroupRecord& record, EarlierGrants earlier);
+    /// Notes which owners are confirmed by now. Returns true when some became so: earlier primaries may have run
+    /// requests there until now, so the time from which non-repeatable requests are served must move.
+    [[nodiscard]] bool updateConfirmed(
+        const ReduceContext& context, const Service& service, const GroupRecord& record, const OwnershipInput& input);
+    /// Applies the changes of owners that are wanted and proven safe to @p proposed, and starts releases.
+    void plan(const ReduceContext& context, const Service& service, const OwnershipInput& input, GroupRecord& proposed);
+
+    /// True when the partition must not be granted although the record names its owner.
+    [[nodiscard]] bool releasing(std::uint32_t partition) const { return m_releases.contains(partition); }
+    /// True when an earlier primary's grants to the server may still run.
+    [[nodiscard]] bool unconfirmed(const std::string& server) const { return m_unconfirmed.contains(server); }
+
+private:
+    struct Planning {
+        const ReduceContext& context;
+        const Service& service;
+        const OwnershipInput& input;
+        GroupRecord& proposed;
+        std::vector<PlacementServer> candidates;
+        std::vector<std::uint32_t> ownerless;
+        std::set<std::uint32_t> rekeyed; ///< Partitions whose set of keys this plan changes; their owner stays.
+        std::map<std::uint32_t, std::string> preferred;
+    };
+
+    enum class ReleasePurpose : std::uint8_t { Move, ChangeKeys };
+
+    struct Release {
+        ReleasePurpose purpose;
+        PartitionAssignment assignment; ///< The assignment that ends.
+    };
+
+    [[nodiscard]] MonotonicTime earlierBound(const ReduceContext& context, const Service& service,
+        const GroupRecord& record, const Declarations& declarations, const std::string& server) const;
+    [[nodiscard]] bool freed(const Planning& planning, const PartitionAssignment& assignment) const;
+    void forgetFinishedReleases(const GroupRecord& record);
+    void release(const PartitionAssignment& assignment, ReleasePurpose purpose);
+    void splitKeys(Planning& planning);
+    void mergeKeys(Planning& planning);
+    void collectOwnerless(Planning& planning);
+    void releaseFromLeavingServers(Planning& planning);
+    void assignOwners(Planning& planning);
+    void clearConfirmed(Planning& planning) const;
+
+    EarlierGrants m_earlier {};
+    std::set<std::string> m_unconfirmed;
+    std::map<std::uint32_t, Release> m_releases;
+};
+
+} // namespace jasminespread
--- /dev/null
+++ b/src/control/group_reader.cpp
@@ -0,0 +1,41 @@
+#include "control/group_reader.h"
+
+namespace jasminespread {
+namespace {
+
+constexpr Milliseconds idleInterval {10'000}; // Store evidence only has to stay within the extension limit.
+constexpr Milliseconds urgentInterval {100};
+
+} // namespace
+
+void GroupReader::tick(const ReduceContext& context, bool wanted, bool urgent)
+{
+    Milliseconds interval = idleInterval;
+    if (m_inFlight) {
+        // The shell answers within the store timeout; twice that means that the answer is lost.
+        interval = 2 * context.settings.storeTimeout;
+    } else if (urgent && m_available) {
+        interval = urgentInterval;
+    } else if (wanted || urgent || !m_succeeded) {
+        interval = context.settings.storePollInterval;
+    }
+    if (m_startedAt && context.now - *m_startedAt < interval) {
+        return;
+    }
+    m_startedAt = context.now;
+    m_inFlight = true;
+    context.effects.push_back(ListObjects {"group"});
+}
+
+void GroupReader::finished(const ReduceContext& context, StoreStatus status)
+{
+    m_inFlight = false;
+    const bool available = status == StoreStatus::Ok;
+    m_succeeded = m_succeeded || available;
+    if (available != m_available) {
+        context.log(available ? LogEvent::StoreAvailable : LogEvent::StoreUnavailable, "group objects");
+    }
+    m_available = available;
+}
+
+} // namespace jasminespread
--- /dev/null
+++ b/src/control/reduce_context.h
@@ -0,0 +1,29 @@
+#pragma once
+
+#include <jasminespread/configuration.h>
+#include <jasminespread/effect.h>
+#include <jasminespread/instance_settings.h>
+#include <jasminespread/time.h>
+
+#include <string>
+#include <utility>
+
+namespace jasminespread {
+
+class Membership;
+
+/// What the modules of the decision core see during one call of ControlReducer::reduce.
+struct ReduceContext {
+    MonotonicTime now;
+    WallTime wall;
+    const InstanceSettings& settings;
+    const InstanceReference& self;
+    const Membership& membership;
+    const Configuration* configuration; ///< In force; null before the first one.
+    bool stopping; ///< This instance hands its groups over.
+    Effects& effects;
+
+    void log(LogEvent event, std::string details) const { effects.push_back(WriteLog {event, std::move(details)}); }
+};
+
+} // namespace jasminespread
