Add simulation and first tests of the decision core; renew leases with fresh nonces

Cause: with the nonce of the previous renewal, a lease had as little as 1.0 s left, less than a takeover needs; the simulation showed 240 ms without a valid lease after the loss of a primary. Change: a grant that had to use an old nonce is followed at once by one with the fresh nonce. Tests drive several reducers, a store and servers with a manual clock and check sole ownership at every step. Ruled out: a shorter grant interval, which costs the same messages and keeps less of the lease.

--- a/src/control/server_leases.cpp
+++ b/src/control/server_leases.cpp
@@ -159,6 +159,10 @@
             lease.sendFull = true;
         }
     }
+    // The lease runs from the issue of an old nonce. Renewing it at once with the fresh one keeps at least
+    // L - grantInterval of it at any time, which lasts until a standby has taken over.
+    const bool nonceWasOld = event.sentAt - server.nonceReceivedAt >= context.settings.grantInterval / 2;
+    server.urgent = server.urgent || (nonceWasOld && !event.batch.grants.empty());
     server.failures = 0;
     server.state = event.reply->state;
     server.nonce = event.reply->nonce;
--- /dev/null
+++ b/tests/control_simulation.cpp
@@ -0,0 +1,469 @@
+#include "control_simulation.h"
+
+#include <algorithm>
+
+namespace jasminespread {
+namespace {
+
+constexpr Milliseconds linkDelay {1};
+constexpr Milliseconds step {10};
+constexpr Milliseconds tickInterval {50};
+
+GroupRecord decodeOrThrow(const std::string& value) { return decodeGroupRecord(value).value(); }
+
+} // namespace
+
+Configuration ledgerConfiguration(std::size_t servers)
+{
+    Configuration configuration;
+    configuration.deployment = "test";
+    configuration.regions = {{"west", {"w1", "w2"}}};
+    Service service;
+    service.name = "ledger";
+    service.grantCheck = GrantCheck::Checked;
+    service.partitions = 8;
+    service.groups = 2;
+    configuration.services = {service};
+    for (std::size_t i = 1; i <= servers; ++i) {
+        const std::string id = "s" + std::to_string(i);
+        configuration.servers.push_back({id, "ledger", "west", i % 2 == 0 ? "w2" : "w1", "127.0.0.1:" + id});
+    }
+    return configuration;
+}
+
+ControlSimulation::ControlSimulation(Configuration initial, std::vector<std::vector<std::string>> instancesOfRegion)
+    : configuration(std::move(initial))
+{
+    for (std::size_t region = 0; region < instancesOfRegion.size(); ++region) {
+        const Region& declared = configuration.regions.at(region);
+        for (std::size_t i = 0; i < instancesOfRegion[region].size(); ++i) {
+            Instance& instance = instances[instancesOfRegion[region][i]];
+            instance.settings.instance = instancesOfRegion[region][i];
+            instance.settings.region = declared.name;
+            instance.settings.failureDomain = declared.failureDomains[i % declared.failureDomains.size()];
+        }
+    }
+    for (const BackendServer& server : configuration.servers) {
+        servers[server.id];
+    }
+    for (const auto& [id, instance] : instances) {
+        start(id);
+    }
+}
+
+WallTime ControlSimulation::wall() const
+{
+    return WallTime(std::chrono::duration_cast<Milliseconds>(now.time_since_epoch()) + std::chrono::hours(400'000));
+}
+
+void ControlSimulation::start(const std::string& id)
+{
+    Instance& instance = instances.at(id);
+    instance.incarnation = 1000 + ++m_incarnations;
+    instance.paused = false;
+    instance.finished = false;
+    instance.inbox.clear();
+    instance.routing.reset();
+    instance.reducer = std::make_unique<ControlReducer>(instance.settings, instance.incarnation);
+}
+
+void ControlSimulation::resume(const std::string& id)
+{
+    Instance& instance = instances.at(id);
+    instance.paused = false;
+    std::vector<Event> waiting;
+    waiting.swap(instance.inbox);
+    for (Event& event : waiting) {
+        send(id, std::move(event));
+    }
+}
+
+void ControlSimulation::unfreeze(const std::string& id)
+{
+    FakeServer& server = servers.at(id);
+    server.frozen = false;
+    std::vector<std::function<void()>> waiting;
+    waiting.swap(server.waiting);
+    for (const std::function<void()>& action : waiting) {
+        action();
+    }
+}
+
+void ControlSimulation::load()
+{
+    for (const auto& [id, instance] : instances) {
+        OperatorRequested event;
+        event.action = OperatorAction::Load;
+        event.configuration = configuration;
+        event.changeId = "load-" + id;
+        send(id, event);
+    }
+}
+
+void ControlSimulation::request(const std::string& id, OperatorAction action, const std::string& argument)
+{
+    OperatorRequested event;
+    event.action = action;
+    event.argument = argument;
+    send(id, event);
+}
+
+void ControlSimulation::send(const std::string& id, Event event)
+{
+    Instance& instance = instances.at(id);
+    if (!instance.reducer) {
+        return;
+    }
+    if (instance.paused) {
+        instance.inbox.push_back(std::move(event));
+        return;
+    }
+    for (Effect& effect : instance.reducer->reduce({now, wall(), std::move(event)})) {
+        perform(instance, effect);
+    }
+}
+
+void ControlSimulation::run(Milliseconds duration)
+{
+    const MonotonicTime end = now + duration;
+    while (now < end) {
+        now += step;
+        runDue();
+        if (now.time_since_epoch() % tickInterval == Milliseconds(0)) {
+            for (const auto& [id, instance] : instances) {
+                if (!instance.paused) {
+                    send(id, Tick {});
+                }
+            }
+        }
+        checkCheckedServers();
+        checkDispatchers();
+        if (onStep) {
+            onStep();
+        }
+    }
+}
+
+void ControlSimulation::after(Milliseconds delay, std::function<void()> action)
+{
+    m_queue.push_back({now + delay, ++m_order, std::move(action)});
+}
+
+// Runs actions in the order of their times, with the clock set to each.
+void ControlSimulation::runDue()
+{
+    const MonotonicTime end = now;
+    while (!m_queue.empty()) {
+        const auto next = std::ranges::min_element(
+            m_queue, {}, [](const Pending& pending) { return std::pair(pending.at, pending.order); });
+        if (next->at > end) {
+            break;
+        }
+        const Pending pending = std::move(*next);
+        m_queue.erase(next);
+        now = std::max(now - step, pending.at);
+        pending.action();
+        now = end;
+    }
+}
+
+void ControlSimulation::deliver(const std::string& id, std::uint64_t incarnation, Event event)
+{
+    if (instances.at(id).incarnation == incarnation) {
+        send(id, std::move(event));
+    }
+}
+
+void ControlSimulation::perform(Instance& instance, Effect& effect)
+{
+    const std::string id = instance.settings.instance;
+    const MonotonicTime startedAt = now;
+    if (std::get_if<ReadInstanceList>(&effect) != nullptr) {
+        after(linkDelay,
+            [this, id, inc = instance.incarnation] { deliver(id, inc, InstanceListReceived {listInstances()}); });
+    } else if (const ListObjects* listing = std::get_if<ListObjects>(&effect)) {
+        ++storeReads;
+        callStore(instance, [this, startedAt, kind = listing->kind](bool reached) {
+            return StoreListed {kind, startedAt, reached ? list(kind) : StoreListResult {}};
+        });
+    } else if (const ReadObject* read = std::get_if<ReadObject>(&effect)) {
+        ++storeReads;
+        callStore(instance, [this, startedAt, read = *read](bool reached) {
+            StoreRead event {read.kind, read.name, startedAt, {}};
+            if (reached) {
+                const auto it = m_objects.find({read.kind, read.name});
+                event.result.status = it != m_objects.end() ? StoreStatus::Ok : StoreStatus::NotFound;
+                event.result.object = it != m_objects.end() ? it->second : StoredObject {};
+            }
+            return event;
+        });
+    } else if (const WriteObject* change = std::get_if<WriteObject>(&effect)) {
+        ++storeWrites;
+        callStore(instance, [this, startedAt, change = *change](bool reached) {
+            const StoreWriteResult result = reached ? write(change) : StoreWriteResult {};
+            return StoreWritten {change.kind, change.name, change.changeId, startedAt, result};
+        });
+    } else if (SendPeerMessage* message = std::get_if<SendPeerMessage>(&effect)) {
+        message->envelope.mutable_sender()->set_id(id);
+        message->envelope.mutable_sender()->set_incarnation(instance.incarnation);
+        if (connected(id, message->to) && instances.contains(message->to)) {
+            after(linkDelay, [this, message = *message] { send(message.to, PeerMessageReceived {message.envelope}); });
+        }
+    } else if (const SendGrants* grants = std::get_if<SendGrants>(&effect)) {
+        sendGrants(instance, grants->batch);
+    } else if (const PublishRouting* publish = std::get_if<PublishRouting>(&effect)) {
+        instance.routing = publish->snapshot;
+    } else if (const OperatorAnswer* answer = std::get_if<OperatorAnswer>(&effect)) {
+        instance.lastAnswer = answer->body;
+        instance.lastStatus = answer->status;
+    } else if (const WriteLog* entry = std::get_if<WriteLog>(&effect)) {
+        instance.logs.push_back(entry->event);
+    } else if (std::get_if<ShutdownFinished>(&effect) != nullptr) {
+        instance.finished = true;
+    }
+}
+
+// The call takes effect half way through the delay. A lost answer of a write is reported after the store timeout.
+void ControlSimulation::callStore(Instance& instance, std::function<Event(bool reached)> call)
+{
+    const std::string id = instance.settings.instance;
+    const std::uint64_t incarnation = instance.incarnation;
+    after(storeDelay, [this, id, incarnation, call = std::move(call)] {
+        const bool reached = storeMode != StoreMode::Down && connected(id, "store");
+        Event event = call(reached);
+        Milliseconds delay = storeDelay;
+        StoreWritten* written = std::get_if<StoreWritten>(&event);
+        if (written != nullptr && storeMode == StoreMode::LoseWriteAnswers) {
+            written->result = {StoreStatus::Unknown, 0};
+            delay = instances.at(id).settings.storeTimeout;
+        }
+        after(delay, [this, id, incarnation, event = std::move(event)] { deliver(id, incarnation, event); });
+    });
+}
+
+StoreWriteResult ControlSimulation::write(const WriteObject& effect)
+{
+    StoredObject& object = m_objects[{effect.kind, effect.name}];
+    if (object.version != effect.expectedVersion) {
+        return {StoreStatus::Conflict, 0};
+    }
+    object = {effect.name, ++m_version, effect.value};
+    if (effect.kind == "group") {
+        const GroupRecord record = decodeOrThrow(effect.value);
+        for (const PartitionAssignment& assignment : record.partitions) {
+            m_overridesOfToken.try_emplace({record.group, assignment.token}, record.overrides);
+        }
+    }
+    return {StoreStatus::Ok, object.version};
+}
+
+StoreListResult ControlSimulation::list(const std::string& kind) const
+{
+    StoreListResult result {StoreStatus::Ok, m_version, {}};
+    for (const auto& [name, object] : m_objects) {
+        if (name.first == kind && object.version != 0) {
+            result.objects.push_back(object);
+        }
+    }
+    return result;
+}
+
+InstanceListResult ControlSimulation::listInstances() const
+{
+    InstanceListResult result {StoreStatus::Ok, {}};
+    const auto stateOf = [&](const std::string& id) {
+        const auto it = listed.find(id);
+        return it != listed.end() ? it->second : ListedState::Live;
+    };
+    for (const auto& [id, instance] : instances) {
+        result.entries.push_back({id, InstanceRole::Entry, instance.settings.region, instance.settings.failureDomain,
+            stateOf(id), "127.0.0.1:" + id, "127.0.0.1:" + id});
+    }
+    for (const auto& [id, server] : servers) {
+        result.entries.push_back({id, InstanceRole::Backend, "", "", stateOf(id), "", ""});
+    }
+    return result;
+}
+
+void ControlSimulation::sendGrants(Instance& instance, const GrantBatch& batch)
+{
+    const std::string id = instance.settings.instance;
+    const std::uint64_t incarnation = instance.incarnation;
+    const std::shared_ptr<bool> answered = std::make_shared<bool>(false);
+    const MonotonicTime sentAt = now;
+    const auto answer = [this, id, incarnation, answered, sentAt, batch](std::optional<GrantReply> reply) {
+        if (!std::exchange(*answered, true)) {
+            deliver(id, incarnation, GrantAnswered {batch.server, batch, sentAt, std::move(reply)});
+        }
+    };
+    after(instance.settings.grantTimeout, [answer] { answer(std::nullopt); });
+    const std::function<void()> arrive = [this, id, batch, answer] {
+        if (servers.at(batch.server).running && connected(id, batch.server)) {
+            after(linkDelay, [answer, reply = answerGrants(batch.server, batch)] { answer(reply); });
+        }
+    };
+    after(grantDelay ? grantDelay(batch.server) : linkDelay, [this, batch, arrive] {
+        FakeServer& server = servers.at(batch.server);
+        if (server.frozen) {
+            server.waiting.push_back(arrive);
+        } else {
+            arrive();
+        }
+    });
+}
+
+GrantReply ControlSimulation::answerGrants(const std::string& id, const GrantBatch& batch)
+{
+    FakeServer& server = servers.at(id);
+    GrantReply reply {id, server.incarnation, "n" + std::to_string(++m_nonces), server.state, {}};
+    const auto nonce = server.nonces.find(batch.nonce);
+    for (const GroupGrant& grant : batch.grants) {
+        if (nonce == server.nonces.end()) {
+            reply.results.push_back({grant.group, GrantStatus::UnknownNonce, 0, 0, {}});
+        } else {
+            reply.results.push_back(applyGrant(server, batch.granter, grant, nonce->second));
+        }
+    }
+    server.nonces[reply.nonce] = now;
+    return reply;
+}
+
+GroupGrantResult ControlSimulation::applyGrant(
+    FakeServer& server, const InstanceReference& granter, const GroupGrant& grant, MonotonicTime issuedAt) const
+{
+    FakeServer::Held& held = server.held[grant.group];
+    GroupGrantResult result {grant.group, GrantStatus::Accepted, held.term, held.revision, {}};
+    if (grant.term < held.term) {
+        result.status = GrantStatus::StaleTerm;
+        return result;
+    }
+    const bool sameSet = grant.term == held.term && grant.revision == held.revision;
+    const bool newer = grant.term > held.term || grant.revision > held.revision;
+    if (!sameSet && (!newer || !grant.partitions)) {
+        result.status = GrantStatus::NeedFull;
+        return result;
+    }
+    if (newer) {
+        held = {grant.term, grant.revision, {}, granter, {}};
+        for (const GrantedPartition& partition : *grant.partitions) {
+            held.tokens[partition.partition] = partition.token;
+        }
+    }
+    held.leaseUntil = std::max(held.leaseUntil, issuedAt + grant.lease);
+    for (const auto& [partition, until] : server.busyUntil) {
+        if (until > now && !held.tokens.contains(partition)) {
+            result.busy.push_back(partition);
+        }
+    }
+    result.term = held.term;
+    result.revision = held.revision;
+    return result;
+}
+
+// A key may be executed under one token by one server only, where a token covers the keys that it had when written.
+void ControlSimulation::checkCheckedServers()
+{
+    std::map<std::pair<GroupName, std::string>, std::set<std::string>> routesOf;
+    for (const auto& [id, server] : servers) {
+        for (const auto& [group, held] : server.held) {
+            if (!server.running || held.leaseUntil <= now) {
+                continue;
+            }
+            for (const auto& [partition, token] : held.tokens) {
+                routesOf[{group, "partition " + std::to_string(partition)}].insert(id);
+                const auto split = stored(group)->overrides;
+                const auto& covered = m_overridesOfToken.at({group, token});
+                for (const auto& [key, own] : split) {
+                    const bool hashed = partitionOf(key, configuration.services.front().partitions) == partition;
+                    if ((hashed && !covered.contains(key)) || (covered.contains(key) && own == partition)) {
+                        routesOf[{group, key}].insert(id + " partition " + std::to_string(partition));
+                    }
+                }
+            }
+        }
+    }
+    for (const auto& [what, routes] : routesOf) {
+        if (routes.size() > 1) {
+            m_violations.push_back(
+                toText(what.first) + " " + what.second + ": " + *routes.begin() + " and " + *routes.rbegin());
+        }
+    }
+}
+
+// Servers that do not check grants rely on a single instance that dispatches to them.
+void ControlSimulation::checkDispatchers()
+{
+    for (const Service& service : configuration.services) {
+        std::map<std::uint32_t, std::set<std::string>> dispatchers;
+        for (const auto& [id, instance] : instances) {
+            if (!instance.reducer || !instance.routing || service.grantCheck == GrantCheck::Checked) {
+                continue;
+            }
+            for (const GroupRoute& group : instance.routing->services.at(service.name).groups) {
+                for (const auto& [partition, route] : group.partitions) {
+                    if (group.authorityUntil && route.server
+                        && group.authorityUntil->load() > now.time_since_epoch().count()) {
+                        dispatchers[partition].insert(id + " to " + instance.routing->servers[*route.server].id);
+                    }
+                }
+            }
+        }
+        for (const auto& [partition, found] : dispatchers) {
+            if (found.size() > 1) {
+                m_violations.push_back("dispatchers " + *found.begin() + ", " + *found.rbegin());
+            }
+        }
+    }
+}
+
+std::optional<GroupRecord> ControlSimulation::stored(const GroupName& group) const
+{
+    const auto it = m_objects.find({"group", toText(group)});
+    return it != m_objects.end() && it->second.version != 0 ? std::optional(decodeOrThrow(it->second.value))
+                                                            : std::nullopt;
+}
+
+bool ControlSimulation::executes(const std::string& server, const GroupName& group, std::uint32_t partition,
+    std::optional<std::uint64_t> token) const
+{
+    const FakeServer& fake = servers.at(server);
+    const auto held = fake.held.find(group);
+    if (!fake.running || fake.frozen || held == fake.held.end() || held->second.leaseUntil <= now) {
+        return false;
+    }
+    const auto it = held->second.tokens.find(partition);
+    return it != held->second.tokens.end() && (!token || it->second == *token);
+}
+
+std::vector<std::string> ControlSimulation::holders(const GroupName& group, std::uint32_t partition) const
+{
+    std::vector<std::string> found;
+    for (const auto& [id, server] : servers) {
+        if (executes(id, group, partition)) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
+std::vector<std::string> ControlSimulation::authorities(const GroupName& group) const
+{
+    std::vector<std::string> found;
+    for (const auto& [id, instance] : instances) {
+        if (!instance.reducer || !instance.routing) {
+            continue;
+        }
+        const GroupRoute& route = instance.routing->services.at(group.service).groups.at(group.index);
+        if (route.authorityUntil && route.authorityUntil->load() > now.time_since_epoch().count()) {
+            found.push_back(id);
+        }
+    }
+    return found;
+}
+
+KeyRoute ControlSimulation::route(const std::string& instance, const std::string& service, const std::string& key) const
+{
+    return routeKey(instances.at(instance).routing->services.at(service), key);
+}
+
+} // namespace jasminespread
--- /dev/null
+++ b/tests/control_simulation.h
@@ -0,0 +1,142 @@
+#pragma once
+
+#include <jasminespread/control_reducer.h>
+#include <jasminespread/routing_table.h>
+
+#include <cstdint>
+#include <functional>
+#include <map>
+#include <memory>
+#include <optional>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jasminespread {
+
+/// Several ControlReducers, an object store and backend servers in one process, with a manual clock.
+class ControlSimulation {
+public:
+    /// A backend server that checks terms, revisions, nonces and leases.
+    struct FakeServer {
+        struct Held {
+            std::uint64_t term = 0;
+            std::uint64_t revision = 0;
+            MonotonicTime leaseUntil;
+            InstanceReference granter;
+            std::map<std::uint32_t, std::uint64_t> tokens;
+        };
+        std::uint64_t incarnation = 1;
+        bool running = true;
+        bool frozen = false; ///< Neither reads nor answers; messages wait.
+        ServerState state = ServerState::Serving;
+        std::map<std::string, MonotonicTime> nonces;
+        std::map<GroupName, Held> held;
+        std::map<std::uint32_t, MonotonicTime> busyUntil; ///< Requests in flight, by partition.
+        std::vector<std::function<void()>> waiting;
+    };
+
+    struct Instance {
+        InstanceSettings settings;
+        std::uint64_t incarnation = 0;
+        std::unique_ptr<ControlReducer> reducer; ///< Null: the process does not run.
+        bool paused = false;
+        std::vector<Event> inbox; ///< Events that wait while paused.
+        std::shared_ptr<const RoutingSnapshot> routing;
+        std::string lastAnswer;
+        unsigned lastStatus = 0;
+        std::vector<LogEvent> logs;
+        bool finished = false;
+    };
+
+    enum class StoreMode : std::uint8_t { Up, Down, LoseWriteAnswers };
+
+    ControlSimulation(Configuration configuration, std::vector<std::vector<std::string>> instancesOfRegion);
+
+    /// @name Control
+    /// @{
+    void start(const std::string& id);
+    void stop(const std::string& id) { instances.at(id).reducer.reset(); }
+    void pause(const std::string& id) { instances.at(id).paused = true; }
+    void resume(const std::string& id);
+    void freeze(const std::string& id) { servers.at(id).frozen = true; }
+    void unfreeze(const std::string& id);
+    void cut(const std::string& a, const std::string& b) { cuts.insert({a, b}), cuts.insert({b, a}); }
+    void heal() { cuts.clear(); }
+    /// Loads the configuration at every instance; the ones after the first may find it loaded.
+    void load();
+    void request(const std::string& id, OperatorAction action, const std::string& argument = "");
+    void send(const std::string& id, Event event);
+    /// Lets time pass in steps of 10 ms; calls onStep after each.
+    void run(Milliseconds duration);
+    /// @}
+
+    /// @name Questions
+    /// @{
+    [[nodiscard]] std::optional<GroupRecord> stored(const GroupName& group) const;
+    /// True when the server would execute a request for the partition under this token.
+    [[nodiscard]] bool executes(const std::string& server, const GroupName& group, std::uint32_t partition,
+        std::optional<std::uint64_t> token = std::nullopt) const;
+    /// Servers that would execute requests for the partition.
+    [[nodiscard]] std::vector<std::string> holders(const GroupName& group, std::uint32_t partition) const;
+    /// Instance whose authority deadline for the group has not passed; empty when there is none.
+    [[nodiscard]] std::vector<std::string> authorities(const GroupName& group) const;
+    /// Route that an instance uses for a key.
+    [[nodiscard]] KeyRoute route(const std::string& instance, const std::string& service, const std::string& key) const;
+    /// Violations of sole ownership found since the start, one line each.
+    [[nodiscard]] const std::vector<std::string>& violations() const { return m_violations; }
+    /// @}
+
+    Configuration configuration;
+    MonotonicTime now {std::chrono::hours(1)};
+    std::map<std::string, Instance> instances;
+    std::map<std::string, FakeServer> servers;
+    std::map<std::string, ListedState> listed; ///< Overrides the state in the platform's list.
+    std::set<std::pair<std::string, std::string>> cuts; ///< Links between instances, servers and "store".
+    StoreMode storeMode = StoreMode::Up;
+    Milliseconds storeDelay {5};
+    std::uint32_t storeWrites = 0;
+    std::uint32_t storeReads = 0;
+    /// Changes the delay of one grant message; nothing keeps the usual one.
+    std::function<Milliseconds(const std::string& server)> grantDelay;
+    std::function<void()> onStep;
+
+private:
+    struct Pending {
+        MonotonicTime at;
+        std::uint64_t order;
+        std::function<void()> action;
+    };
+
+    [[nodiscard]] WallTime wall() const;
+    [[nodiscard]] bool connected(const std::string& a, const std::string& b) const { return !cuts.contains({a, b}); }
+    void after(Milliseconds delay, std::function<void()> action);
+    void runDue();
+    void deliver(const std::string& id, std::uint64_t incarnation, Event event);
+    void perform(Instance& instance, Effect& effect);
+    void callStore(Instance& instance, std::function<Event(bool reached)> call);
+    [[nodiscard]] StoreWriteResult write(const WriteObject& effect);
+    [[nodiscard]] StoreListResult list(const std::string& kind) const;
+    [[nodiscard]] InstanceListResult listInstances() const;
+    void sendGrants(Instance& instance, const GrantBatch& batch);
+    [[nodiscard]] GrantReply answerGrants(const std::string& id, const GrantBatch& batch);
+    [[nodiscard]] GroupGrantResult applyGrant(
+        FakeServer& server, const InstanceReference& granter, const GroupGrant& grant, MonotonicTime issuedAt) const;
+    void checkCheckedServers();
+    void checkDispatchers();
+
+    std::vector<Pending> m_queue;
+    std::uint64_t m_order = 0;
+    std::uint64_t m_version = 0;
+    std::uint64_t m_nonces = 0;
+    std::uint64_t m_incarnations = 0;
+    std::map<std::pair<std::string, std::string>, StoredObject> m_objects;
+    /// Overrides in force when a token first appeared: the keys that the token covers.
+    std::map<std::pair<GroupName, std::uint64_t>, std::map<std::string, std::uint32_t>> m_overridesOfToken;
+    std::vector<std::string> m_violations;
+};
+
+/// Configuration with one checked service "ledger" (8 partitions, 2 groups) and servers s1 ... sN in region "west".
+[[nodiscard]] Configuration ledgerConfiguration(std::size_t servers);
+
+} // namespace jasminespread
