Add platform and backend server stand-ins

Tests need a store and instance list with injected faults, and backend servers that check fenced grants and record what they execute.

The programs themselves have been tried by hand only in part (object calls and watches).

--- /dev/null
+++ b/standins/lib/http_server.h
@@ -0,0 +1,57 @@
+#pragma once
+
+#include <jasminespread/backend_transport.h>
+#include <jasminespread/error.h>
+
+#include <functional>
+#include <memory>
+#include <optional>
+#include <string>
+#include <string_view>
+#include <vector>
+
+namespace jasminespread::standins {
+
+/// One request and its answer. Belongs to the thread of the server. Exactly one of answer() and drop() is called.
+class HttpExchange {
+public:
+    HttpExchange() = default;
+    virtual ~HttpExchange() = default;
+    HttpExchange(const HttpExchange&) = delete;
+    HttpExchange& operator=(const HttpExchange&) = delete;
+
+    [[nodiscard]] virtual std::string method() const = 0;
+    [[nodiscard]] virtual std::string path() const = 0; ///< Decoded, without query.
+    [[nodiscard]] virtual std::optional<std::string> query(const std::string& name) const = 0;
+    [[nodiscard]] virtual std::optional<std::string> header(const std::string& name) const = 0;
+    [[nodiscard]] virtual std::string body() const = 0;
+
+    /// Sends the whole answer, with a JSON body.
+    virtual void answer(unsigned status, const std::string& body, const std::vector<HeaderField>& headers = {}) = 0;
+    /// Closes the connection without an answer.
+    virtual void drop() = 0;
+    /// Calls @p action once if the other side closes the connection before the answer.
+    virtual void whenClosed(std::function<void()> action) = 0;
+};
+
+/// HTTP server on the default main context.
+class HttpServer {
+public:
+    using Handler = std::function<void(const std::shared_ptr<HttpExchange>&)>;
+
+    explicit HttpServer(Handler handler);
+    ~HttpServer();
+    HttpServer(const HttpServer&) = delete;
+    HttpServer& operator=(const HttpServer&) = delete;
+
+    /// Listens on "ip:port"; port 0 takes a free port. Fails with InvalidInput or AddressInUse.
+    [[nodiscard]] Result<void> listen(const std::string& address);
+    /// Port of the first listening socket; 0 before listen().
+    [[nodiscard]] unsigned port() const;
+
+private:
+    struct State;
+    std::unique_ptr<State> m_state;
+};
+
+} // namespace jasminespread::standins
