--- a/include/jasminespread/sheet.h
+++ b/include/jasminespread/sheet.h
@@ -20,4 +20,8 @@
 /// Thread-safe.
 [[nodiscard]] SheetResult parseSheet(std::string_view yaml, const std::string& file);
 
+/// Writes a configuration as a sheet that parseSheet() reads back. Revision and change id are not part of a sheet.
+/// Thread-safe.
+[[nodiscard]] std::string writeSheet(const Configuration& configuration);
+
 } // namespace jasminespread
--- a/src/settings/instance_settings.cpp
+++ b/src/settings/instance_settings.cpp
@@ -14,7 +14,7 @@
 namespace {
 
 constexpr std::uint32_t maxWorkers = 64;
-constexpr std::uint64_t maxBodyLimit = 67'108'864; // Bodies are buffered whole, twice per request.
+constexpr std::uint64_t maxBodyLimit = 67'108'864; // Bodies are buffered whole.
 
 const std::string addressRemedy = "is not an IP number and port; write it as 127.0.0.1:8080";
 
