Bind outgoing forward connections to the instance's own address

Cause: a forwarded request was dropped (event 503): its connection came from 127.0.0.1, not from the listed address. Ruled out: accepting any loopback source, which would weaken the check of peers.

--- a/scripts/walkthrough.sh
+++ b/scripts/walkthrough.sh
@@ -16,7 +16,7 @@
 case "${1:-}" in
 start)
     stop_all
-    printf '{"instances":[%s,%s]}\n' "$(list_entry 1 western western-a)" "$(list_entry 2 western western-b)" \
+    printf '[%s,%s]\n' "$(list_entry 1 western western-a)" "$(list_entry 2 western western-b)" \
         >"$run_dir/instances.json"
     run platform "$build/platform-standin" --listen "$platform" --instances "$run_dir/instances.json"
     for i in 1 2 3; do
--- a/src/daemon/forward_sockets.cpp
+++ b/src/daemon/forward_sockets.cpp
@@ -71,6 +71,7 @@
     std::uint64_t maxMessageBytes = 0;
     Hooks hooks;
     ZmqSocket pull;
+    std::string localIp; ///< Set by bind(); source of outgoing connections.
     GSourcePointer source;
     std::unordered_map<std::string, Connection> connections;
 
@@ -87,7 +88,8 @@
             setOption(socket, ZMQ_IMMEDIATE, 1);
             setOption(socket, ZMQ_RECONNECT_IVL, 20);
             setOption(socket, ZMQ_RECONNECT_IVL_MAX, 500);
-            zmq_connect(socket, ("tcp://" + address).c_str());
+            // Receivers accept messages only from the IP numbers of listed instances.
+            zmq_connect(socket, ("tcp://" + localIp + ":0;" + address).c_str());
         }
         return connection;
     }
@@ -135,6 +137,7 @@
 
 Result<void> ForwardSockets::bind(const std::string& address)
 {
+    m_state->localIp = address.substr(0, address.rfind(':'));
     m_state->pull.reset(zmq_socket(m_state->context, ZMQ_PULL));
     void* socket = m_state->pull.get();
     setOption(socket, ZMQ_LINGER, 0);
