--- /dev/null
+++ b/scripts/run-seatwright.sh
@@ -0,0 +1,49 @@
+#!/usr/bin/env bash
+# Runs the Seatwright deployment on loopback: builds, starts a platform stand-in, nine entry instances and the 36 backend
+# servers of the sheet, loads the sheet, sends load, and prints the outcome, the status and the report on service-level
+# burn. Everything is stopped at the end. Usage: scripts/run-seatwright.sh [SECONDS [REQUESTS_PER_SECOND]]
+set -euo pipefail
+cd "$(dirname "$0")/.."
+seconds=${1:-10}
+rate=${2:-900}
+build=${BUILD_DIR:-build}
+run_dir=run/seatwright
+sheet=examples/seatwright.yaml
+platform=127.0.0.1:7000
+
+if [ -z "${BUILD_DIR:-}" ]; then
+    scripts/packages.sh
+    cmake -S . -B "$build" -G Ninja >/dev/null
+    cmake --build "$build"
+fi
+. scripts/processes.sh
+stop_all
+trap stop_all EXIT
+
+regions=(western central southern)
+rows=()
+for i in 1 2 3 4 5 6 7 8 9; do
+    region=${regions[$(((i - 1) % 3))]}
+    domain=$region-$([ "$i" -le 6 ] && [ "$i" -gt 3 ] && echo b || echo a)
+    write_instance "$i" "$region" "$domain" 1 "http://$platform"
+    rows+=("$(list_entry "$i" "$region" "$domain")")
+done
+(IFS=,; printf '[%s]\n' "${rows[*]}") >"$run_dir/instances.json"
+start platform "$build/platform-standin" --listen "$platform" --instances "$run_dir/instances.json"
+
+# Each server row of the sheet is one line: - {id: ID, service: SERVICE, ..., address: 'IP:PORT'}
+while read -r id address; do
+    start "$id" "$build/backend-standin" --listen "$address" --id "$id" --slots 6 --record "$run_dir/$id.jsonl"
+done < <(sed -nE "s/^ *- \{id: ([^,]+),.*address: '([^']+)'.*/\1 \2/p" "$sheet")
+for i in 1 2 3 4 5 6 7 8 9; do
+    start "entry$i" "$build/jasminespread-entry" --settings "$run_dir/entry$i.yaml"
+done
+for i in 1 2 3 4 5 6 7 8 9; do
+    wait_for_url "http://127.0.1.$i:8001/healthz" 10
+done
+
+"$build/jasminespreadctl" load "$sheet" --base 0 --server 127.0.1.1:8001
+sleep 3
+"$build/jasminespread-load" --targets 127.0.1.1:8000,127.0.1.2:8000,127.0.1.3:8000,127.0.1.4:8000,127.0.1.5:8000 \
+    --service refit-planner --rate "$rate" --duration "$seconds" --connections 50
+"$build/jasminespreadctl" report --server 127.0.1.1:8001
