Keep grants by text name in the ledger stand-in

clang-tidy reports a false positive in ordered maps keyed by GroupName (modernize-use-nullptr in a defaulted <=>). The ledger now groups all state of a placement group in one entry, which also shortens it.

--- a/standins/lib/grant_ledger.cpp
+++ b/standins/lib/grant_ledger.cpp
@@ -19,17 +19,21 @@
     reply.incarnation = m_incarnation;
     reply.state = state;
     for (const GroupGrant& grant : batch.grants) {
-        Holding& holding = m_holdings[grant.group];
-        const GrantStatus status = applyGrant(grant, issuedAt, holding);
-        reply.results.push_back({grant.group, status, holding.term, holding.revision, busyPartitions(grant.group)});
+        Group& group = m_groups[toText(grant.group)];
+        const GrantStatus status = applyGrant(grant, issuedAt, group);
+        std::vector<std::uint32_t> busy;
+        for (const auto& [partition, withdrawn] : group.withdrawn) {
+            busy.push_back(partition);
+        }
+        reply.results.push_back({grant.group, status, group.holding.term, group.holding.revision, std::move(busy)});
     }
     reply.nonce = issueNonce(batch.granter, now);
     return reply;
 }
 
-GrantStatus GrantLedger::applyGrant(
-    const GroupGrant& grant, const std::optional<MonotonicTime>& issuedAt, Holding& holding)
+GrantStatus GrantLedger::applyGrant(const GroupGrant& grant, const std::optional<MonotonicTime>& issuedAt, Group& group)
 {
+    Holding& holding = group.holding;
     if (grant.term < holding.term) {
         return GrantStatus::StaleTerm;
     }
@@ -44,7 +48,7 @@
     }
     const MonotonicTime leaseUntil = *issuedAt + grant.lease;
     if (grant.partitions) {
-        replaceSet(grant, holding);
+        replaceSet(grant, group);
     }
     holding.leaseUntil = grant.term == holding.term ? std::max(holding.leaseUntil, leaseUntil) : leaseUntil;
     holding.term = grant.term;
@@ -52,70 +56,67 @@
     return GrantStatus::Accepted;
 }
 
-void GrantLedger::replaceSet(const GroupGrant& grant, Holding& holding)
+void GrantLedger::replaceSet(const GroupGrant& grant, Group& group)
 {
     std::map<std::uint32_t, std::uint64_t> tokens;
     for (const GrantedPartition& partition : *grant.partitions) {
         tokens[partition.partition] = partition.token;
-        const auto withdrawn = m_withdrawn.find({grant.group, partition.partition});
-        if (withdrawn != m_withdrawn.end()) {
-            m_withdrawn.erase(withdrawn);
-        }
+        group.withdrawn.erase(partition.partition);
     }
-    for (const auto& [partition, token] : holding.tokens) {
-        if (!tokens.contains(partition) && m_running.contains({grant.group, partition})) {
-            m_withdrawn[{grant.group, partition}] = {token, holding.leaseUntil};
+    for (const auto& [partition, token] : group.holding.tokens) {
+        if (!tokens.contains(partition) && group.running.contains(partition)) {
+            group.withdrawn[partition] = {token, group.holding.leaseUntil};
         }
     }
-    holding.tokens = std::move(tokens);
+    group.holding.tokens = std::move(tokens);
+}
+
+const GrantLedger::Group* GrantLedger::find(const GroupName& name) const
+{
+    const auto group = m_groups.find(toText(name));
+    return group == m_groups.end() ? nullptr : &group->second;
 }
 
 ClaimResult GrantLedger::check(const PartitionClaim& claim, MonotonicTime now) const
 {
-    const auto holding = m_holdings.find(claim.group);
-    if (holding == m_holdings.end() || holding->second.term == 0) {
+    const Group* group = find(claim.group);
+    if (group == nullptr || group->holding.term == 0) {
         return ClaimResult::NoLease;
     }
-    const auto token = holding->second.tokens.find(claim.partition);
-    if (token == holding->second.tokens.end() || token->second != claim.token) {
+    const auto token = group->holding.tokens.find(claim.partition);
+    if (token == group->holding.tokens.end() || token->second != claim.token) {
         return ClaimResult::NotOwner;
     }
-    return now < holding->second.leaseUntil ? ClaimResult::Valid : ClaimResult::NoLease;
+    return now < group->holding.leaseUntil ? ClaimResult::Valid : ClaimResult::NoLease;
 }
 
 ClaimResult GrantLedger::checkCommit(const PartitionClaim& claim, MonotonicTime now) const
 {
-    const auto withdrawn = m_withdrawn.find({claim.group, claim.partition});
-    if (withdrawn != m_withdrawn.end() && withdrawn->second.token == claim.token) {
-        return now < withdrawn->second.leaseUntil ? ClaimResult::Valid : ClaimResult::NoLease;
+    const Group* group = find(claim.group);
+    if (group != nullptr) {
+        const auto withdrawn = group->withdrawn.find(claim.partition);
+        if (withdrawn != group->withdrawn.end() && withdrawn->second.token == claim.token) {
+            return now < withdrawn->second.leaseUntil ? ClaimResult::Valid : ClaimResult::NoLease;
+        }
     }
     return check(claim, now);
 }
 
-void GrantLedger::begin(const PartitionClaim& claim) { ++m_running[{claim.group, claim.partition}]; }
+void GrantLedger::begin(const PartitionClaim& claim) { ++m_groups[toText(claim.group)].running[claim.partition]; }
 
 void GrantLedger::finish(const PartitionClaim& claim)
 {
-    const PartitionKey key {claim.group, claim.partition};
-    const auto running = m_running.find(key);
-    if (running != m_running.end() && --running->second == 0) {
-        m_running.erase(running);
-        m_withdrawn.erase(key);
-    }
-}
-
-std::vector<std::uint32_t> GrantLedger::busyPartitions(const GroupName& group) const
-{
-    std::vector<std::uint32_t> busy;
-    for (auto it = m_withdrawn.lower_bound({group, 0}); it != m_withdrawn.end() && it->first.first == group; ++it) {
-        busy.push_back(it->first.second);
+    Group& group = m_groups[toText(claim.group)];
+    const auto running = group.running.find(claim.partition);
+    if (running != group.running.end() && --running->second == 0) {
+        group.running.erase(running);
+        group.withdrawn.erase(claim.partition);
     }
-    return busy;
 }
 
 std::optional<MonotonicTime> GrantLedger::issueTime(const InstanceReference& granter, const std::string& nonce) const
 {
-    const auto nonces = m_nonces.find(granter);
+    const auto nonces = m_nonces.find({granter.id, granter.incarnation});
     if (nonces == m_nonces.end()) {
         return std::nullopt;
     }
@@ -126,13 +127,14 @@
 
 std::string GrantLedger::issueNonce(const InstanceReference& granter, MonotonicTime now)
 {
-    if (!m_nonces.contains(granter) && m_nonces.size() == maxGranters) {
+    const GranterKey key {granter.id, granter.incarnation};
+    if (!m_nonces.contains(key) && m_nonces.size() == maxGranters) {
         const auto oldest = std::min_element(m_nonces.begin(), m_nonces.end(), [](const auto& left, const auto& right) {
             return left.second.back().issuedAt < right.second.back().issuedAt;
         });
         m_nonces.erase(oldest);
     }
-    std::deque<Nonce>& nonces = m_nonces[granter];
+    std::deque<Nonce>& nonces = m_nonces[key];
     nonces.push_back({m_makeNonce(), now});
     if (nonces.size() > noncesPerGranter) {
         nonces.pop_front();
--- a/standins/lib/grant_ledger.h
+++ b/standins/lib/grant_ledger.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <optional>
 #include <string>
+#include <utility>
 #include <vector>
 
 namespace jasminespread::standins {
@@ -48,6 +49,8 @@
     void finish(const PartitionClaim& claim);
 
 private:
+    using GranterKey = std::pair<std::string, std::uint64_t>;
+
     struct Holding {
         std::uint64_t term = 0;
         std::uint64_t revision = 0;
@@ -58,6 +61,11 @@
         std::uint64_t token = 0;
         MonotonicTime leaseUntil;
     };
+    struct Group {
+        Holding holding;
+        std::map<std::uint32_t, Withdrawn> withdrawn; ///< Only partitions with running requests.
+        std::map<std::uint32_t, std::size_t> running; ///< Requests by partition.
+    };
     struct Nonce {
         std::string text;
         MonotonicTime issuedAt;
@@ -66,20 +74,16 @@
     [[nodiscard]] std::optional<MonotonicTime> issueTime(
         const InstanceReference& granter, const std::string& nonce) const;
     std::string issueNonce(const InstanceReference& granter, MonotonicTime now);
-    [[nodiscard]] GrantStatus applyGrant(
-        const GroupGrant& grant, const std::optional<MonotonicTime>& issuedAt, Holding& holding);
-    void replaceSet(const GroupGrant& grant, Holding& holding);
-    [[nodiscard]] std::vector<std::uint32_t> busyPartitions(const GroupName& group) const;
-
-    using PartitionKey = std::pair<GroupName, std::uint32_t>;
+    [[nodiscard]] static GrantStatus applyGrant(
+        const GroupGrant& grant, const std::optional<MonotonicTime>& issuedAt, Group& group);
+    static void replaceSet(const GroupGrant& grant, Group& group);
+    [[nodiscard]] const Group* find(const GroupName& name) const;
 
     std::string m_server;
     std::uint64_t m_incarnation;
     std::function<std::string()> m_makeNonce;
-    std::map<GroupName, Holding> m_holdings;
-    std::map<PartitionKey, Withdrawn> m_withdrawn; ///< Only partitions with running requests.
-    std::map<PartitionKey, std::size_t> m_running;
-    std::map<InstanceReference, std::deque<Nonce>> m_nonces; ///< Oldest first.
+    std::map<std::string, Group> m_groups; ///< By text form of the name.
+    std::map<GranterKey, std::deque<Nonce>> m_nonces; ///< Oldest first.
 };
 
 } // namespace jasminespread::standins
