Add a transport on Boost.Beast's codec over GLib sources

libsoup's client does not tell whether a byte of a request was written, and reports a body that ends early as success. The new transport works on non-blocking sockets with its own pool: it knows exactly what was written, calls mayWrite before each write, replaces stale idle connections, keeps a connection limit per address, and treats every answer whose end is not proven as Broken. Each address gets its share of the connection budget: connections / (live instances x workers).

Ruled out: accepting answers that end with the connection; the loss of a server ends them the same way.

--- a/include/jasminespread/backend_transport.h
+++ b/include/jasminespread/backend_transport.h
@@ -63,6 +63,8 @@
     std::function<void(Handle)> cancel;
     /// Limits open connections per address.
     std::function<void(const std::string& address, std::uint32_t connections)> setConnectionLimit;
+    /// Returns the number of connections opened so far. Empty when the transport does not count them.
+    std::function<std::uint64_t()> connectionsOpened;
 };
 
 } // namespace jasminespread
--- /dev/null
+++ b/include/jasminespread/backend_transports.h
@@ -0,0 +1,24 @@
+#pragma once
+
+#include <jasminespread/backend_transport.h>
+
+#include <cstdint>
+
+namespace jasminespread {
+
+/// @name Transports
+/// Both work on the calling thread's default main context, which must outlive them.
+/// @{
+
+/// Makes a transport over non-blocking sockets with Boost.Beast's HTTP codec. It knows exactly whether a byte of a
+/// request was written. An answer is whole only when its end is proven by Content-Length, chunked encoding or its
+/// status; an answer that ends with the connection is Broken.
+/// @param maxBodyBytes longest body of an answer; longer ones are Broken.
+[[nodiscard]] BackendTransport makeBeastBackendTransport(std::uint64_t maxBodyBytes);
+
+/// Makes a transport over a libsoup session. Connection limits per address are not supported: each address may have
+/// 110 connections.
+[[nodiscard]] BackendTransport makeSoupBackendTransport();
+/// @}
+
+} // namespace jasminespread
--- a/include/jasminespread/worker_pool.h
+++ b/include/jasminespread/worker_pool.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <jasminespread/backend_transport.h>
 #include <jasminespread/error.h>
 #include <jasminespread/group_record.h>
 #include <jasminespread/instance_settings.h>
@@ -22,6 +23,8 @@
         /// A backend server or a primary refused the local route to a group. Called on a worker thread, at most
         /// every 50 ms per worker and group.
         std::function<void(const GroupName&)> routeRefused;
+        /// Makes the transport to backend servers, once on each worker thread. Empty: the default one.
+        std::function<BackendTransport()> makeTransport;
     };
 
     /// Precondition: @p table and @p metrics outlive the pool.
--- /dev/null
+++ b/src/base/socket_address.cpp
@@ -0,0 +1,40 @@
+#include "base/socket_address.h"
+
+#include <arpa/inet.h>
+#include <netinet/in.h>
+
+#include <charconv>
+#include <cstdint>
+
+namespace jasminespread {
+
+std::optional<SocketAddress> parseSocketAddress(const std::string& text)
+{
+    const std::size_t colon = text.rfind(':');
+    if (colon == std::string::npos) {
+        return std::nullopt;
+    }
+    std::uint16_t port = 0;
+    const char* end = text.data() + text.size();
+    const std::from_chars_result parsed = std::from_chars(text.data() + colon + 1, end, port);
+    if (parsed.ec != std::errc() || parsed.ptr != end || port == 0) {
+        return std::nullopt;
+    }
+    SocketAddress address;
+    std::string host = text.substr(0, colon);
+    if (host.size() > 2 && host.front() == '[' && host.back() == ']') {
+        host = host.substr(1, host.size() - 2);
+        auto* native = reinterpret_cast<sockaddr_in6*>(&address.storage);
+        native->sin6_family = AF_INET6;
+        native->sin6_port = htons(port);
+        address.size = sizeof *native;
+        return inet_pton(AF_INET6, host.c_str(), &native->sin6_addr) == 1 ? std::optional(address) : std::nullopt;
+    }
+    auto* native = reinterpret_cast<sockaddr_in*>(&address.storage);
+    native->sin_family = AF_INET;
+    native->sin_port = htons(port);
+    address.size = sizeof *native;
+    return inet_pton(AF_INET, host.c_str(), &native->sin_addr) == 1 ? std::optional(address) : std::nullopt;
+}
+
+} // namespace jasminespread
--- /dev/null
+++ b/src/base/socket_address.h
@@ -0,0 +1,21 @@
+#pragma once
+
+#include <sys/socket.h>
+
+#include <optional>
+#include <string>
+
+namespace jasminespread {
+
+/// A TCP address in the form of the system calls.
+struct SocketAddress {
+    sockaddr_storage storage {};
+    socklen_t size = 0;
+
+    [[nodiscard]] const sockaddr* get() const noexcept { return reinterpret_cast<const sockaddr*>(&storage); }
+};
+
+/// Parses "IP number:port", for IPv6 "[IP number]:port". Nothing when it is malformed. Thread-safe.
+[[nodiscard]] std::optional<SocketAddress> parseSocketAddress(const std::string& text);
+
+} // namespace jasminespread
--- a/src/daemon/caller_listener.cpp
+++ b/src/daemon/caller_listener.cpp
@@ -1,6 +1,7 @@
 #include "daemon/caller_listener.h"
 
 #include "base/glib_pointer.h"
+#include "base/socket_address.h"
 
 #include <gio/gio.h>
 #include <libsoup/soup.h>
@@ -24,33 +25,20 @@
 /// cut.
 constexpr std::uint64_t maxDroppedBytes = 8'388'608;
 
-Result<GObjectPointer<GSocketAddress>> parseAddress(const std::string& text)
-{
-    const std::size_t colon = text.rfind(':');
-    const std::string host = text.substr(0, colon);
-    const unsigned long port = colon == std::string::npos ? 0 : std::strtoul(text.c_str() + colon + 1, nullptr, 10);
-    GSocketAddress* address
-        = port > 0 && port <= 65'535 ? g_inet_socket_address_new_from_string(host.c_str(), guint(port)) : nullptr;
-    if (address == nullptr) {
-        return fail(ErrorKind::InvalidInput, "\"" + text + "\" is not an IP number and port");
-    }
-    return GObjectPointer<GSocketAddress>(address);
-}
-
 /// Binds with system calls: g_socket_bind() turns SO_REUSEPORT off for TCP.
 Result<GObjectPointer<GSocket>> bindSocket(const std::string& text, bool reusePort)
 {
-    BOOST_LEAF_AUTO(address, parseAddress(text));
-    sockaddr_storage native {};
-    const gssize size = g_socket_address_get_native_size(address.get());
-    g_socket_address_to_native(address.get(), &native, sizeof native, nullptr);
-    const int fd = socket(native.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const std::optional<SocketAddress> address = parseSocketAddress(text);
+    if (!address) {
+        return fail(ErrorKind::InvalidInput, "\"" + text + "\" is not an IP number and port");
+    }
+    const int fd = socket(address->storage.ss_family, SOCK_STREAM | SOCK_CLOEXEC, 0);
     const int one = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
     if (reusePort) {
         setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &one, sizeof one);
     }
-    if (fd < 0 || bind(fd, reinterpret_cast<const sockaddr*>(&native), static_cast<socklen_t>(size)) != 0) {
+    if (fd < 0 || bind(fd, address->get(), address->size) != 0) {
         const int ec = errno;
         if (fd >= 0) {
             close(fd);
--- a/src/daemon/worker.cpp
+++ b/src/daemon/worker.cpp
@@ -1,5 +1,7 @@
 #include "daemon/worker.h"
 
+#include <jasminespread/backend_transports.h>
+
 #include <future>
 #include <optional>
 
@@ -101,7 +103,8 @@
 
 Result<void> Worker::open()
 {
-    m_transport = std::make_unique<BackendTransport>(makeDefaultBackendTransport());
+    m_transport = std::make_unique<BackendTransport>(
+        m_hooks.makeTransport ? m_hooks.makeTransport() : makeBeastBackendTransport(m_settings.maxBodyBytes));
     m_sockets = std::make_unique<ForwardSockets>(m_zmqContext, m_settings.maxBodyBytes,
         ForwardSockets::Hooks {
             [this](wire::Envelope&& envelope, const std::string& ip) { onEnvelope(std::move(envelope), ip); },
@@ -227,8 +230,9 @@
     for (const auto& [instance, address] : m_settings.addressOverrides) {
         m_peerIps.insert(hostOf(address.forward));
     }
+    const std::uint32_t sharers = std::max(1U, m_snapshot->liveInstances) * m_settings.workers;
     for (const ServerRoute& server : m_snapshot->servers) {
-        m_transport->setConnectionLimit(server.address, server.connections);
+        m_transport->setConnectionLimit(server.address, std::max(1U, server.connections / sharers));
     }
     apply(RoutesChanged {m_snapshot});
 }
--- a/src/daemon/worker.h
+++ b/src/daemon/worker.h
@@ -4,7 +4,6 @@
 #include "daemon/caller_listener.h"
 #include "daemon/forward_sockets.h"
 #include "entry/request_reducer.h"
-#include "transport/transport_choice.h"
 
 #include <jasminespread/instance_settings.h>
 #include <jasminespread/metrics_registry.h>
--- a/src/transport/soup_backend_transport.cpp
+++ b/src/transport/soup_backend_transport.cpp
@@ -1,4 +1,4 @@
-#include "transport/soup_backend_transport.h"
+#include <jasminespread/backend_transports.h>
 
 #include "base/glib_pointer.h"
 
--- /dev/null
+++ b/tests/backend_transport_test.cpp
@@ -0,0 +1,230 @@
+#include <jasminespread/backend_transports.h>
+
+#include "support/http_peer.h"
+
+#include <glib.h>
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+namespace jasminespread {
+namespace {
+
+using test::TestBackend;
+using testing::HasSubstr;
+
+class BackendTransportTest : public testing::Test {
+protected:
+    BackendTransportTest()
+        : context(g_main_context_new())
+    {
+        g_main_context_push_thread_default(context);
+        transport = makeBeastBackendTransport(100'000);
+    }
+    ~BackendTransportTest() override
+    {
+        transport = {};
+        g_main_context_pop_thread_default(context);
+        g_main_context_unref(context);
+    }
+
+    static BackendRequest makeRequest(const std::string& address, const std::string& method = "GET")
+    {
+        BackendRequest request;
+        request.address = address;
+        request.method = method;
+        request.target = "/x";
+        request.deadline = monotonicNow() + Milliseconds(5000);
+        return request;
+    }
+
+    /// Runs the main loop until @p done or for @p limit.
+    template <typename Condition> bool runUntil(Condition done, Milliseconds limit = Milliseconds(5000))
+    {
+        const MonotonicTime end = monotonicNow() + limit;
+        while (!done() && monotonicNow() < end) {
+            if (!g_main_context_iteration(context, FALSE)) {
+                std::this_thread::sleep_for(std::chrono::microseconds(200));
+            }
+        }
+        return done();
+    }
+
+    BackendResult exchange(BackendRequest request)
+    {
+        std::optional<BackendResult> received;
+        transport.send(std::move(request), [&](BackendResult result) { received = std::move(result); });
+        EXPECT_TRUE(runUntil([&] { return received.has_value(); }));
+        return received.value_or(BackendResult {});
+    }
+
+    GMainContext* context;
+    BackendTransport transport;
+};
+
+// Guards against a connection per request, which costs about 1 ms each.
+TEST_F(BackendTransportTest, ReusesConnections)
+{
+    TestBackend backend([](const std::string& request) { return TestBackend::answer(request.substr(0, 4)); });
+    for (int i = 0; i < 10; ++i) {
+        const BackendResult result = exchange(makeRequest(backend.address(), i % 2 == 0 ? "GET" : "POST"));
+        EXPECT_EQ(result.progress, BackendProgress::Answered);
+        EXPECT_EQ(result.body, i % 2 == 0 ? "GET " : "POST");
+    }
+    EXPECT_EQ(backend.connections(), 1);
+    EXPECT_EQ(transport.connectionsOpened(), 1U);
+}
+
+// Guards against passing on the part of an answer that arrived before the connection ended.
+TEST_F(BackendTransportTest, TruncatedAnswersAreBroken)
+{
+    const std::vector<std::string> answers {"HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n12345<cut>",
+        "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n5\r\n12345\r\n<cut>", "HTTP/1.1 200 OK\r\nConten<cut>",
+        "HTTP/1.1 200 OK\r\n\r\n12345<cut>", "<cut>", "garbage\r\n\r\n<cut>"};
+    for (const std::string& answer : answers) {
+        TestBackend backend([&](const std::string&) { return answer; });
+        const BackendResult result = exchange(makeRequest(backend.address()));
+        EXPECT_EQ(result.progress, BackendProgress::Broken) << answer;
+        EXPECT_TRUE(result.body.empty()) << answer;
+        EXPECT_FALSE(result.timedOut) << answer;
+    }
+}
+
+// Guards against rejecting answers in the other framings of HTTP/1.1.
+TEST_F(BackendTransportTest, ReadsAllProvableFramings)
+{
+    TestBackend backend([](const std::string& request) -> std::string {
+        if (request.starts_with("HEAD")) {
+            return "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\n";
+        }
+        if (request.starts_with("PUT")) {
+            return "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 204 No Content\r\n\r\n";
+        }
+        return "HTTP/1.1 200 OK\r\nTransfer-Encoding: chunked\r\n\r\n3\r\nabc\r\n2\r\nde\r\n0\r\n\r\n";
+    });
+    EXPECT_EQ(exchange(makeRequest(backend.address(), "HEAD")).progress, BackendProgress::Answered);
+    EXPECT_EQ(exchange(makeRequest(backend.address(), "PUT")).status, 204U);
+    EXPECT_EQ(exchange(makeRequest(backend.address())).body, "abcde");
+    EXPECT_EQ(backend.connections(), 1);
+}
+
+// Guards against unbounded memory for an answer.
+TEST_F(BackendTransportTest, AnswerBeyondTheLimitIsBroken)
+{
+    TestBackend backend([](const std::string&) { return TestBackend::answer(std::string(100'001, 'a')); });
+    EXPECT_EQ(exchange(makeRequest(backend.address())).progress, BackendProgress::Broken);
+    TestBackend fitting([](const std::string&) { return TestBackend::answer(std::string(100'000, 'a')); });
+    EXPECT_EQ(exchange(makeRequest(fitting.address())).body.size(), 100'000U);
+}
+
+// Guards against reporting a request as possibly run that never left this process.
+TEST_F(BackendTransportTest, RefusedConnectionIsNotSent)
+{
+    const BackendResult result = exchange(makeRequest("127.0.0.1:" + std::to_string(test::freePorts(1))));
+    EXPECT_EQ(result.progress, BackendProgress::NotSent);
+    EXPECT_THAT(result.failure, HasSubstr("connect"));
+}
+
+// Guards against reporting a stale keep-alive connection as a failed request.
+TEST_F(BackendTransportTest, ClosedIdleConnectionIsReplaced)
+{
+    TestBackend backend([](const std::string&) { return TestBackend::answer("x") + "<cut>"; });
+    for (int i = 0; i < 5; ++i) {
+        EXPECT_EQ(exchange(makeRequest(backend.address())).progress, BackendProgress::Answered);
+        std::this_thread::sleep_for(Milliseconds(5));
+    }
+    EXPECT_EQ(backend.connections(), 5);
+}
+
+// Guards against writing a request after its sender lost the right to.
+TEST_F(BackendTransportTest, NothingIsWrittenWithoutPermission)
+{
+    std::atomic<int> requests = 0;
+    TestBackend backend([&](const std::string&) {
+        ++requests;
+        return TestBackend::answer("x");
+    });
+    BackendRequest request = makeRequest(backend.address());
+    request.mayWrite = [] { return false; };
+    EXPECT_EQ(exchange(std::move(request)).progress, BackendProgress::NotSent);
+    EXPECT_EQ(exchange(makeRequest(backend.address())).progress, BackendProgress::Answered);
+    EXPECT_EQ(requests, 1);
+}
+
+// Guards against a caller that waits beyond its deadline, and against a late answer reaching the next request.
+TEST_F(BackendTransportTest, DeadlineEndsTheRequestAndItsConnection)
+{
+    std::atomic<int> requests = 0;
+    TestBackend backend([&](const std::string&) {
+        if (requests++ == 0) {
+            std::this_thread::sleep_for(Milliseconds(150));
+            return TestBackend::answer("late");
+        }
+        return TestBackend::answer("own");
+    });
+    BackendRequest request = makeRequest(backend.address());
+    request.deadline = monotonicNow() + Milliseconds(50);
+    const BackendResult late = exchange(std::move(request));
+    EXPECT_EQ(late.progress, BackendProgress::Broken);
+    EXPECT_TRUE(late.timedOut);
+    EXPECT_EQ(exchange(makeRequest(backend.address())).body, "own");
+}
+
+// Guards against exceeding the connection budget, and against requests that never get a connection.
+TEST_F(BackendTransportTest, ConnectionLimitQueuesRequests)
+{
+    TestBackend backend([](const std::string&) {
+        std::this_thread::sleep_for(Milliseconds(10));
+        return TestBackend::answer("x");
+    });
+    transport.setConnectionLimit(backend.address(), 2);
+    int answered = 0;
+    for (int i = 0; i < 10; ++i) {
+        transport.send(makeRequest(backend.address()),
+            [&](BackendResult result) { answered += result.progress == BackendProgress::Answered ? 1 : 0; });
+    }
+    EXPECT_TRUE(runUntil([&] { return answered == 10; }));
+    EXPECT_EQ(backend.connections(), 2);
+}
+
+// Guards against callbacks of cancelled requests and against answers on their connections reaching others.
+TEST_F(BackendTransportTest, CancelledRequestHasNoCallback)
+{
+    std::atomic<int> requests = 0;
+    TestBackend backend([&](const std::string&) {
+        std::this_thread::sleep_for(Milliseconds(requests++ == 0 ? 50 : 0));
+        return TestBackend::answer("x");
+    });
+    bool called = false;
+    const BackendTransport::Handle handle
+        = transport.send(makeRequest(backend.address()), [&](BackendResult) { called = true; });
+    runUntil([&] { return requests > 0; });
+    transport.cancel(handle);
+    EXPECT_EQ(exchange(makeRequest(backend.address())).progress, BackendProgress::Answered);
+    runUntil([] { return false; }, Milliseconds(100));
+    EXPECT_FALSE(called);
+}
+
+// Guards against losing a refusal that a server sends before it has read the whole request.
+TEST_F(BackendTransportTest, EarlyAnswerIsRead)
+{
+    const int listener = test::bindLoopback(0);
+    listen(listener, 1);
+    std::thread server([listener] {
+        const int fd = accept(listener, nullptr, nullptr);
+        const std::string answer = "HTTP/1.1 503 X\r\nContent-Length: 0\r\nJasminespread-Outcome: not-run\r\n\r\n";
+        ::send(fd, answer.data(), answer.size(), MSG_NOSIGNAL);
+        std::this_thread::sleep_for(Milliseconds(100));
+        close(fd);
+    });
+    BackendRequest request = makeRequest("127.0.0.1:" + std::to_string(test::portOf(listener)), "POST");
+    request.body = std::string(20'000'000, 'a');
+    const BackendResult result = exchange(std::move(request));
+    EXPECT_EQ(result.progress, BackendProgress::Answered);
+    EXPECT_EQ(result.status, 503U);
+    server.join();
+    close(listener);
+}
+
+} // namespace
+} // namespace jasminespread
--- a/tests/worker_pool_test.cpp
+++ b/tests/worker_pool_test.cpp
@@ -32,7 +32,7 @@
         settings.workers = 2;
         settings.maxBodyBytes = 100'000;
         publish();
-        pool = std::make_unique<WorkerPool>(settings, incarnation, table, metrics, WorkerPool::Hooks {});
+        pool = std::make_unique<WorkerPool>(settings, incarnation, table, metrics, WorkerPool::Hooks {{}, {}});
     }
 
     void publish()
