--- a/src/daemon/worker.cpp
+++ b/src/daemon/worker.cpp
@@ -2,6 +2,8 @@
 
 #include <jasminespread/backend_transports.h>
 
+#include <pthread.h>
+
 #include <future>
 #include <optional>
 
@@ -56,6 +58,7 @@
     std::promise<std::optional<Error>> opened;
     std::future<std::optional<Error>> openResult = opened.get_future();
     m_thread = std::thread([this, &opened] {
+        pthread_setname_np(pthread_self(), ("worker-" + std::to_string(m_index)).c_str());
         g_main_context_push_thread_default(m_context.get());
         const std::optional<Error> error = handleError(
             [this]() -> Result<std::optional<Error>> {
--- a/tests/backend_transport_test.cpp
+++ b/tests/backend_transport_test.cpp
@@ -197,7 +197,7 @@
     });
     bool called = false;
     const BackendTransport::Handle handle
-        = transport.send(makeRequest(backend.address()), [&](BackendResult) { called = true; });
+        = transport.send(makeRequest(backend.address()), [&](const BackendResult&) { called = true; });
     runUntil([&] { return requests > 0; });
     transport.cancel(handle);
     EXPECT_EQ(exchange(makeRequest(backend.address())).progress, BackendProgress::Answered);
@@ -218,7 +218,7 @@
         close(fd);
     });
     BackendRequest request = makeRequest("127.0.0.1:" + std::to_string(test::portOf(listener)), "POST");
-    request.body = std::string(20'000'000, 'a');
+    request.body.resize(20'000'000, 'a');
     const BackendResult result = exchange(std::move(request));
     EXPECT_EQ(result.progress, BackendProgress::Answered);
     EXPECT_EQ(result.status, 503U);
