--- a/src/control/authority_clock.cpp
+++ b/src/control/authority_clock.cpp
@@ -59,7 +59,10 @@
     return evidence + m_lease;
 }
 
-bool AuthorityClock::backed(MonotonicTime now) const { return m_backing && now - *m_backing < m_lease / 2; }
+bool AuthorityClock::steady(MonotonicTime now) const
+{
+    return !m_lapsed && m_backing && now - *m_backing < m_lease / 2 && now - *m_store < m_extensionLimit / 4;
+}
 
 bool AuthorityClock::confirmedByStore(MonotonicTime now) const { return m_store && now - *m_store < m_lease / 2; }
 
--- a/src/control/authority_clock.h
+++ b/src/control/authority_clock.h
@@ -24,8 +24,8 @@
 
     /// The deadline A; the epoch of the clock when there is no authority.
     [[nodiscard]] MonotonicTime deadline() const;
-    /// True when the newest backing reply is younger than half a lease.
-    [[nodiscard]] bool backed(MonotonicTime now) const;
+    /// True when backing extends the authority and the extension limit is far.
+    [[nodiscard]] bool steady(MonotonicTime now) const;
     /// True when the newest store evidence is younger than half a lease.
     [[nodiscard]] bool confirmedByStore(MonotonicTime now) const;
 
--- a/src/control/group_authority.cpp
+++ b/src/control/group_authority.cpp
@@ -456,7 +456,7 @@
         return true;
     }
     if (m_primary) {
-        return !m_fromStore || !m_clock.backed(context.now) || standbyMustChange(context);
+        return !m_fromStore || !m_clock.steady(context.now) || standbyMustChange(context);
     }
     return takeoverPossible(context);
 }
--- a/src/control/group_ownership.cpp
+++ b/src/control/group_ownership.cpp
@@ -130,11 +130,12 @@
 void GroupOwnership::plan(
     const ReduceContext& context, const Service& service, const OwnershipInput& input, GroupRecord& proposed)
 {
-    Planning planning {context, service, input, proposed, findCandidates(context, service, input), {}, {}, {}};
+    Planning planning {context, service, input, proposed, findCandidates(context, service, input), {}, {}, {}, {}};
     forgetFinishedReleases(proposed);
     if (service.grantCheck == GrantCheck::Checked) {
         mergeKeys(planning);
         splitKeys(planning);
+        forgetUnwantedRekeying(planning);
         releaseFromLeavingServers(planning);
     }
     collectOwnerless(planning);
@@ -150,9 +151,19 @@
     });
 }
 
-void GroupOwnership::release(const PartitionAssignment& assignment, ReleasePurpose purpose)
+void GroupOwnership::releaseToRekey(Planning& planning, const PartitionAssignment& assignment)
 {
-    m_releases.insert_or_assign(assignment.partition, Release {purpose, assignment});
+    m_releases.insert_or_assign(assignment.partition, Release {ReleasePurpose::ChangeKeys, assignment});
+    planning.toRekey.insert(assignment.partition);
+}
+
+// A hot key can be withdrawn while its partition is being released; the owner then gets the partition back.
+void GroupOwnership::forgetUnwantedRekeying(const Planning& planning)
+{
+    std::erase_if(m_releases, [&](const auto& entry) {
+        return entry.second.purpose == ReleasePurpose::ChangeKeys && !planning.toRekey.contains(entry.first)
+            && !planning.rekeyed.contains(entry.first);
+    });
 }
 
 // One write adds the override, raises the token of the hash partition and assigns the key's own partition, so that a
@@ -166,7 +177,7 @@
             continue;
         }
         if (!freed(planning, *source)) {
-            release(*source, ReleasePurpose::ChangeKeys);
+            releaseToRekey(planning, *source);
             continue;
         }
         source->token = record.nextToken++;
@@ -191,8 +202,8 @@
         const bool targetFreed = freed(planning, *target);
         const bool sourceFreed = freed(planning, *source);
         if (!targetFreed || !sourceFreed) {
-            release(*target, ReleasePurpose::ChangeKeys);
-            release(*source, ReleasePurpose::ChangeKeys);
+            releaseToRekey(planning, *target);
+            releaseToRekey(planning, *source);
             continue;
         }
         target->token = record.nextToken++;
@@ -213,7 +224,7 @@
         const bool move = !assignment.owner.empty() && !releasing(assignment.partition)
             && mustLeave(planning.context, planning.input.leases, assignment.owner);
         if (move && moves < maxConcurrentMoves) {
-            release(assignment, ReleasePurpose::Move);
+            m_releases.insert_or_assign(assignment.partition, Release {ReleasePurpose::Move, assignment});
             ++moves;
         }
     }
--- a/src/control/group_ownership.h
+++ b/src/control/group_ownership.h
@@ -62,6 +62,7 @@
         std::vector<PlacementServer> candidates;
         std::vector<std::uint32_t> ownerless;
         std::set<std::uint32_t> rekeyed; ///< Partitions whose set of keys this plan changes; their owner stays.
+        std::set<std::uint32_t> toRekey; ///< Partitions that must be released before their set of keys changes.
         std::map<std::uint32_t, std::string> preferred;
     };
 
@@ -76,7 +77,8 @@
         const GroupRecord& record, const Declarations& declarations, const std::string& server) const;
     [[nodiscard]] bool freed(const Planning& planning, const PartitionAssignment& assignment) const;
     void forgetFinishedReleases(const GroupRecord& record);
-    void release(const PartitionAssignment& assignment, ReleasePurpose purpose);
+    void releaseToRekey(Planning& planning, const PartitionAssignment& assignment);
+    void forgetUnwantedRekeying(const Planning& planning);
     void splitKeys(Planning& planning);
     void mergeKeys(Planning& planning);
     void collectOwnerless(Planning& planning);
