--- a/src/burn/burn_arithmetic.cpp
+++ b/src/burn/burn_arithmetic.cpp
@@ -46,7 +46,8 @@
 void sortCauses(std::vector<BurnCause>& causes)
 {
     std::sort(causes.begin(), causes.end(), [](const BurnCause& a, const BurnCause& b) {
-        return std::tie(b.requests, a.outcome, a.reason, a.server) < std::tie(a.requests, b.outcome, b.reason, b.server);
+        return std::tie(b.requests, a.outcome, a.reason, a.server)
+            < std::tie(a.requests, b.outcome, b.reason, b.server);
     });
 }
 
@@ -89,7 +90,8 @@
 {
     mergeObjectives(into.objectives, from.objectives);
     std::map<std::tuple<std::string, std::string, std::string>, std::uint64_t> causes;
-    for (const std::vector<BurnCause>* list : {&into.causes, &from.causes}) {
+    for (const std::vector<BurnCause>* list :
+        std::initializer_list<const std::vector<BurnCause>*> {&into.causes, &from.causes}) {
         for (const BurnCause& cause : *list) {
             causes[{cause.outcome, cause.reason, cause.server}] += cause.requests;
         }
@@ -100,7 +102,8 @@
     }
     sortCauses(into.causes);
     std::map<std::string, std::uint64_t> loads;
-    for (const std::vector<ServerLoad>* list : {&into.loads, &from.loads}) {
+    for (const std::vector<ServerLoad>* list :
+        std::initializer_list<const std::vector<ServerLoad>*> {&into.loads, &from.loads}) {
         for (const ServerLoad& load : *list) {
             loads[load.server] += load.requests;
         }
--- a/src/burn/burn_history.cpp
+++ b/src/burn/burn_history.cpp
@@ -220,8 +220,7 @@
 
 BurnHistory::~BurnHistory() = default;
 
-void BurnHistory::add(
-    MonotonicTime now, const std::vector<MetricFamily>& metrics, const RoutingSnapshot& snapshot)
+void BurnHistory::add(MonotonicTime now, const std::vector<MetricFamily>& metrics, const RoutingSnapshot& snapshot)
 {
     State& state = *m_state;
     Sample sample;
@@ -283,15 +282,15 @@
         const ServiceRoute& route = snapshot.services.at(name);
         ServiceBurn burn;
         burn.service = name;
-        burn.objectives = {
-            state.objective(route, ObjectiveKind::Availability), state.objective(route, ObjectiveKind::Latency)};
+        burn.objectives
+            = {state.objective(route, ObjectiveKind::Availability), state.objective(route, ObjectiveKind::Latency)};
         burn.points.resize(burnPointCount);
         if (!state.samples.empty()) {
             state.addLastHour(burn, route, snapshot);
             for (std::size_t i = 0; i < burnPointCount; ++i) {
                 const auto age = static_cast<Milliseconds::rep>(burnPointCount - i);
-                burn.points[i] = state.growth(state.sampleBefore(burnPointLength * age),
-                    state.sampleBefore(burnPointLength * (age - 1)), name);
+                burn.points[i] = state.growth(
+                    state.sampleBefore(burnPointLength * age), state.sampleBefore(burnPointLength * (age - 1)), name);
             }
         }
         result.services.push_back(std::move(burn));
--- a/src/burn/metric_labels.h
+++ b/src/burn/metric_labels.h
@@ -6,8 +6,8 @@
 
 namespace jasminespread {
 
-/// Parses labels in exposition form, for example `service="ledger",outcome="done"`. Parts that do not have this form are
-/// left out. Thread-safe.
+/// Parses labels in exposition form, for example `service="ledger",outcome="done"`. Parts that do not have this form
+/// are left out. Thread-safe.
 [[nodiscard]] std::map<std::string, std::string> parseMetricLabels(std::string_view labels);
 
 } // namespace jasminespread
