--- a/include/jasminespread/burn_report.h
+++ b/include/jasminespread/burn_report.h
@@ -63,7 +63,7 @@
     ObjectiveKind kind = ObjectiveKind::Availability;
     double target = 0; ///< Share of requests that must meet the objective.
     Milliseconds threshold {0}; ///< Latency objectives only.
-    std::array<BurnWindow, burnWindowLengths.size()> windows;
+    std::vector<BurnWindow> windows {burnWindowLengths.size()}; ///< One for each of burnWindowLengths.
     /// Share of the longest window's budget that is left; negative when overspent, absent without requests.
     std::optional<double> budgetLeft;
     BurnState state = BurnState::NoData;
--- a/src/burn/burn_arithmetic.cpp
+++ b/src/burn/burn_arithmetic.cpp
@@ -26,7 +26,7 @@
             window.burnRate = std::numeric_limits<double>::max();
         }
     }
-    const std::array<BurnWindow, burnWindowLengths.size()>& windows = objective.windows;
+    const std::vector<BurnWindow>& windows = objective.windows;
     const auto exceeds = [&](std::size_t window, double rate) { return windows[window].burnRate.value_or(0) > rate; };
     objective.budgetLeft.reset();
     if (windows[3].burnRate) {
--- a/src/burn/burn_history.cpp
+++ b/src/burn/burn_history.cpp
@@ -3,8 +3,10 @@
 
 #include "burn/burn_arithmetic.h"
 #include "burn/metric_labels.h"
+#include "entry/caller_request.h"
 
 #include <algorithm>
+#include <array>
 #include <cmath>
 #include <deque>
 #include <map>
@@ -20,8 +22,12 @@
 constexpr const char* movesMetric = "jasminespread_partition_moves_total";
 constexpr const char* unavailableMetric = "jasminespread_partition_unavailable_milliseconds_total";
 
-/// Reason of requests that an operators' rule refused. These meet the availability objective.
-constexpr const char* ruleReason = "refusal-rule";
+/// Reasons of requests that the caller gave up or that no server could execute. They do not count for the availability
+/// objective.
+constexpr std::array<std::string_view, 14> callerReasons {reason::badPath, reason::missingKey, reason::badKey,
+    reason::badRequestId, reason::badDeadline, reason::badRepeatable, reason::badClass, reason::badMethod,
+    reason::bodyTooLarge, reason::headersTooLarge, reason::unknownService, reason::futureId, reason::idReused,
+    reason::cancelled};
 
 enum class SeriesKind : std::uint8_t { Requests, Measured, Slow, Moves, UnavailableMs };
 
@@ -42,9 +48,15 @@
     std::map<std::string, Values> services; ///< Values by index of the service's series.
 };
 
+bool countsForAvailability(const Series& series)
+{
+    return std::find(callerReasons.begin(), callerReasons.end(), series.reason) == callerReasons.end();
+}
+
 bool missesAvailability(const Series& series)
 {
-    return series.outcome != enumName(outcomeNames, Outcome::Done) && series.reason != ruleReason;
+    return countsForAvailability(series) && series.outcome != enumName(outcomeNames, Outcome::Done)
+        && series.reason != reason::refusedByRule;
 }
 
 std::string labelOf(const std::map<std::string, std::string>& labels, const char* name)
@@ -136,7 +148,7 @@
         visitGrowth(first, last, service, [&](const Series& series, std::uint64_t count) {
             switch (series.kind) {
             case SeriesKind::Requests:
-                point.requests += count;
+                point.requests += countsForAvailability(series) ? count : 0;
                 point.unavailable += missesAvailability(series) ? count : 0;
                 break;
             case SeriesKind::Measured:
