Give each load of the control simulation its own change id and base

Cause: a second load reused the change id of the first and was answered as its repeat, so planned stops and hot keys never came into force in two tests. Change: the simulation counts loads.

--- a/tests/control_simulation.cpp
+++ b/tests/control_simulation.cpp
@@ -93,11 +93,13 @@
 
 void ControlSimulation::load()
 {
+    ++m_loads;
     for (const auto& [id, instance] : instances) {
         OperatorRequested event;
         event.action = OperatorAction::Load;
         event.configuration = configuration;
-        event.changeId = "load-" + id;
+        event.baseRevision = m_loads - 1;
+        event.changeId = "load-" + std::to_string(m_loads) + "-" + id;
         send(id, event);
     }
 }
--- a/tests/control_simulation.h
+++ b/tests/control_simulation.h
@@ -129,6 +129,7 @@
     std::uint64_t m_order = 0;
     std::uint64_t m_version = 0;
     std::uint64_t m_nonces = 0;
+    std::uint64_t m_loads = 0; ///< Accepted configurations; the base of the next one.
     std::uint64_t m_incarnations = 0;
     std::map<std::pair<std::string, std::string>, StoredObject> m_objects;
     /// Overrides in force when a token first appeared: the keys that the token covers.
