Decide groups at ticks and changes, not at each heartbeat

Cause: every heartbeat and reply ran the decisions of all groups; with 1,200 peers the control core took 86% of a core. Change: heartbeats and replies update evidence and liveness; the next tick (at most 50 ms later) decides. Ruled out: a longer tick, which would delay takeovers.

--- a/src/control/control_reducer.cpp
+++ b/src/control/control_reducer.cpp
@@ -17,6 +17,13 @@
 constexpr Milliseconds viewRequestInterval {50};
 constexpr Milliseconds declarationHolds {10'000}; // A server that answers later than this has returned.
 
+/// Heartbeats and their replies are the most frequent events; what they change is decided at the next tick.
+bool isHeartbeat(const Event& event)
+{
+    const PeerMessageReceived* message = std::get_if<PeerMessageReceived>(&event);
+    return message != nullptr && (message->envelope.has_heartbeat() || message->envelope.has_heartbeat_reply());
+}
+
 } // namespace
 
 struct ControlReducer::State {
@@ -103,7 +110,9 @@
     const ReduceContext context {event.now, event.wall, m_settings, m_self, m_membership, m_configuration.inForce(),
         m_stoppingSince.has_value(), effects};
     std::visit([&](const auto& concrete) { handle(context, concrete); }, event.event);
-    decide(context);
+    if (!isHeartbeat(event.event)) {
+        decide(context);
+    }
     return effects;
 }
 
