--- /dev/null
+++ b/tests/integration/cluster.cpp
@@ -0,0 +1,339 @@
+#include "cluster.h"
+
+#include <jasminespread/routing_snapshot.h>
+
+#include <arpa/inet.h>
+#include <filesystem>
+#include <fstream>
+#include <stdexcept>
+#include <thread>
+#include <unistd.h>
+
+namespace jasminespread::test {
+
+namespace json = boost::json;
+
+namespace {
+
+constexpr unsigned platformHost = 1;
+constexpr unsigned firstEntryHost = 11;
+constexpr unsigned firstServerHost = 101;
+constexpr unsigned firstProxyHost = 201;
+
+// Below the range from which the kernel takes ports of outgoing connections.
+constexpr unsigned platformPort = 21'000;
+constexpr unsigned serverPort = 21'001;
+constexpr unsigned callerPort = 21'010;
+constexpr unsigned operatorPort = 21'011;
+constexpr unsigned controlPort = 21'012;
+constexpr unsigned forwardPort = 21'020;
+constexpr unsigned proxyAdminPort = 21'040;
+
+constexpr Milliseconds startLimit {10'000};
+
+std::string networkIp(unsigned network, unsigned host)
+{
+    return "127.0." + std::to_string(network) + "." + std::to_string(host);
+}
+
+bool isFree(const std::string& ip, unsigned port)
+{
+    const int fd = ::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+    const int one = 1;
+    ::setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    sockaddr_in address {};
+    address.sin_family = AF_INET;
+    address.sin_port = htons(static_cast<std::uint16_t>(port));
+    ::inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+    const bool free = ::bind(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    ::close(fd);
+    return free;
+}
+
+/// Chooses a range 127.0.<n>.0/24 that no other test run uses.
+unsigned chooseNetwork()
+{
+    for (unsigned i = 0; i < 200; ++i) {
+        const unsigned network = 20 + (static_cast<unsigned>(::getpid()) + i) % 200;
+        if (isFree(networkIp(network, platformHost), platformPort)
+            && isFree(networkIp(network, firstEntryHost), callerPort)) {
+            return network;
+        }
+    }
+    throw std::runtime_error("no free loopback network");
+}
+
+std::string program(const std::string& name) { return std::string(BINARY_DIR) + "/" + name; }
+
+std::string withPort(const std::string& ip, unsigned port) { return ip + ":" + std::to_string(port); }
+
+} // namespace
+
+bool eventually(Milliseconds limit, const std::function<bool()>& condition)
+{
+    const MonotonicTime end = monotonicNow() + limit;
+    while (!condition()) {
+        if (monotonicNow() >= end) {
+            return false;
+        }
+        std::this_thread::sleep_for(Milliseconds(20));
+    }
+    return true;
+}
+
+Cluster::Cluster(ClusterOptions options)
+    : m_options(options)
+    , m_network(chooseNetwork())
+    , m_folder(std::string(BINARY_DIR) + "/integration/" + std::to_string(::getpid()) + "-" + std::to_string(m_network))
+{
+    std::filesystem::remove_all(m_folder);
+    std::filesystem::create_directories(m_folder);
+    for (unsigned i = 0; i < m_options.entries; ++i) {
+        m_hosts[entryName(i)] = firstEntryHost + i;
+    }
+    for (unsigned i = 0; i < m_options.servers; ++i) {
+        m_hosts["server-" + std::to_string(i + 1)] = firstServerHost + i;
+    }
+    startPlatform();
+    for (unsigned i = 0; i < m_options.servers; ++i) {
+        startServer(i);
+    }
+    for (unsigned i = 0; i < m_options.entries; ++i) {
+        startEntry(i);
+    }
+    for (const auto& [name, process] : m_entries) {
+        const std::string url = "http://" + withPort(ip(m_hosts.at(name)), operatorPort) + "/healthz";
+        if (!eventually(startLimit, [&] { return m_http.call("GET", url).status == 200; })) {
+            throw std::runtime_error(name + " did not start; see " + log(name));
+        }
+    }
+    waitUntilServing();
+}
+
+std::string Cluster::ip(unsigned host) const { return networkIp(m_network, host); }
+
+json::object Cluster::row(const std::string& id, const std::string& role, const std::string& state) const
+{
+    json::object result {{"id", id}, {"role", role}, {"state", state}, {"region", "seq"}};
+    if (role == "entry") {
+        const unsigned host = m_hosts.at(id);
+        result["failureDomain"] = host % 2 == 0 ? "seq-b" : "seq-a";
+        result["controlAddress"] = withPort(ip(host), controlPort);
+        result["operatorAddress"] = withPort(ip(host), operatorPort);
+        result["forwardAddress"] = withPort(ip(host), forwardPort);
+    }
+    return result;
+}
+
+void Cluster::startPlatform()
+{
+    json::array rows;
+    for (const auto& [id, host] : m_hosts) {
+        rows.push_back(row(id, host < firstServerHost ? "entry" : "backend", "live"));
+    }
+    const std::string list = m_folder + "/instances.json";
+    std::ofstream(list) << json::serialize(rows);
+    m_platform = std::make_unique<Process>(
+        std::vector<std::string> {program("platform-standin"), "--listen", withPort(ip(platformHost), platformPort),
+            "--instances", list, "--list-lag-ms", "500"},
+        log("platform"));
+}
+
+void Cluster::startServer(unsigned index)
+{
+    const std::string name = "server-" + std::to_string(index + 1);
+    m_servers[name] = std::make_unique<Process>(
+        std::vector<std::string> {program("backend-standin"), "--listen", withPort(ip(m_hosts.at(name)), serverPort),
+            "--id", name, "--slots", "16", "--service-time-ms", "3", "--record", record(name)},
+        log(name));
+}
+
+void Cluster::startProxy(
+    const std::string& listenIp, unsigned port, const std::string& target, const std::string& source)
+{
+    const std::string admin = withPort(listenIp, proxyAdminPort + static_cast<unsigned>(m_proxies.size()));
+    m_proxyAdmins.push_back(admin);
+    m_proxies.push_back(std::make_unique<Process>(
+        std::vector<std::string> {program("fault-proxy"), "--listen", withPort(listenIp, port), "--target",
+            withPort(target, port), "--source", source, "--admin", admin},
+        log("proxy-" + std::to_string(m_proxies.size()))));
+}
+
+void Cluster::startEntry(unsigned index)
+{
+    const std::string name = entryName(index);
+    const std::string own = ip(m_hosts.at(name));
+    const std::string file = m_folder + "/" + name + ".yaml";
+    std::ofstream settings(file);
+    settings << "instance: " << name
+             << "\nregion: seq\nfailureDomain: " << (m_hosts.at(name) % 2 == 0 ? "seq-b" : "seq-a")
+             << "\ncallerAddress: " << withPort(own, callerPort) << "\noperatorAddress: " << withPort(own, operatorPort)
+             << "\ncontrolAddress: " << withPort(own, controlPort) << "\nforwardAddress: " << withPort(own, forwardPort)
+             << "\nplatformUrl: http://" << withPort(ip(platformHost), platformPort) << "\nworkers: 1\n";
+    if (m_options.proxiesBetweenFirstTwo && index < 2) {
+        const std::string peer = entryName(1 - index);
+        const std::string proxy = ip(firstProxyHost + index);
+        startProxy(proxy, controlPort, ip(m_hosts.at(peer)), own);
+        startProxy(proxy, forwardPort, ip(m_hosts.at(peer)), own);
+        settings << "addressOverrides:\n  " << peer << ":\n    control: " << withPort(proxy, controlPort)
+                 << "\n    forward: " << withPort(proxy, forwardPort) << "\n";
+    }
+    settings.close();
+    m_entries[name] = std::make_unique<Process>(
+        std::vector<std::string> {program("jasminespread-entry"), "--settings", file}, log(name));
+}
+
+Configuration Cluster::configuration() const
+{
+    Configuration configuration;
+    configuration.deployment = "integration";
+    configuration.author = "harness";
+    configuration.regions = {{"seq", {"seq-a", "seq-b"}}};
+    Service readings;
+    readings.name = service;
+    readings.grantCheck = GrantCheck::Checked;
+    readings.partitions = 24;
+    readings.groups = 3;
+    readings.slotsPerServer = 16;
+    readings.connectionsPerServer = 64;
+    readings.lease = m_options.lease;
+    readings.classes = {{"default", 1}};
+    configuration.services = {readings};
+    for (unsigned i = 0; i < m_options.servers; ++i) {
+        const std::string name = "server-" + std::to_string(i + 1);
+        configuration.servers.push_back(
+            {name, service, "seq", i % 2 == 0 ? "seq-a" : "seq-b", withPort(ip(m_hosts.at(name)), serverPort)});
+    }
+    return configuration;
+}
+
+HttpResponse Cluster::load(HttpCaller& http, const std::string& entry, const Configuration& configuration,
+    std::uint64_t base, const std::string& changeId) const
+{
+    return http.call("PUT",
+        "http://" + withPort(ip(m_hosts.at(entry)), operatorPort) + "/v1/configuration?base=" + std::to_string(base)
+            + "&change=" + changeId,
+        {}, encodeConfiguration(configuration));
+}
+
+void Cluster::waitUntilServing()
+{
+    HttpResponse response;
+    const bool loaded = eventually(startLimit, [&] {
+        response = load(m_http, entryName(0), configuration(), 0, "first-load");
+        return response.status == 200 || response.status == 202 || response.status == 409;
+    });
+    if (!loaded) {
+        throw std::runtime_error(
+            "the configuration was not accepted: " + std::to_string(response.status) + " " + response.body);
+    }
+    for (const auto& [name, process] : m_entries) {
+        for (unsigned i = 0; i < Callers::keyCount; ++i) {
+            for (const bool repeatable : {true, false}) {
+                CallerRecord call;
+                const bool served = eventually(startLimit, [&] {
+                    call = callOnce(m_http, callerEntry(name), service, Callers::key(i), repeatable, Callers::deadline);
+                    return call.outcome == Outcome::Done;
+                });
+                if (!served) {
+                    throw std::runtime_error(name + " does not serve key " + call.key + ": status "
+                        + std::to_string(call.status) + ", reason " + call.reason + "; see " + log(name));
+                }
+            }
+        }
+    }
+}
+
+Callers::Entry Cluster::callerEntry(const std::string& name) const
+{
+    return {name, "http://" + withPort(ip(m_hosts.at(name)), callerPort)};
+}
+
+std::vector<Callers::Entry> Cluster::callerEntries() const
+{
+    std::vector<Callers::Entry> result;
+    for (const auto& [name, process] : m_entries) {
+        result.push_back(callerEntry(name));
+    }
+    return result;
+}
+
+std::uint64_t Cluster::revisionAt(const std::string& entry)
+{
+    const HttpResponse response
+        = m_http.call("GET", "http://" + withPort(ip(m_hosts.at(entry)), operatorPort) + "/v1/status");
+    return response.status == 200 ? json::parse(response.body).at("revision").to_number<std::uint64_t>() : 0;
+}
+
+json::object Cluster::groupOf(const std::string& entry, const std::string& key)
+{
+    const Service settings = configuration().services[0];
+    const GroupName group {service, partitionOf(key, settings.partitions) % settings.groups};
+    const HttpResponse response
+        = m_http.call("GET", "http://" + withPort(ip(m_hosts.at(entry)), operatorPort) + "/v1/status");
+    const json::value status = json::parse(response.body);
+    for (const json::value& candidate : status.at("groups").as_array()) {
+        if (candidate.at("group").as_string() == toText(group)) {
+            return candidate.as_object();
+        }
+    }
+    throw std::runtime_error("no group " + toText(group) + " in the status of " + entry);
+}
+
+std::string Cluster::ownerOf(const std::string& entry, const std::string& key)
+{
+    const std::uint32_t partition = partitionOf(key, configuration().services[0].partitions);
+    const json::object group = groupOf(entry, key);
+    for (const json::value& owner : group.at("owners").as_array()) {
+        if (owner.at("id").to_number<std::uint32_t>() == partition) {
+            return std::string(owner.at("owner").as_string());
+        }
+    }
+    throw std::runtime_error("no owner of key " + key + " in the status of " + entry);
+}
+
+void Cluster::put(const std::string& url, const std::string& body)
+{
+    const HttpResponse response = m_http.call("PUT", url, {}, body);
+    if (response.status != 200) {
+        throw std::runtime_error(url + " answered " + std::to_string(response.status) + " " + response.body);
+    }
+}
+
+void Cluster::setPlatformFaults(const std::string& body)
+{
+    put("http://" + withPort(ip(platformHost), platformPort) + "/admin/faults", body);
+}
+
+void Cluster::setListed(const std::string& instance, const std::string& role, const std::string& state)
+{
+    put("http://" + withPort(ip(platformHost), platformPort) + "/admin/instances/" + instance,
+        json::serialize(row(instance, role, state)));
+}
+
+void Cluster::setServerState(const std::string& server, const std::string& body)
+{
+    put("http://" + withPort(ip(m_hosts.at(server)), serverPort) + "/admin/state", body);
+}
+
+void Cluster::setProxies(const std::string& body)
+{
+    for (const std::string& admin : m_proxyAdmins) {
+        put("http://" + admin + "/admin/behaviour", body);
+    }
+}
+
+std::vector<standins::ExecutionRecord> Cluster::executions() const
+{
+    std::vector<standins::ExecutionRecord> records;
+    for (const auto& [name, process] : m_servers) {
+        std::ifstream file(record(name));
+        for (std::string line; std::getline(file, line);) {
+            records.push_back(handleError([&] { return standins::decodeExecutionRecord(line); },
+                [](const Error& error) -> standins::ExecutionRecord { throw std::runtime_error(describe(error)); }));
+        }
+    }
+    return records;
+}
+
+} // namespace jasminespread::test
--- /dev/null
+++ b/tests/integration/cluster.h
@@ -0,0 +1,90 @@
+#pragma once
+
+#include "callers.h"
+#include "checker.h"
+#include "http_call.h"
+#include "process.h"
+
+#include <jasminespread/configuration.h>
+
+#include <boost/json.hpp>
+
+#include <functional>
+#include <map>
+#include <memory>
+#include <string>
+#include <vector>
+
+namespace jasminespread::test {
+
+struct ClusterOptions {
+    unsigned entries = 3;
+    unsigned servers = 3;
+    Milliseconds lease {2000};
+    /// Places fault proxies on all traffic between the first two entry instances.
+    bool proxiesBetweenFirstTwo = false;
+};
+
+/// A platform, entry daemons and backend servers as processes, each with a loopback address of its own.
+/// Fails by exception when the cluster cannot start.
+class Cluster {
+public:
+    static constexpr const char* service = "readings";
+
+    explicit Cluster(ClusterOptions options);
+
+    [[nodiscard]] std::string entryName(unsigned index) const { return "entry-" + std::to_string(index + 1); }
+    [[nodiscard]] Process& entry(const std::string& name) { return *m_entries.at(name); }
+    [[nodiscard]] Process& server(const std::string& name) { return *m_servers.at(name); }
+    [[nodiscard]] Callers::Entry callerEntry(const std::string& name) const;
+    [[nodiscard]] std::vector<Callers::Entry> callerEntries() const;
+
+    [[nodiscard]] Configuration configuration() const;
+    /// Sends a configuration to the operator API of @p entry.
+    [[nodiscard]] HttpResponse load(HttpCaller& http, const std::string& entry, const Configuration& configuration,
+        std::uint64_t base, const std::string& changeId) const;
+    /// Revision in force at @p entry; 0 when it does not answer.
+    [[nodiscard]] std::uint64_t revisionAt(const std::string& entry);
+    /// Row of the group of @p key in the status of @p entry; throws when there is none.
+    [[nodiscard]] boost::json::object groupOf(const std::string& entry, const std::string& key);
+    [[nodiscard]] std::string ownerOf(const std::string& entry, const std::string& key);
+
+    /// Replaces the platform's faults by @p body (JSON).
+    void setPlatformFaults(const std::string& body);
+    void setListed(const std::string& instance, const std::string& role, const std::string& state);
+    void setServerState(const std::string& server, const std::string& body);
+    /// Replaces the behaviour of all proxies between the first two entry instances.
+    void setProxies(const std::string& body);
+
+    /// Execution records of all servers.
+    [[nodiscard]] std::vector<standins::ExecutionRecord> executions() const;
+
+private:
+    [[nodiscard]] std::string ip(unsigned host) const;
+    [[nodiscard]] std::string log(const std::string& name) const { return m_folder + "/" + name + ".log"; }
+    [[nodiscard]] std::string record(const std::string& server) const { return m_folder + "/" + server + ".jsonl"; }
+    [[nodiscard]] boost::json::object row(
+        const std::string& id, const std::string& role, const std::string& state) const;
+    void startPlatform();
+    void startServer(unsigned index);
+    void startEntry(unsigned index);
+    void startProxy(const std::string& listenIp, unsigned port, const std::string& target, const std::string& source);
+    void waitUntilServing();
+    void put(const std::string& url, const std::string& body);
+
+    ClusterOptions m_options;
+    unsigned m_network;
+    std::string m_folder;
+    HttpCaller m_http;
+    std::unique_ptr<Process> m_platform;
+    std::vector<std::unique_ptr<Process>> m_proxies;
+    std::vector<std::string> m_proxyAdmins;
+    std::map<std::string, std::unique_ptr<Process>> m_servers;
+    std::map<std::string, std::unique_ptr<Process>> m_entries;
+    std::map<std::string, unsigned> m_hosts; ///< Last part of the IP number by process name.
+};
+
+/// Waits until @p condition holds; false after @p limit.
+[[nodiscard]] bool eventually(Milliseconds limit, const std::function<bool()>& condition);
+
+} // namespace jasminespread::test
--- /dev/null
+++ b/tests/integration/failure_test.cpp
@@ -0,0 +1,317 @@
+#include "cluster.h"
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <csignal>
+#include <future>
+#include <iostream>
+#include <set>
+#include <thread>
+
+namespace jasminespread::test {
+
+namespace {
+
+constexpr Milliseconds singleLossTarget {4000};
+constexpr Milliseconds settleTime {1000};
+// Time for the balancer and the platform's list to notice a lost instance.
+constexpr Milliseconds detectionTime {1000};
+
+void sleepFor(Milliseconds time) { std::this_thread::sleep_for(time); }
+
+/// A cluster with callers; checks the whole history at the end.
+class Scenario {
+public:
+    explicit Scenario(ClusterOptions options = {})
+        : m_cluster(options)
+        , m_callers(m_cluster.callerEntries(), Cluster::service)
+    {
+        m_callers.start();
+        sleepFor(settleTime);
+    }
+
+    Cluster& cluster() { return m_cluster; }
+    Callers& callers() { return m_callers; }
+
+    void killEntry(const std::string& name)
+    {
+        m_disturbed.insert(name);
+        m_callers.setAvailable(name, false);
+        m_cluster.entry(name).kill();
+    }
+
+    void freezeEntry(const std::string& name)
+    {
+        m_disturbed.insert(name);
+        m_callers.setAvailable(name, false);
+        m_cluster.entry(name).signal(SIGSTOP);
+    }
+
+    void resumeEntry(const std::string& name)
+    {
+        m_cluster.entry(name).signal(SIGCONT);
+        m_callers.setAvailable(name, true);
+    }
+
+    /// Name of an entry instance that is not in @p others.
+    std::string entryOtherThan(const std::set<std::string>& others)
+    {
+        for (const Callers::Entry& entry : m_cluster.callerEntries()) {
+            if (!others.contains(entry.id)) {
+                return entry.id;
+            }
+        }
+        throw std::runtime_error("no other entry instance");
+    }
+
+    /// Expects that every key was served again within @p limit of @p since, and prints the times.
+    void expectServedAgain(const std::string& what, MonotonicTime since, Milliseconds limit)
+    {
+        const std::vector<CallerRecord> calls = m_callers.records();
+        for (const bool repeatable : {true, false}) {
+            const std::optional<Milliseconds> time = servedAgainAfter(calls, since, repeatable);
+            std::cout << "served again after " << what << ", " << (repeatable ? "repeatable: " : "non-repeatable: ")
+                      << (time ? std::to_string(time->count()) + " ms" : "never") << "\n";
+            EXPECT_TRUE(time && *time <= limit) << "limit " << limit.count() << " ms";
+        }
+    }
+
+    /// Stops the callers and expects no violation.
+    void finish()
+    {
+        m_callers.stop();
+        const History history {m_cluster.executions(), m_callers.records(), m_disturbed};
+        std::map<std::string, std::size_t> counts;
+        for (const CallerRecord& call : history.calls) {
+            ++counts[call.outcome ? std::string(enumName(outcomeNames, *call.outcome)) + " " + call.reason
+                                  : "no answer"];
+        }
+        std::cout << history.calls.size() << " calls, " << history.executions.size() << " executions\n";
+        for (const auto& [name, count] : counts) {
+            std::cout << "  " << name << ": " << count << "\n";
+        }
+        const std::vector<Violation> violations = findViolations(history);
+        for (std::size_t i = 0; i < std::min<std::size_t>(violations.size(), 10); ++i) {
+            std::cout << enumName(violationKindNames, violations[i].kind) << ": " << violations[i].text << "\n";
+        }
+        EXPECT_EQ(violations.size(), 0U);
+        EXPECT_FALSE(history.executions.empty());
+    }
+
+private:
+    Cluster m_cluster;
+    Callers m_callers;
+    std::set<std::string> m_disturbed;
+};
+
+std::string textOf(const boost::json::object& object, std::string_view name)
+{
+    const boost::json::value& value = object.at(name);
+    return value.is_string() ? std::string(value.get_string()) : std::string();
+}
+
+} // namespace
+
+// Guards against refusals, double executions and wrong answers without any fault.
+TEST(FailureTest, SteadyRun)
+{
+    Scenario scenario;
+    sleepFor(Milliseconds(4000));
+    scenario.callers().stop();
+    const std::vector<CallerRecord> calls = scenario.callers().records();
+    const std::ptrdiff_t done = std::count_if(
+        calls.begin(), calls.end(), [](const CallerRecord& call) { return call.outcome == Outcome::Done; });
+    EXPECT_GE(static_cast<double>(done), 0.99 * static_cast<double>(calls.size()));
+    scenario.finish();
+}
+
+// Guards against keys that stay without an owner after their backend server died.
+TEST(FailureTest, OwnerKilled)
+{
+    Scenario scenario;
+    const std::string owner = scenario.cluster().ownerOf("entry-1", Callers::key(0));
+    scenario.cluster().server(owner).kill();
+    const MonotonicTime lost = monotonicNow();
+    sleepFor(singleLossTarget + settleTime);
+    scenario.expectServedAgain("loss of the owner", lost, singleLossTarget);
+    scenario.finish();
+}
+
+// Guards against a group that nobody grants for after its primary died.
+TEST(FailureTest, PrimaryKilled)
+{
+    Scenario scenario;
+    const std::string primary = textOf(scenario.cluster().groupOf("entry-1", Callers::key(0)), "primary");
+    scenario.killEntry(primary);
+    const MonotonicTime lost = monotonicNow();
+    sleepFor(detectionTime);
+    scenario.cluster().setListed(primary, "entry", "gone");
+    sleepFor(singleLossTarget);
+    scenario.expectServedAgain("loss of the primary", lost, singleLossTarget);
+    scenario.finish();
+}
+
+// Guards against a primary that goes on granting and dispatching after a pause in which the standby took over.
+TEST(FailureTest, PrimaryPausedBeyondItsLease)
+{
+    Scenario scenario;
+    const std::string primary = textOf(scenario.cluster().groupOf("entry-1", Callers::key(0)), "primary");
+    scenario.freezeEntry(primary);
+    const MonotonicTime lost = monotonicNow();
+    sleepFor(singleLossTarget + settleTime);
+    scenario.expectServedAgain("pause of the primary", lost, singleLossTarget);
+    scenario.resumeEntry(primary);
+    const MonotonicTime resumed = monotonicNow();
+    sleepFor(singleLossTarget);
+    scenario.expectServedAgain("return of the primary", resumed, singleLossTarget);
+    scenario.finish();
+}
+
+// Guards against a backend server that executes after a pause although its keys have another owner.
+TEST(FailureTest, ServerFrozenAndReturns)
+{
+    Scenario scenario;
+    const std::string owner = scenario.cluster().ownerOf("entry-1", Callers::key(0));
+    scenario.cluster().server(owner).signal(SIGSTOP);
+    const MonotonicTime lost = monotonicNow();
+    sleepFor(singleLossTarget + settleTime);
+    scenario.expectServedAgain("freeze of the owner", lost, singleLossTarget);
+    scenario.cluster().server(owner).signal(SIGCONT);
+    const MonotonicTime resumed = monotonicNow();
+    sleepFor(singleLossTarget);
+    scenario.expectServedAgain("return of the owner", resumed, singleLossTarget);
+    scenario.finish();
+}
+
+// Guards against owners that lose their leases, or get unsafe replacements, while the store is down for long.
+TEST(FailureTest, StoreDownWhileServerIsLost)
+{
+    constexpr Milliseconds lease {1000};
+    constexpr Milliseconds outage = 20 * lease;
+    ClusterOptions options;
+    options.lease = lease;
+    Scenario scenario(options);
+    const std::string owner = scenario.cluster().ownerOf("entry-1", Callers::key(0));
+    std::set<std::string> keptKeys;
+    for (unsigned i = 0; i < Callers::keyCount; ++i) {
+        if (scenario.cluster().ownerOf("entry-1", Callers::key(i)) != owner) {
+            keptKeys.insert(Callers::key(i));
+        }
+    }
+    ASSERT_FALSE(keptKeys.empty());
+    scenario.cluster().setPlatformFaults(R"({"outage":"refuse"})");
+    sleepFor(outage / 4);
+    scenario.cluster().server(owner).kill();
+    sleepFor(outage * 3 / 4);
+    const std::int64_t lastSecond = (monotonicNow() - Milliseconds(1000)).time_since_epoch().count();
+    for (const CallerRecord& call : scenario.callers().records()) {
+        if (call.start >= lastSecond && call.outcome == Outcome::Done) {
+            keptKeys.erase(call.key);
+        }
+    }
+    EXPECT_TRUE(keptKeys.empty()) << "not served at the end of the outage: " << *keptKeys.begin();
+    scenario.cluster().setPlatformFaults("{}");
+    const MonotonicTime back = monotonicNow();
+    sleepFor(singleLossTarget);
+    scenario.expectServedAgain("return of the store", back, singleLossTarget);
+    scenario.finish();
+}
+
+// Guards against a write that took effect but counts as failed, or is repeated, because its answer was lost.
+TEST(FailureTest, StoreAnswerLostAfterWrite)
+{
+    Scenario scenario;
+    const std::string owner = scenario.cluster().ownerOf("entry-1", Callers::key(0));
+    scenario.cluster().setPlatformFaults(R"({"loseWriteAnswers":3})");
+    scenario.cluster().server(owner).kill();
+    const MonotonicTime lost = monotonicNow();
+    sleepFor(singleLossTarget + 2 * settleTime);
+    scenario.expectServedAgain("loss of the owner and of store answers", lost, singleLossTarget);
+    scenario.finish();
+}
+
+// Guards against two operators who are both told that their change is in force, and against a revision that reverts.
+TEST(FailureTest, TwoOperatorsRace)
+{
+    Scenario scenario;
+    const std::uint64_t base = scenario.cluster().revisionAt("entry-1");
+    const std::function<HttpResponse(const std::string&, double)> change
+        = [&](const std::string& entry, double weight) {
+              HttpCaller http;
+              Configuration configuration = scenario.cluster().configuration();
+              configuration.author = "operator at " + entry;
+              configuration.weights.churn = weight;
+              return scenario.cluster().load(http, entry, configuration, base, "race-" + entry);
+          };
+    std::future<HttpResponse> first = std::async(std::launch::async, change, "entry-1", 2.0);
+    std::future<HttpResponse> second = std::async(std::launch::async, change, "entry-2", 3.0);
+    const HttpResponse answers[] = {first.get(), second.get()};
+    const std::multiset<unsigned> statuses {answers[0].status, answers[1].status};
+    EXPECT_EQ(statuses, (std::multiset<unsigned> {200, 409})) << answers[0].body << "\n" << answers[1].body;
+    for (unsigned i = 0; i < 3; ++i) {
+        const std::string entry = scenario.cluster().entryName(i);
+        EXPECT_TRUE(eventually(Milliseconds(3000), [&] { return scenario.cluster().revisionAt(entry) == base + 1; }))
+            << entry << " has revision " << scenario.cluster().revisionAt(entry);
+    }
+    sleepFor(settleTime);
+    for (unsigned i = 0; i < 3; ++i) {
+        EXPECT_EQ(scenario.cluster().revisionAt(scenario.cluster().entryName(i)), base + 1);
+    }
+    scenario.finish();
+}
+
+// Guards against wrong outcomes and double executions when two entry instances cannot reach each other.
+TEST(FailureTest, EntryCutFromEntry)
+{
+    ClusterOptions options;
+    options.proxiesBetweenFirstTwo = true;
+    Scenario scenario(options);
+    scenario.cluster().setProxies(R"({"mode":"cut"})");
+    sleepFor(Milliseconds(4000));
+    scenario.cluster().setProxies("{}");
+    const MonotonicTime healed = monotonicNow();
+    sleepFor(singleLossTarget);
+    scenario.expectServedAgain("end of the cut", healed, singleLossTarget);
+    scenario.finish();
+}
+
+// Guards against a group that stays without a primary after the loss of primary and standby at the same time.
+TEST(FailureTest, PrimaryAndStandbyKilled)
+{
+    constexpr Milliseconds doubleLossLimit {8000};
+    ClusterOptions options;
+    options.entries = 4;
+    Scenario scenario(options);
+    const boost::json::object group = scenario.cluster().groupOf("entry-1", Callers::key(0));
+    const std::string primary = textOf(group, "primary");
+    const std::string standby = textOf(group, "standby");
+    ASSERT_FALSE(standby.empty());
+    scenario.killEntry(primary);
+    scenario.killEntry(standby);
+    const MonotonicTime lost = monotonicNow();
+    sleepFor(detectionTime);
+    scenario.cluster().setListed(primary, "entry", "gone");
+    scenario.cluster().setListed(standby, "entry", "gone");
+    sleepFor(doubleLossLimit);
+    scenario.expectServedAgain("loss of primary and standby", lost, doubleLossLimit);
+    scenario.finish();
+}
+
+// Guards against a grant that reaches its server after the end of the lease and makes a second owner.
+TEST(FailureTest, GrantDelayedBeyondItsLength)
+{
+    Scenario scenario;
+    const std::string owner = scenario.cluster().ownerOf("entry-1", Callers::key(0));
+    scenario.cluster().setServerState(owner, R"({"grantDelayMs":3000})");
+    const MonotonicTime delayed = monotonicNow();
+    sleepFor(singleLossTarget + 2 * settleTime);
+    scenario.expectServedAgain("delay of grants", delayed, singleLossTarget);
+    scenario.cluster().setServerState(owner, "{}");
+    const MonotonicTime ended = monotonicNow();
+    sleepFor(singleLossTarget);
+    scenario.expectServedAgain("end of the delay", ended, singleLossTarget);
+    scenario.finish();
+}
+
+} // namespace jasminespread::test
