--- a/src/daemon/worker.cpp
+++ b/src/daemon/worker.cpp
@@ -1,5 +1,9 @@
 #include "daemon/worker.h"
 
+#include <jasminespread/backend_transports.h>
+
+#include <pthread.h>
+
 #include <future>
 #include <optional>
 
@@ -54,6 +58,7 @@
     std::promise<std::optional<Error>> opened;
     std::future<std::optional<Error>> openResult = opened.get_future();
     m_thread = std::thread([this, &opened] {
+        pthread_setname_np(pthread_self(), ("worker-" + std::to_string(m_index)).c_str());
         g_main_context_push_thread_default(m_context.get());
         const std::optional<Error> error = handleError(
             [this]() -> Result<std::optional<Error>> {
@@ -101,7 +106,8 @@
 
 Result<void> Worker::open()
 {
-    m_transport = std::make_unique<BackendTransport>(makeDefaultBackendTransport());
+    m_transport = std::make_unique<BackendTransport>(
+        m_hooks.makeTransport ? m_hooks.makeTransport() : makeBeastBackendTransport(m_settings.maxBodyBytes));
     m_sockets = std::make_unique<ForwardSockets>(m_zmqContext, m_settings.maxBodyBytes,
         ForwardSockets::Hooks {
             [this](wire::Envelope&& envelope, const std::string& ip) { onEnvelope(std::move(envelope), ip); },
@@ -227,8 +233,9 @@
     for (const auto& [instance, address] : m_settings.addressOverrides) {
         m_peerIps.insert(hostOf(address.forward));
     }
+    const std::uint32_t sharers = std::max(1U, m_snapshot->liveInstances) * m_settings.workers;
     for (const ServerRoute& server : m_snapshot->servers) {
-        m_transport->setConnectionLimit(server.address, server.connections);
+        m_transport->setConnectionLimit(server.address, std::max(1U, server.connections / sharers));
     }
     apply(RoutesChanged {m_snapshot});
 }
