Limit concurrency, queue by class, and bound retries

A server must not get more than its slots, and retries must not multiply an overload. Per worker and server: a limit with additive increase, multiplicative decrease and slow start, starting at slots / (live instances x workers); a bounded queue served by weighted round robin over classes; operators' refusal rules; retries within a budget of fresh requests with full jitter. Refusals because of the route (409, draining) do not use the budget: they wait for another route and try the old one again after 25 to 200 ms.

A request to an unreachable server whose budget is used up still waits for another owner until its deadline, because waiting puts no load on the server.

--- /dev/null
+++ b/src/entry/refusal_rules.h
@@ -0,0 +1,22 @@
+#pragma once
+
+#include <jasminespread/configuration.h>
+
+#include <string_view>
+#include <vector>
+
+namespace jasminespread {
+
+/// Whether an operators' rule refuses work of a class at a load (share of the queue in use). A rule without a class
+/// applies to every class. Thread-safe.
+[[nodiscard]] inline bool isRefused(const std::vector<RefusalRule>& rules, std::string_view workClass, double load)
+{
+    for (const RefusalRule& rule : rules) {
+        if ((rule.workClass.empty() || rule.workClass == workClass) && load >= rule.refuseAboveLoad) {
+            return true;
+        }
+    }
+    return false;
+}
+
+} // namespace jasminespread
--- a/src/entry/request_reducer.cpp
+++ b/src/entry/request_reducer.cpp
@@ -1,5 +1,7 @@
 #include "entry/request_reducer.h"
 
+#include "entry/refusal_rules.h"
+
 #include <algorithm>
 
 namespace jasminespread {
@@ -7,9 +9,13 @@
 
 using namespace std::chrono_literals;
 
-/// Shortest time after which a refused route is tried again although the snapshot shows no other one: a server may
-/// receive its grant after the routes were published.
+/// Time after which a refused route is tried again although the snapshot shows no other one: a server may receive its
+/// grant after the routes were published. Doubles with each refusal up to the highest value.
 constexpr Milliseconds refusedRouteRetry = 25ms;
+constexpr Milliseconds highestRefusedRouteRetry = 200ms;
+constexpr Milliseconds firstBackOff = 5ms;
+constexpr Milliseconds highestBackOff = 500ms;
+constexpr unsigned highestBackOffShift = 10;
 /// Interval of route polling and of retries of forward messages that could not be sent.
 constexpr Milliseconds shortRetry = 5ms;
 constexpr Milliseconds refusalReportInterval = 50ms;
@@ -44,6 +50,9 @@
     : m_worker(worker)
     , m_maxRequests(settings.maxConcurrentRequests)
     , m_windowLimits {settings.windowEntries, settings.windowBytes, settings.clockSkewMargin}
+    , m_workers(std::max(1U, settings.workers))
+    , m_queueLimit(std::max(1U, settings.queueLimit))
+    , m_retryShare(settings.retryBudget)
     , m_random(seed)
     , m_snapshot(std::make_shared<const RoutingSnapshot>())
 {
@@ -54,6 +63,7 @@
     m_now = event.now;
     m_wallNow = event.wallNow;
     std::visit([this](auto& alternative) { handle(std::move(alternative)); }, event.event);
+    serveQueues();
     return std::exchange(m_effects, {});
 }
 
@@ -74,6 +84,13 @@
     if (service == m_snapshot->services.end() || service->second.groups.empty()) {
         return refuse(reason::unknownService, "the configuration has no service of this name");
     }
+    const std::vector<WorkClass>& classes = service->second.settings.classes;
+    const bool classKnown = event.request.workClass.empty() || classes.empty()
+        || std::any_of(classes.begin(), classes.end(),
+            [&](const WorkClass& workClass) { return workClass.name == event.request.workClass; });
+    if (!classKnown) {
+        return refuse(reason::badClass, "the service has no class of work of this name");
+    }
     if (m_jobs.size() >= m_maxRequests) {
         return refuse(reason::tooManyRequests, "this worker is at its limit of concurrent requests");
     }
@@ -124,8 +141,8 @@
     job.origin = ForwardOrigin {std::move(event.sender), message.reply_address(), message.correlation()};
     job.throughPrimary = true;
     m_origins.emplace(originKey, job.number);
-    if (message.remaining_ms() == 0) {
-        return expire(job);
+    if (m_jobs.size() > m_maxRequests) {
+        return finish(job, makeAnswer(Outcome::NotRun, reason::tooManyRequests, "the primary is at its limit"));
     }
     advance(job);
 }
@@ -188,42 +205,23 @@
         emit(CountEvent {WorkerCounter::LateAnswers});
         return;
     }
-    endExchange(*job);
     BackendResult& result = event.result;
-    if (result.progress == BackendProgress::Answered && !isRefusal(result)) {
-        RequestAnswer answer;
-        answer.outcome = Outcome::Done;
-        answer.status = result.status;
-        answer.headers = std::move(result.headers);
-        removePrivateHeaders(answer.headers);
-        answer.body = std::move(result.body);
-        answer.server = job->route.server;
-        return finish(*job, std::move(answer));
-    }
-    if (result.progress == BackendProgress::Answered) {
-        const std::string why(findHeader(result.headers, "Jasminespread-Reason").value_or("refused"));
-        if (result.status == 409) {
-            job->routeRefused = true;
-            emit(CountEvent {WorkerCounter::RouteRefusals});
-            const ServiceRoute& service = m_snapshot->services.at(job->request.service);
-            return waitForRoute(*job, routeKey(service, job->request.key).group->group, why);
-        }
-        job->lastReason = why;
-        return retryLater(*job);
+    if (result.progress != BackendProgress::Answered) {
+        return handleFailure(*job, result);
     }
-    emit(WriteWorkerLog {LogEvent::BackendFailed,
-        job->route.server + ": " + std::string(enumName(backendProgressNames, result.progress)) + ": "
-            + result.failure});
-    if (result.progress == BackendProgress::Broken) {
-        if (!job->request.repeatable) {
-            return finish(*job,
-                makeAnswer(Outcome::Unknown, result.timedOut ? reason::deadline : reason::connectionBroken,
-                    "the backend server did not answer; the request may have run"));
-        }
-        job->mayHaveRun = true;
+    if (isRefusal(result)) {
+        const std::string why(findHeader(result.headers, "Jasminespread-Reason").value_or("refused"));
+        return handleRefusal(*job, result.status, why);
     }
-    job->lastReason = reason::connectionBroken;
-    retryLater(*job);
+    releaseSlot(*job, SlotResult::Success);
+    RequestAnswer answer;
+    answer.outcome = Outcome::Done;
+    answer.status = result.status;
+    answer.headers = std::move(result.headers);
+    removePrivateHeaders(answer.headers);
+    answer.body = std::move(result.body);
+    answer.server = job->route.server;
+    finish(*job, std::move(answer));
 }
 
 void RequestReducer::handle(RoutesChanged&& event)
@@ -238,9 +236,11 @@
         const GroupRoute& group = service->second.groups[entry.first.second];
         return !isLocalPrimary(group) && group.term > entry.second.term && entry.second.requests.running() == 0;
     });
+    configureServers();
     std::vector<std::uint64_t> waiting;
     for (const auto& [number, job] : m_jobs) {
-        if (job->phase == Phase::Waiting || (job->phase == Phase::Forwarded && job->request.repeatable)) {
+        if (job->phase == Phase::Waiting || job->phase == Phase::Queued
+            || (job->phase == Phase::Forwarded && job->request.repeatable)) {
             waiting.push_back(number);
         }
     }
@@ -250,12 +250,20 @@
             continue;
         }
         Job& job = *it->second;
+        if (job.phase == Phase::Dispatched || job.phase == Phase::Joined) {
+            continue;
+        }
         const auto service = m_snapshot->services.find(job.request.service);
         if (service == m_snapshot->services.end() || service->second.groups.empty()) {
-            finish(job, makeAnswer(Outcome::NotRun, reason::unknownService, "the service was removed"));
+            if (job.phase != Phase::Forwarded) {
+                unqueue(job);
+                advance(job);
+            }
         } else if (job.phase == Phase::Forwarded) {
             forwardAgain(job, *routeKey(service->second, job.request.key).group);
         } else if (versionOf(routeKey(service->second, job.request.key)) != job.route) {
+            job.attempts = 0;
+            unqueue(job);
             advance(job);
         }
     }
@@ -277,6 +285,60 @@
 
 /// @}
 
+/// The server refused before execution: the request did not run.
+void RequestReducer::handleRefusal(Job& job, unsigned status, const std::string& why)
+{
+    ++job.attempts;
+    job.lastReason = why;
+    const bool isRouteRefusal = status == 409 || why == "draining";
+    if (isRouteRefusal) {
+        releaseSlot(job, SlotResult::Neutral);
+        job.routeRefused = true;
+        emit(CountEvent {WorkerCounter::RouteRefusals});
+        return waitForRoute(job, {job.request.service, job.group}, why);
+    }
+    releaseSlot(job, why == "cold" ? SlotResult::Unavailable : SlotResult::Overloaded);
+    if (!budgetOf(job.request.service).take()) {
+        if (job.mayHaveRun) {
+            return finish(job, makeAnswer(Outcome::Unknown, reason::retryBudget, "an earlier attempt may have run"));
+        }
+        return finish(job, makeAnswer(Outcome::NotRun, why, "the backend server refused the request: " + why));
+    }
+    retryLater(job);
+}
+
+/// No whole answer came.
+void RequestReducer::handleFailure(Job& job, const BackendResult& result)
+{
+    ++job.attempts;
+    emit(WriteWorkerLog {LogEvent::BackendFailed,
+        job.route.server + ": " + std::string(enumName(backendProgressNames, result.progress)) + ": "
+            + result.failure});
+    if (result.progress == BackendProgress::NotSent) {
+        releaseSlot(job, result.timedOut ? SlotResult::Neutral : SlotResult::Unavailable);
+        job.lastReason = "server-unreachable";
+        if (budgetOf(job.request.service).take()) {
+            return retryLater(job);
+        }
+        // Without budget it still waits for another owner: waiting puts no load on the server.
+        return setWake(job, m_now + highestBackOff);
+    }
+    releaseSlot(job, SlotResult::Failed);
+    if (!job.request.repeatable) {
+        return finish(job,
+            makeAnswer(Outcome::Unknown, result.timedOut ? reason::deadline : reason::connectionBroken,
+                "the backend server did not answer; the request may have run"));
+    }
+    job.mayHaveRun = true;
+    job.lastReason = reason::connectionBroken;
+    if (!budgetOf(job.request.service).take()) {
+        return finish(job,
+            makeAnswer(Outcome::Unknown, reason::connectionBroken,
+                "the backend server did not answer, and the budget for retries is used up"));
+    }
+    retryLater(job);
+}
+
 /// Sends a repeatable job to the new primary when the old one can no longer answer.
 void RequestReducer::forwardAgain(Job& job, const GroupRoute& group)
 {
@@ -332,6 +394,9 @@
     if (job.phase != Phase::Waiting) {
         return;
     }
+    if (job.deadline <= m_now) {
+        return expire(job);
+    }
     const auto it = m_snapshot->services.find(job.request.service);
     if (it == m_snapshot->services.end() || it->second.groups.empty()) {
         if (job.throughPrimary) {
@@ -349,12 +414,12 @@
         if (!route.owner.server) {
             return waitForRoute(job, route.group->group, reason::noRoute);
         }
-        return dispatch(job, route, false);
+        return takeSlot(job, service, route, false);
     }
     if (isLocalPrimary(*route.group)) {
         const InstanceRoute& self = m_snapshot->instances[*route.group->primary];
         if (route.group->group.index % std::max(1U, self.workers) == m_worker) {
-            return advanceAtPrimary(job, route);
+            return advanceAtPrimary(job, service, route);
         }
     }
     forgetInWindow(job);
@@ -370,7 +435,7 @@
     forward(job, route, m_snapshot->instances[*route.group->primary]);
 }
 
-void RequestReducer::advanceAtPrimary(Job& job, const KeyRoute& route)
+void RequestReducer::advanceAtPrimary(Job& job, const ServiceRoute& service, const KeyRoute& route)
 {
     const GroupRoute& group = *route.group;
     const bool hasAuthority = group.authorityUntil
@@ -392,7 +457,7 @@
     if (!route.owner.server) {
         return waitForRoute(job, group.group, reason::noRoute);
     }
-    dispatch(job, route, true);
+    takeSlot(job, service, route, true);
 }
 
 /// Asks the window of the group. False: the job was answered or joined a running one.
@@ -460,13 +525,51 @@
     return m_windows.try_emplace({service, group}, GroupWindow {RequestWindow(m_windowLimits), 0}).first->second;
 }
 
+/// Dispatches a job when the server has a free slot, and queues it otherwise.
+void RequestReducer::takeSlot(Job& job, const ServiceRoute& service, const KeyRoute& route, bool asPrimary)
+{
+    const std::string& id = m_snapshot->servers[*route.owner.server].id;
+    Server& server = m_servers[id];
+    if (server.limiter.hasSlot() && (server.queue.size() == 0 || m_served == job.number)) {
+        server.limiter.acquire();
+        return dispatch(job, route, asPrimary);
+    }
+    const std::vector<WorkClass>& classes = service.settings.classes;
+    auto workClass = std::find_if(classes.begin(), classes.end(),
+        [&](const WorkClass& candidate) { return candidate.name == job.request.workClass; });
+    if (workClass == classes.end()) {
+        workClass = classes.begin();
+    }
+    const std::string name = workClass == classes.end() ? std::string() : workClass->name;
+    if (!job.dispatchedBefore) {
+        const double load = static_cast<double>(server.queue.size()) / m_queueLimit;
+        if (isRefused(service.refusalRules, name, load)) {
+            return finish(job, makeAnswer(Outcome::NotRun, reason::refusedByRule, "refused by an operators' rule"));
+        }
+        if (server.queue.size() >= m_queueLimit) {
+            return finish(job, makeAnswer(Outcome::NotRun, reason::queueFull, "the backend server's queue is full"));
+        }
+    }
+    job.phase = Phase::Queued;
+    job.route = versionOf(route);
+    job.queuedClass = name;
+    job.lastReason = "no-slot";
+    setWake(job, job.deadline);
+    server.queue.push(name, workClass == classes.end() ? 1 : workClass->weight, job.number);
+}
+
 void RequestReducer::dispatch(Job& job, const KeyRoute& route, bool asPrimary)
 {
     const ServerRoute& server = m_snapshot->servers[*route.owner.server];
     job.phase = Phase::Dispatched;
     job.exchange = m_nextNumber++;
     job.route = versionOf(route);
+    setWake(job, job.deadline);
     m_exchanges.emplace(job.exchange, job.number);
+    if (!job.dispatchedBefore) {
+        job.dispatchedBefore = true;
+        budgetOf(job.request.service).addFresh();
+    }
 
     SendToBackend send;
     send.dispatch = job.exchange;
@@ -493,6 +596,69 @@
     emit(std::move(send));
 }
 
+/// Ends the current dispatch of a job.
+void RequestReducer::releaseSlot(Job& job, SlotResult result)
+{
+    endExchange(job);
+    const auto it = m_servers.find(job.route.server);
+    if (it != m_servers.end()) {
+        it->second.limiter.release(result, m_now);
+        if (it->second.queue.size() > 0) {
+            m_serversToServe.insert(it->first);
+        }
+    }
+}
+
+/// Gives free slots to waiting jobs.
+void RequestReducer::serveQueues()
+{
+    while (!m_serversToServe.empty()) {
+        const std::string id = *m_serversToServe.begin();
+        m_serversToServe.erase(m_serversToServe.begin());
+        Server& server = m_servers.at(id);
+        while (server.limiter.hasSlot()) {
+            const std::optional<std::uint64_t> number = server.queue.pop();
+            if (!number) {
+                break;
+            }
+            Job& job = *m_jobs.at(*number);
+            job.phase = Phase::Waiting;
+            m_served = *number;
+            advance(job);
+            m_served = 0;
+        }
+    }
+}
+
+/// Takes a job that waits for a slot out of its queue.
+void RequestReducer::unqueue(Job& job)
+{
+    if (job.phase == Phase::Queued) {
+        m_servers.at(job.route.server).queue.remove(job.queuedClass, job.number);
+        job.phase = Phase::Waiting;
+    }
+}
+
+/// Adjusts limits to the servers' slots and forgets servers that are gone.
+void RequestReducer::configureServers()
+{
+    std::set<std::string> known;
+    const double sharers = static_cast<double>(std::max(1U, m_snapshot->liveInstances)) * m_workers;
+    for (const ServerRoute& route : m_snapshot->servers) {
+        known.insert(route.id);
+        Server& server = m_servers[route.id];
+        const double connections = std::max(1.0, route.connections / sharers);
+        server.limiter.configure(
+            std::min(route.slots / sharers, connections), std::min<double>(route.slots, connections));
+        if (server.queue.size() > 0) {
+            m_serversToServe.insert(route.id);
+        }
+    }
+    std::erase_if(m_servers, [&](const auto& entry) {
+        return !known.contains(entry.first) && entry.second.limiter.inUse() == 0 && entry.second.queue.size() == 0;
+    });
+}
+
 void RequestReducer::forward(Job& job, const KeyRoute& route, const InstanceRoute& primary)
 {
     job.phase = Phase::Forwarded;
@@ -502,6 +668,7 @@
     const std::uint32_t worker = route.group->group.index % std::max(1U, primary.workers);
     job.forwardAddress = forwardAddressOf(primary, worker);
     job.forwardedTo = {primary.id, primary.incarnation};
+    setWake(job, job.deadline);
 
     SendForward send;
     send.address = job.forwardAddress;
@@ -527,7 +694,7 @@
     emit(std::move(send));
 }
 
-/// Lets a job wait for another route; a refused one is tried again after a short time.
+/// Lets a job wait for another route; a refused one is tried again after a while.
 void RequestReducer::waitForRoute(Job& job, const GroupName& group, std::string_view why)
 {
     job.lastReason = why;
@@ -536,21 +703,48 @@
         reportedAt = m_now;
         emit(ReportRefusedRoute {group});
     }
-    setWake(job, m_now + refusedRouteRetry);
+    const unsigned shift = std::min(job.attempts, highestBackOffShift);
+    setWake(job, m_now + std::min(refusedRouteRetry * (1 << shift), highestRefusedRouteRetry));
 }
 
+/// Schedules another attempt, which the caller took from the budget.
 void RequestReducer::retryLater(Job& job)
 {
     emit(CountRetry {job.request.service});
-    setWake(job, m_now + shortRetry);
+    setWake(job, m_now + backOff(job.attempts));
+}
+
+/// Back-off with full jitter.
+Milliseconds RequestReducer::backOff(unsigned attempts)
+{
+    const Milliseconds highest
+        = std::min(firstBackOff * (1 << std::min(attempts, highestBackOffShift)), highestBackOff);
+    return Milliseconds(std::uniform_int_distribution<std::int64_t>(1, highest.count())(m_random));
+}
+
+RetryBudget& RequestReducer::budgetOf(const std::string& service)
+{
+    return m_budgets.try_emplace(service, m_retryShare).first->second;
+}
+
+std::vector<RequestReducer::ServerLoad> RequestReducer::serverLoads() const
+{
+    std::vector<ServerLoad> loads;
+    loads.reserve(m_servers.size());
+    for (const auto& [id, server] : m_servers) {
+        loads.push_back({id, server.limiter.inUse(), server.limiter.limit(), server.queue.size()});
+    }
+    return loads;
 }
 
 void RequestReducer::expire(Job& job)
 {
     emit(CountEvent {WorkerCounter::Expired});
+    unqueue(job);
     const bool mayHaveRun = job.phase != Phase::Waiting || job.mayHaveRun;
     if (job.phase == Phase::Dispatched) {
         emit(CancelBackend {job.exchange});
+        releaseSlot(job, SlotResult::Failed);
     } else if (job.phase == Phase::Forwarded) {
         emit(SendForwardCancel {job.forwardAddress, job.exchange});
     }
@@ -579,8 +773,11 @@
     if (!job.joiners.empty()) {
         return;
     }
-    if (job.phase == Phase::Dispatched) {
+    unqueue(job);
+    const bool wasDispatched = job.phase == Phase::Dispatched;
+    if (wasDispatched) {
         emit(CancelBackend {job.exchange});
+        releaseSlot(job, SlotResult::Neutral);
     } else if (job.phase == Phase::Forwarded) {
         emit(SendForwardCancel {job.forwardAddress, job.exchange});
     } else if (job.phase == Phase::Joined) {
@@ -594,7 +791,7 @@
         return;
     }
     if (job.inWindow) {
-        const Outcome outcome = job.phase == Phase::Dispatched ? Outcome::Unknown : Outcome::NotRun;
+        const Outcome outcome = wasDispatched ? Outcome::Unknown : Outcome::NotRun;
         leaveWindow(job, makeAnswer(outcome, reason::cancelled, "the caller left"));
     }
     removeJob(job);
--- a/src/entry/request_reducer.h
+++ b/src/entry/request_reducer.h
@@ -1,6 +1,9 @@
 #pragma once
 
+#include "entry/class_queue.h"
+#include "entry/concurrency_limiter.h"
 #include "entry/request_window.h"
+#include "entry/retry_budget.h"
 #include "entry/worker_effect.h"
 #include "entry/worker_event.h"
 
@@ -29,11 +32,20 @@
     /// Precondition: event times never go backwards.
     [[nodiscard]] WorkerEffects reduce(TimedWorkerEvent event);
 
+    struct ServerLoad {
+        std::string server;
+        std::uint32_t slotsInUse = 0;
+        double limit = 0;
+        std::size_t queued = 0;
+    };
+
+    /// Load of every backend server as this worker sees it.
+    [[nodiscard]] std::vector<ServerLoad> serverLoads() const;
     /// Number of requests that are not answered yet.
     [[nodiscard]] std::size_t requestsInFlight() const noexcept { return m_jobs.size(); }
 
 private:
-    enum class Phase : std::uint8_t { Waiting, Dispatched, Forwarded, Joined };
+    enum class Phase : std::uint8_t { Waiting, Queued, Dispatched, Forwarded, Joined };
 
     /// Instance id, incarnation and correlation of a forwarded request.
     using OriginKey = std::tuple<std::string, std::uint64_t, std::uint64_t>;
@@ -54,6 +66,11 @@
         bool operator==(const RouteVersion&) const = default;
     };
 
+    struct Server {
+        ConcurrencyLimiter limiter;
+        ClassQueue queue;
+    };
+
     struct GroupWindow {
         RequestWindow requests;
         std::uint64_t term = 0; ///< Newest term in which this instance admitted requests of the group.
@@ -76,6 +93,9 @@
         std::uint32_t group = 0;
         RouteVersion route; ///< Of the current or last dispatch.
         bool routeRefused = false; ///< `route` was refused; wait for another one or for wakeAt.
+        unsigned attempts = 0; ///< Dispatches that did not end in an answer.
+        bool dispatchedBefore = false;
+        std::string queuedClass; ///< Class under which it waits for a slot.
         bool mayHaveRun = false; ///< An earlier attempt of this repeatable request broke after a byte was written.
         std::string lastReason; ///< Why the last attempt did not run.
         bool inWindow = false; ///< The window of its group holds it as running.
@@ -99,16 +119,25 @@
     void setWake(Job& job, MonotonicTime at);
 
     void advance(Job& job);
-    void advanceAtPrimary(Job& job, const KeyRoute& route);
+    void advanceAtPrimary(Job& job, const ServiceRoute& service, const KeyRoute& route);
+    void takeSlot(Job& job, const ServiceRoute& service, const KeyRoute& route, bool asPrimary);
     void dispatch(Job& job, const KeyRoute& route, bool asPrimary);
+    void releaseSlot(Job& job, SlotResult result);
+    void serveQueues();
+    void unqueue(Job& job);
     void forward(Job& job, const KeyRoute& route, const InstanceRoute& primary);
     [[nodiscard]] bool admit(Job& job, const GroupRoute& group);
     void leaveWindow(Job& job, const RequestAnswer& answer);
     void forgetInWindow(Job& job);
     [[nodiscard]] GroupWindow& windowOf(const std::string& service, std::uint32_t group);
+    void handleRefusal(Job& job, unsigned status, const std::string& why);
+    void handleFailure(Job& job, const BackendResult& result);
     void forwardAgain(Job& job, const GroupRoute& group);
     void waitForRoute(Job& job, const GroupName& group, std::string_view why);
     void retryLater(Job& job);
+    void configureServers();
+    [[nodiscard]] Milliseconds backOff(unsigned attempts);
+    [[nodiscard]] RetryBudget& budgetOf(const std::string& service);
     void expire(Job& job);
     void cancel(Job& job);
     void finish(Job& job, RequestAnswer&& answer);
@@ -122,6 +151,9 @@
     std::uint32_t m_worker;
     std::uint32_t m_maxRequests;
     RequestWindow::Limits m_windowLimits;
+    std::uint32_t m_workers;
+    std::uint32_t m_queueLimit;
+    double m_retryShare;
     std::mt19937_64 m_random;
     std::shared_ptr<const RoutingSnapshot> m_snapshot;
     std::uint64_t m_nextNumber = 1;
@@ -130,6 +162,10 @@
     std::unordered_map<std::uint64_t, std::uint64_t> m_callers; ///< Caller to job.
     std::map<OriginKey, std::uint64_t> m_origins; ///< To job.
     std::map<std::pair<std::string, std::uint32_t>, GroupWindow> m_windows; ///< By service and group.
+    std::unordered_map<std::string, Server> m_servers; ///< By server id.
+    std::set<std::string> m_serversToServe; ///< Servers that may have both a free slot and waiting jobs.
+    std::uint64_t m_served = 0; ///< Job that was taken from a queue and may use the free slot.
+    std::unordered_map<std::string, RetryBudget> m_budgets; ///< By service.
     std::set<std::pair<MonotonicTime, std::uint64_t>> m_wakes;
     std::map<std::pair<std::string, std::uint32_t>, MonotonicTime> m_refusalReported; ///< By service and group.
 
--- a/tests/request_reducer_test.cpp
+++ b/tests/request_reducer_test.cpp
@@ -308,5 +308,193 @@
     EXPECT_EQ(reducer.requestsInFlight(), 0U);
 }
 
+// Guards against exceeding a server's slots, and against requests that wait for ever in its queue.
+TEST_F(RequestReducerTest, RequestsBeyondTheLimitWaitForASlot)
+{
+    // Four slots shared by two instances with one worker each.
+    const SendToBackend first = only<SendToBackend>(arrive(1, makeRequest(true)));
+    const SendToBackend second = only<SendToBackend>(arrive(2, makeRequest(true)));
+    EXPECT_TRUE(all<SendToBackend>(arrive(3, makeRequest(true))).empty());
+    EXPECT_TRUE(all<SendToBackend>(arrive(4, makeRequest(true))).empty());
+    WorkerEffects effects = apply(BackendFinished {first.dispatch, answered(200, "x")});
+    EXPECT_FALSE(all<SendToBackend>(effects).empty());
+    effects = tickAfter(Milliseconds(1000));
+    for (const AnswerCaller& answer : all<AnswerCaller>(effects)) {
+        EXPECT_NE(answer.caller, 1U);
+    }
+    EXPECT_EQ(reducer.requestsInFlight(), 0U);
+    for (const RequestReducer::ServerLoad& load : reducer.serverLoads()) {
+        EXPECT_EQ(load.slotsInUse, 0U);
+        EXPECT_EQ(load.queued, 0U);
+    }
+}
+
+// Guards against dispatching a queued request whose deadline has passed when a slot becomes free.
+TEST_F(RequestReducerTest, QueuedRequestIsNotDispatchedAfterItsDeadline)
+{
+    const SendToBackend first = only<SendToBackend>(arrive(1, makeRequest(true)));
+    arrive(2, makeRequest(true));
+    CallerRequest hurried = makeRequest(true);
+    hurried.deadline = Milliseconds(50);
+    arrive(3, hurried);
+    pass(Milliseconds(60));
+    const WorkerEffects effects = apply(BackendFinished {first.dispatch, answered(200, "x")});
+    EXPECT_TRUE(all<SendToBackend>(effects).empty());
+    bool expired = false;
+    for (const AnswerCaller& answer : all<AnswerCaller>(effects)) {
+        expired = expired || (answer.caller == 3 && answer.answer.outcome == Outcome::NotRun);
+    }
+    EXPECT_TRUE(expired);
+}
+
+// Guards against a class of work that starves while another one overloads the server.
+TEST_F(RequestReducerTest, AllClassesProgressUnderOverload)
+{
+    changeRoutes([](RoutingSnapshot& snapshot, GroupRoute&) {
+        snapshot.services["ledger"].settings.classes = {{"bulk", 1}, {"orders", 3}};
+    });
+    std::vector<SendToBackend> running;
+    std::uint64_t caller = 1;
+    for (; caller <= 100; ++caller) {
+        CallerRequest request = makeRequest(true);
+        request.workClass = "bulk";
+        for (const SendToBackend& send : all<SendToBackend>(arrive(caller, request))) {
+            running.push_back(send);
+        }
+    }
+    for (; caller <= 110; ++caller) {
+        CallerRequest request = makeRequest(true);
+        request.workClass = "orders";
+        arrive(caller, request);
+    }
+    int orders = 0;
+    int bulk = 0;
+    for (int i = 0; i < 16; ++i) {
+        ASSERT_FALSE(running.empty());
+        const SendToBackend send = running.front();
+        running.erase(running.begin());
+        const WorkerEffects effects = apply(BackendFinished {send.dispatch, answered(200, "x")});
+        for (const AnswerCaller& answer : all<AnswerCaller>(effects)) {
+            (answer.caller > 100 ? orders : bulk) += 1;
+        }
+        for (const SendToBackend& next : all<SendToBackend>(effects)) {
+            running.push_back(next);
+        }
+    }
+    EXPECT_GE(orders, 8);
+    EXPECT_GE(bulk, 3);
+}
+
+// Guards against a queue without bound, and against an operators' rule that has no effect.
+TEST_F(RequestReducerTest, RulesAndFullQueuesRefuseBeforeASlotIsTaken)
+{
+    changeRoutes([](RoutingSnapshot& snapshot, GroupRoute&) {
+        snapshot.services["ledger"].settings.classes = {{"orders", 1}, {"bulk", 1}};
+        snapshot.services["ledger"].refusalRules = {{"ledger", "bulk", 0.5}};
+    });
+    const std::uint32_t queueLimit = InstanceSettings {}.queueLimit;
+    std::uint64_t caller = 1;
+    for (; caller <= 2 + queueLimit / 2; ++caller) {
+        EXPECT_TRUE(all<AnswerCaller>(arrive(caller, makeRequest(true))).empty());
+    }
+    CallerRequest bulk = makeRequest(true);
+    bulk.workClass = "bulk";
+    const AnswerCaller refused = only<AnswerCaller>(arrive(caller++, bulk));
+    EXPECT_EQ(refused.answer.reason, "refused-by-rule");
+    EXPECT_EQ(refused.answer.status, 429U);
+    for (std::uint32_t i = 0; i < queueLimit / 2; ++i) {
+        EXPECT_TRUE(all<AnswerCaller>(arrive(caller++, makeRequest(true))).empty());
+    }
+    const AnswerCaller full = only<AnswerCaller>(arrive(caller++, makeRequest(true)));
+    EXPECT_EQ(full.answer.reason, "queue-full");
+    EXPECT_EQ(full.answer.outcome, Outcome::NotRun);
+    CallerRequest unknown = makeRequest(true);
+    unknown.workClass = "other";
+    EXPECT_EQ(only<AnswerCaller>(arrive(caller++, unknown)).answer.reason, "bad-class");
+}
+
+// Guards against retries that multiply an overload.
+TEST_F(RequestReducerTest, OverloadRefusalsAreRetriedOnlyWithinTheBudget)
+{
+    int sent = 0;
+    int refusedCallers = 0;
+    for (std::uint64_t caller = 1; caller <= 200; ++caller) {
+        std::vector<SendToBackend> sends = all<SendToBackend>(arrive(caller, makeRequest(false)));
+        while (!sends.empty()) {
+            ++sent;
+            WorkerEffects effects = apply(BackendFinished {sends.back().dispatch, refused(503, "overload")});
+            sends.clear();
+            for (const AnswerCaller& answer : all<AnswerCaller>(effects)) {
+                ++refusedCallers;
+                EXPECT_EQ(answer.answer.outcome, Outcome::NotRun);
+                EXPECT_EQ(answer.answer.reason, "overload");
+            }
+            if (all<AnswerCaller>(effects).empty()) {
+                sends = all<SendToBackend>(tickAfter(Milliseconds(100)));
+            }
+        }
+    }
+    EXPECT_EQ(refusedCallers, 200);
+    EXPECT_EQ(reducer.requestsInFlight(), 0U);
+    EXPECT_GT(sent, 200);
+    EXPECT_LE(sent, 200 + 20 + 3);
+}
+
+// Guards against a repeat of a request that ran for a caller whose first attempt broke and whose retry was refused.
+TEST_F(RequestReducerTest, RefusedRetryAfterABrokenAttemptIsUnknown)
+{
+    const SendToBackend send = only<SendToBackend>(arrive(1, makeRequest(true)));
+    apply(BackendFinished {send.dispatch, failed(BackendProgress::Broken)});
+    std::vector<SendToBackend> sends = all<SendToBackend>(tickAfter(Milliseconds(100)));
+    std::vector<AnswerCaller> answers;
+    while (!sends.empty() && answers.empty()) {
+        answers = all<AnswerCaller>(apply(BackendFinished {sends[0].dispatch, refused(503, "overload")}));
+        sends = all<SendToBackend>(tickAfter(Milliseconds(100)));
+    }
+    ASSERT_EQ(answers.size(), 1U);
+    EXPECT_EQ(answers[0].answer.outcome, Outcome::Unknown);
+}
+
+// Guards against two workers that run the same partition's window, and against a primary that serves foreign groups.
+TEST_F(RequestReducerTest, ForwardedRequestForAnotherPrimaryIsSentBack)
+{
+    changeRoutes([](RoutingSnapshot&, GroupRoute& group) { group.primary = 1; });
+    const WorkerEffects effects = apply(ForwardReceived {peer, makeForward(makeRequest(false), 5)});
+    EXPECT_TRUE(all<SendToBackend>(effects).empty());
+    EXPECT_TRUE(only<SendForwardAnswer>(effects).answer.wrong_primary());
+    EXPECT_EQ(reducer.requestsInFlight(), 0U);
+}
+
+// Guards against an error for a caller whose entry knows an old primary.
+TEST_F(RequestReducerTest, WrongPrimaryIsRetriedWithNewRoutes)
+{
+    changeRoutes([](RoutingSnapshot&, GroupRoute& group) { group.primary = 1; });
+    const SendForward forward = only<SendForward>(arrive(1, makeRequest(false)));
+    wire::ForwardAnswer answer;
+    answer.set_correlation(forward.request.correlation());
+    answer.set_request_incarnation(test::localIncarnation);
+    answer.set_wrong_primary(true);
+    only<ReportRefusedRoute>(apply(ForwardAnswered {answer}));
+    const WorkerEffects effects = changeRoutes([](RoutingSnapshot&, GroupRoute& group) {
+        group.primary = 0;
+        group.term = 4;
+    });
+    only<SendToBackend>(effects);
+}
+
+// Guards against losing a repeatable request to a primary that is gone, and against sending the other kind twice.
+TEST_F(RequestReducerTest, OnlyRepeatableRequestsAreForwardedAgain)
+{
+    setRoutes(GrantCheck::Unchecked);
+    changeRoutes([](RoutingSnapshot&, GroupRoute& group) { group.primary = 1; });
+    only<SendForward>(arrive(1, makeRequest(true)));
+    only<SendForward>(arrive(2, makeRequest(false)));
+    const WorkerEffects effects = changeRoutes([](RoutingSnapshot& snapshot, GroupRoute& group) {
+        snapshot.instances[1].incarnation = 89;
+        group.term = 4;
+    });
+    EXPECT_TRUE(only<SendForward>(effects).request.repeatable());
+}
+
 } // namespace
 } // namespace jasminespread
