Add entry daemon

Cause: the parts of an instance had no program. Change: runEntryDaemon() wires control loop, reducer, store and workers; a thin main parses options. Exit codes: 0 success, 1 other failure, 2 bad arguments or settings, 3 address in use. Workers drain on a thread of their own after the hand-over, so that heartbeats and views go on meanwhile. Result: builds and links; not run yet.

--- /dev/null
+++ b/include/jasminespread/entry_daemon.h
@@ -0,0 +1,16 @@
+#pragma once
+
+#include <jasminespread/error.h>
+#include <jasminespread/instance_settings.h>
+
+namespace jasminespread {
+
+/// Version of the programs and of the library.
+inline constexpr const char* versionText = "0.1.0";
+
+/// Runs an entry instance on the calling thread, which becomes its control thread, until SIGTERM or SIGINT has handed
+/// its groups over and drained its requests. Fails with AddressInUse or InvalidInput when it cannot start.
+/// Precondition: setUpLogging() was called; no other thread of the process handles these signals.
+[[nodiscard]] Result<void> runEntryDaemon(const InstanceSettings& settings);
+
+} // namespace jasminespread
