--- a/daemons/jasminespread-entry.cpp
+++ b/daemons/jasminespread-entry.cpp
@@ -52,7 +52,7 @@
         return Success;
     }
     if (values.contains("version")) {
-        std::cout << program << ' ' << versionText << '\n';
+        std::cout << program << " " JASMINESPREAD_VERSION "\n";
         return Success;
     }
     if (!values.contains("settings")) {
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -61,13 +61,14 @@
     };
     ControlLoop controlLoop(settings, incarnation, table, metrics, std::move(hooks));
     loop = &controlLoop;
-    workers = std::make_unique<WorkerPool>(settings, incarnation, table, metrics,
-        WorkerPool::Hooks {[&](const GroupName& group) { controlLoop.routeRefused(group); }});
+    WorkerPool::Hooks workerHooks;
+    workerHooks.routeRefused = [&](const GroupName& group) { controlLoop.routeRefused(group); };
+    workers = std::make_unique<WorkerPool>(settings, incarnation, table, metrics, std::move(workerHooks));
     BOOST_LEAF_CHECK(controlLoop.start());
     BOOST_LEAF_CHECK(workers->start());
     controlLoop.handleStopSignals();
     logEvent(LogEvent::ProcessStarted,
-        "instance=" + settings.instance + " incarnation=" + std::to_string(incarnation) + " version=" + versionText
+        "instance=" + settings.instance + " incarnation=" + std::to_string(incarnation)
             + " caller=" + settings.callerAddress + " operator=" + settings.operatorAddress);
     controlLoop.run();
     drainThread.join();
