--- a/src/config/configuration_check.cpp
+++ b/src/config/configuration_check.cpp
@@ -76,7 +76,7 @@
 
     void addValue(std::string path, const std::string& value, const std::string& message)
     {
-        add(std::move(path), "has the value \"" + value + "\", which " + message);
+        add(std::move(path), "has the value \"" + excerpt(value) + "\", which " + message);
     }
 
     void checkName(const std::string& path, const std::string& name)
--- a/src/config/json_fields.h
+++ b/src/config/json_fields.h
@@ -78,8 +78,8 @@
     }
     const std::optional<T> parsed = parse(std::string_view(*text));
     if (!parsed) {
-        return refuseJson(
-            path, "has the value \"" + std::string(*text) + "\", which cannot be read; see docs/settings.md", error);
+        return refuseJson(path,
+            "has the value \"" + excerpt(std::string(*text)) + "\", which cannot be read; see docs/settings.md", error);
     }
     value = *parsed;
     return true;
--- a/src/control/configuration_control.cpp
+++ b/src/control/configuration_control.cpp
@@ -1,6 +1,7 @@
 #include "control/configuration_control.h"
 
 #include "config/configuration_fields.h"
+#include "config/configuration_transition.h"
 #include "config/json_fields.h"
 
 #include <algorithm>
@@ -32,6 +33,16 @@
     return array;
 }
 
+std::vector<std::string> describeAll(const std::vector<Error>& errors)
+{
+    std::vector<std::string> texts;
+    texts.reserve(errors.size());
+    for (const Error& error : errors) {
+        texts.push_back(describe(error));
+    }
+    return texts;
+}
+
 /// Whether two configurations declare the same; they may differ in revision, author and change id.
 bool sameContent(const Configuration& a, const Configuration& b) { return diffConfigurations(a, b).empty(); }
 
@@ -394,12 +405,9 @@
     if (load.proposed.changeId.empty()) {
         load.proposed.changeId = std::to_string(m_incarnation) + "-" + std::to_string(++m_changeCounter);
     }
-    std::vector<std::string> errors;
-    for (const Error& error : checkConfiguration(load.proposed)) {
-        errors.push_back(describe(error));
-    }
+    const std::vector<Error> errors = checkConfiguration(load.proposed);
     if (!errors.empty()) {
-        refuseInvalid(load, errors);
+        refuseInvalid(load, describeAll(errors));
         return;
     }
     if (joinPendingLoad(load)) {
@@ -475,6 +483,11 @@
         refuseConflict(load);
         return;
     }
+    const std::vector<Error> errors = m_inForce ? checkTransition(*m_inForce, load.proposed) : std::vector<Error>();
+    if (!errors.empty()) {
+        refuseInvalid(load, describeAll(errors));
+        return;
+    }
     writeLoad(load, status == StoreStatus::Ok ? read.result.object.version : 0);
 }
 
@@ -565,7 +578,8 @@
         }
         for (const PeerInfo& peer : *m_peers) {
             if (peer.entry.region == region.name) {
-                (!peer.live ? silent : hasConfirmed(peer, wanted) ? confirmed : missing).push_back(peer.entry.id);
+                std::vector<std::string>& list = !peer.live ? silent : hasConfirmed(peer, wanted) ? confirmed : missing;
+                list.push_back(peer.entry.id);
             }
         }
         if (confirmed.empty() && missing.empty()) {
--- a/src/settings/text_values.cpp
+++ b/src/settings/text_values.cpp
@@ -140,4 +140,18 @@
     return inet_pton(AF_INET, host.c_str(), buf.data()) == 1;
 }
 
+std::string excerpt(const std::string& text)
+{
+    constexpr std::size_t longest = 60; // Bytes; keeps a message on one line.
+    if (text.size() <= longest) {
+        return text;
+    }
+    std::size_t end = longest;
+    // Do not cut within a UTF-8 sequence, whose further bytes have the form 10xxxxxx.
+    while (end > 0 && (static_cast<unsigned char>(text[end]) & 0xc0) == 0x80) {
+        --end;
+    }
+    return text.substr(0, end) + "...";
+}
+
 } // namespace jasminespread
--- a/src/settings/text_values.h
+++ b/src/settings/text_values.h
@@ -24,6 +24,8 @@
 
 /// Whether @p text is an IP number and a port from 1 to 65535: "192.0.2.1:80" or "[2001:db8::1]:80".
 [[nodiscard]] bool isIpAddressAndPort(std::string_view text);
+/// Returns the text, or its start and "..." when it is long, for use in messages.
+[[nodiscard]] std::string excerpt(const std::string& text);
 /// @}
 
 } // namespace jasminespread
--- a/src/settings/yaml_reader.cpp
+++ b/src/settings/yaml_reader.cpp
@@ -177,7 +177,10 @@
 std::optional<std::string> YamlReader::scalar(const YAML::Node& node, const std::string& path)
 {
     if (node.IsNull()) {
-        reportUnreadable(node.Mark(), path, "has no value; give one or remove the field");
+        // The library places an absent value at the next token, so the position is that of the field's name.
+        const std::map<std::string, YAML::Mark>::const_iterator it = m_marks.find(path);
+        reportUnreadable(
+            it == m_marks.end() ? node.Mark() : it->second, path, "has no value; give one or remove the field");
         return std::nullopt;
     }
     if (!node.IsScalar()) {
@@ -208,7 +211,7 @@
 void YamlReader::reportValue(
     const YAML::Node& node, const std::string& path, const std::string& value, const std::string& message)
 {
-    reportUnreadable(node.Mark(), path, "has the value \"" + value + "\", which " + message);
+    reportUnreadable(node.Mark(), path, "has the value \"" + excerpt(value) + "\", which " + message);
 }
 
 void YamlReader::reportMissing(const YAML::Node& node, const std::string& path)
--- a/tests/configuration_control_test.cpp
+++ b/tests/configuration_control_test.cpp
@@ -528,6 +528,21 @@
     EXPECT_EQ(fleet.object.version, 0U);
 }
 
+// Guards against two instances that, with different revisions, route the same key to different servers.
+TEST_F(ConfigurationControlTest, ChangesThatWouldSplitOwnershipAreRefused)
+{
+    loadFirst();
+    Configuration configuration = sampleConfiguration();
+    configuration.services[0].partitions = 128;
+    configuration.services[0].groups = 8;
+    configuration.servers[0].address = "127.0.0.1:7009";
+    const std::uint64_t request = fleet.load("w1", configuration, 1, "second");
+    fleet.run(Milliseconds(1'000));
+    ASSERT_EQ(fleet.status(request), 400U);
+    EXPECT_EQ(fleet.body(request).at("errors").as_array().size(), 3U);
+    EXPECT_EQ(fleet.object.version, 1U);
+}
+
 // Guards against an empty answer to the first load, which needs to know the base revision 0.
 TEST_F(ConfigurationControlTest, ShowsRevisionZeroWhenTheStoreHasNone)
 {
