Test lost writes against other operators and tidy jasminespreadctl

Cause: no test showed a lost answer together with another operator's change, and a conflict of a repeated change claimed that nothing had been changed, although the first attempt may have taken effect and been superseded.

Change: tests for both orders of a lost write and another change. A test compares commands and exit codes with docs/operators.md.

--- a/src/config/json_fields.h
+++ b/src/config/json_fields.h
@@ -10,10 +10,10 @@
 
 #include <concepts>
 #include <cstdint>
-#include <limits>
 #include <optional>
 #include <string>
 #include <string_view>
+#include <type_traits>
 #include <vector>
 
 namespace jasminespread {
--- a/src/control/configuration_control.h
+++ b/src/control/configuration_control.h
@@ -90,6 +90,7 @@
     void sendToOwnRegion();
     /// Sends it to the delegates of the other regions, so that each link between regions carries it once.
     void sendToOtherRegions();
+    /// Sends it to one peer, unless that was done within the resend interval.
     void sendConfiguration(const std::string& to);
     void noteSent(const std::string& to);
     void sendAck(const std::string& to);
@@ -107,11 +108,16 @@
     /// Goes on with the confirmation if this change already took effect. Returns whether it did.
     bool recognizePastChange(Load& load);
     void readForLoad(Load& load, LoadStage stage);
+    /// Writes the change or refuses it, by the store's object on which it is to be based.
     void continueAfterRead(Load& load, const StoreRead& read);
     void writeLoad(Load& load, std::uint64_t expectedVersion);
+    /// Decides by the store's object whether a write with a lost or negative answer took effect.
     void resolveReadBack(Load& load, const StoreRead& read);
+    /// Sends the stored revision to the regions and starts to wait for them.
     void confirmLoad(Load& load);
+    /// Acts on the passing of time.
     void advanceLoad(Load& load);
+    /// Answers if every region has confirmed or the time for it is over.
     void checkConfirmation(Load& load);
     [[nodiscard]] bool hasConfirmed(const PeerInfo& peer, std::uint64_t wanted) const;
     void refuseInvalid(Load& load, const std::vector<std::string>& errors);
--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -13,16 +13,16 @@
 
 namespace po = boost::program_options;
 
-/// Groups of options beyond --help and --output.
-enum OptionGroup : unsigned {
-    NoOptions = 0,
-    ServerOptions = 1,
-    ChangeOptions = 2,
-    BaseOption = 4,
-    DrainOption = 8,
-    ClassOption = 16,
-    FormatOption = 32
-};
+/// @name Groups of options beyond --help and --output
+/// Bits of CommandInfo::options.
+/// @{
+constexpr unsigned serverOptions = 1;
+constexpr unsigned changeOptions = 2;
+constexpr unsigned baseOption = 4;
+constexpr unsigned drainOption = 8;
+constexpr unsigned classOption = 16;
+constexpr unsigned formatOption = 32;
+/// @}
 
 struct CommandInfo {
     Command command;
@@ -34,32 +34,32 @@
 };
 
 constexpr std::array<CommandInfo, commandNames.size()> commandInfos {{
-    {Command::Validate, "<sheet>", 1, 1, NoOptions, "Check a sheet and report every error. Contacts no instance."},
-    {Command::Diff, "<sheet> [<newer sheet>]", 1, 2, ServerOptions,
+    {Command::Validate, "<sheet>", 1, 1, 0, "Check a sheet and report every error. Contacts no instance."},
+    {Command::Diff, "<sheet> [<newer sheet>]", 1, 2, serverOptions,
         "List the differences from the configuration in force to a sheet, or between two sheets."},
-    {Command::Load, "<sheet>", 1, 1, ServerOptions | ChangeOptions | BaseOption,
+    {Command::Load, "<sheet>", 1, 1, serverOptions | changeOptions | baseOption,
         "Check a sheet and replace the configuration by it."},
-    {Command::Show, "", 0, 0, ServerOptions, "Print the configuration in force as a sheet."},
-    {Command::Status, "", 0, 0, ServerOptions, "Print the state of an instance, its peers, groups and servers."},
-    {Command::HotKeyAdd, "<service> <key> [<server>]", 2, 3, ServerOptions | ChangeOptions,
+    {Command::Show, "", 0, 0, serverOptions, "Print the configuration in force as a sheet."},
+    {Command::Status, "", 0, 0, serverOptions, "Print the state of an instance, its peers, groups and servers."},
+    {Command::HotKeyAdd, "<service> <key> [<server>]", 2, 3, serverOptions | changeOptions,
         "Give a key a partition of its own, or change its preferred server."},
-    {Command::HotKeyRemove, "<service> <key>", 2, 2, ServerOptions | ChangeOptions,
+    {Command::HotKeyRemove, "<service> <key>", 2, 2, serverOptions | changeOptions,
         "Return a hot key to the partition of its hash."},
-    {Command::StopAdd, "<server> <time>", 2, 2, ServerOptions | ChangeOptions | DrainOption,
+    {Command::StopAdd, "<server> <time>", 2, 2, serverOptions | changeOptions | drainOption,
         "Plan or change the stop of a backend server, for example at 2026-12-04T18:30:00Z."},
-    {Command::StopRemove, "<server>", 1, 1, ServerOptions | ChangeOptions, "Cancel the planned stop of a server."},
-    {Command::RuleAdd, "<service> <load>", 2, 2, ServerOptions | ChangeOptions | ClassOption,
+    {Command::StopRemove, "<server>", 1, 1, serverOptions | changeOptions, "Cancel the planned stop of a server."},
+    {Command::RuleAdd, "<service> <load>", 2, 2, serverOptions | changeOptions | classOption,
         "Refuse work above a load from 0 to 1, or change the load of a rule."},
-    {Command::RuleRemove, "<service>", 1, 1, ServerOptions | ChangeOptions | ClassOption, "Remove a refusal rule."},
-    {Command::PoolAdd, "<server> <service> <region> <failure domain> <address>", 5, 5, ServerOptions | ChangeOptions,
+    {Command::RuleRemove, "<service>", 1, 1, serverOptions | changeOptions | classOption, "Remove a refusal rule."},
+    {Command::PoolAdd, "<server> <service> <region> <failure domain> <address>", 5, 5, serverOptions | changeOptions,
         "Add a backend server to the pool of a service."},
-    {Command::PoolRemove, "<server>", 1, 1, ServerOptions | ChangeOptions,
+    {Command::PoolRemove, "<server>", 1, 1, serverOptions | changeOptions,
         "Remove a backend server, its planned stop and the preferences of hot keys for it."},
-    {Command::DeclareGone, "<server>", 1, 1, ServerOptions,
+    {Command::DeclareGone, "<server>", 1, 1, serverOptions,
         "Declare that a backend server's process has ended and cannot return."},
-    {Command::DeclareLost, "<instance>", 1, 1, ServerOptions,
+    {Command::DeclareLost, "<instance>", 1, 1, serverOptions,
         "Declare that an instance's process has ended and cannot return."},
-    {Command::Report, "", 0, 0, ServerOptions | FormatOption, "Print the report on service-level objectives."},
+    {Command::Report, "", 0, 0, serverOptions | formatOption, "Print the report on service-level objectives."},
 }};
 
 po::options_description optionsOf(unsigned groups)
@@ -67,30 +67,30 @@
     po::options_description options("Options", 100);
     options.add_options()("help", "print this text")(
         "output", po::value<std::string>()->default_value("text"), "form of the output: text or json");
-    if ((groups & ServerOptions) != 0) {
+    if ((groups & serverOptions) != 0) {
         options.add_options()("server", po::value<std::vector<std::string>>(),
             "operator address (IP number and port) of an instance; may repeat: the next one is tried only if no "
             "connection could be made")(
             "timeout", po::value<std::string>()->default_value("20s"), "longest wait for an instance");
     }
-    if ((groups & ChangeOptions) != 0) {
+    if ((groups & changeOptions) != 0) {
         options.add_options()("author", po::value<std::string>(), "name recorded with the change; default: the user")(
             "change", po::value<std::string>(), "change id of an earlier attempt whose outcome is unknown");
     }
-    if ((groups & BaseOption) != 0) {
+    if ((groups & baseOption) != 0) {
         options.add_options()("base", po::value<std::string>(),
             "revision that the sheet was made from (0: the first sheet), or \"current\" to replace any revision");
     }
-    if ((groups & DrainOption) != 0) {
+    if ((groups & drainOption) != 0) {
         options.add_options()(
             "drain", po::value<std::string>()->default_value("30s"), "start of the drain before the stop");
     }
-    if ((groups & ClassOption) != 0) {
+    if ((groups & classOption) != 0) {
         options.add_options()(
             "class", po::value<std::string>()->default_value(""), "class of work; default: every class");
     }
-    if ((groups & FormatOption) != 0) {
-        options.add_options()("format", po::value<std::string>()->default_value("text"), "text, json or html");
+    if ((groups & formatOption) != 0) {
+        options.add_options()("format", po::value<std::string>(), "text, json or html; default: as --output");
     }
     return options;
 }
@@ -170,7 +170,7 @@
             "option --output has the value \"" + output + "\", which is not one of: text, json");
     }
     invocation.output = *form;
-    if ((info.options & ServerOptions) != 0) {
+    if ((info.options & serverOptions) != 0) {
         if (values.count("server") != 0) {
             invocation.servers = values["server"].as<std::vector<std::string>>();
         }
@@ -187,25 +187,25 @@
         }
         BOOST_LEAF_ASSIGN(invocation.timeout, durationOption(values, "timeout"));
     }
-    if ((info.options & ChangeOptions) != 0) {
+    if ((info.options & changeOptions) != 0) {
         invocation.author = values.count("author") != 0 ? values["author"].as<std::string>() : g_get_user_name();
         invocation.changeId = values.count("change") != 0 ? values["change"].as<std::string>() : "";
     }
-    if ((info.options & BaseOption) != 0) {
+    if ((info.options & baseOption) != 0) {
         if (values.count("base") == 0) {
             return fail(ErrorKind::InvalidInput,
                 "option --base is missing; give the revision that the sheet was made from, as printed by show");
         }
         invocation.base = values["base"].as<std::string>();
     }
-    if ((info.options & DrainOption) != 0) {
+    if ((info.options & drainOption) != 0) {
         BOOST_LEAF_ASSIGN(invocation.drain, durationOption(values, "drain"));
     }
-    if ((info.options & ClassOption) != 0) {
+    if ((info.options & classOption) != 0) {
         invocation.workClass = values["class"].as<std::string>();
     }
-    if ((info.options & FormatOption) != 0) {
-        invocation.format = values["format"].as<std::string>();
+    if ((info.options & formatOption) != 0) {
+        invocation.format = values.count("format") != 0 ? values["format"].as<std::string>() : output;
         if (invocation.format != "text" && invocation.format != "json" && invocation.format != "html") {
             return fail(ErrorKind::InvalidInput,
                 "option --format has the value \"" + invocation.format + "\", which is not one of: text, json, html");
--- a/src/ctl/operator_tool.cpp
+++ b/src/ctl/operator_tool.cpp
@@ -428,13 +428,16 @@
 void OperatorTool::printConflict(const boost::json::object& body)
 {
     m_errors << "conflict: revision " << numberField(body, "revision") << " by " << textField(body, "author")
-             << " is in force; nothing was changed\n"
+             << " is in force; this command changed nothing\n"
              << (textField(body, "compared") == "base-to-current"
                         ? "Changes since the revision on which this change is based:\n"
                         : "Differences from the revision in force to this change:\n");
     for (const std::string& difference : textsField(body, "differences")) {
         m_errors << "  " << difference << "\n";
     }
+    if (!m_invocation.changeId.empty()) {
+        m_errors << "An earlier attempt with this change id may have taken effect before that revision.\n";
+    }
 }
 
 ExitCode OperatorTool::reportFailure(const OperatorReply& reply, bool isChange)
--- a/src/settings/yaml_reader.h
+++ b/src/settings/yaml_reader.h
@@ -8,13 +8,13 @@
 
 #include <yaml-cpp/yaml.h>
 
-#include <concepts>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <set>
 #include <string>
 #include <string_view>
+#include <type_traits>
 #include <vector>
 
 namespace jasminespread {
--- a/tests/configuration_control_test.cpp
+++ b/tests/configuration_control_test.cpp
@@ -6,6 +6,7 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <functional>
 #include <map>
 
@@ -376,6 +377,63 @@
     EXPECT_EQ(body.at("differences"), boost::json::array({"services[ledger].slotsPerServer: 6 -> 7"}));
 }
 
+// Guards against a lost answer being taken for success because the revision number rose.
+TEST_F(ConfigurationControlTest, LostAnswerAndOtherOperatorsChangeIsAConflict)
+{
+    loadFirst();
+    fleet.nextWrite = WriteFault::AnswerLostBeforeEffect;
+    const std::uint64_t ana = fleet.load("w1", withSlots(7, "ana"), 1, "by-ana");
+    const std::uint64_t ben = fleet.load("c1", withSlots(9, "ben"), 1, "by-ben");
+    fleet.run(Milliseconds(2'000));
+    EXPECT_EQ(fleet.status(ana), 409U);
+    EXPECT_EQ(fleet.status(ben), 200U);
+    EXPECT_EQ(fleet.at("w2").control->inForce()->author, "ben");
+}
+
+// Guards against a claim about a lost write after the object that would show it was replaced by a later revision.
+TEST(ConfigurationControlEventsTest, LostWriteUnderLaterRevisionIsUnknown)
+{
+    InstanceSettings settings;
+    settings.instance = "w1";
+    settings.region = "western";
+    ConfigurationControl control(settings, 7);
+    MonotonicTime now {Milliseconds(1'000)};
+    const auto apply = [&](Event event) {
+        now += Milliseconds(10);
+        return control.reduce({now, WallTime(), std::move(event)}, {});
+    };
+    const auto readOf = [&](std::uint64_t revision, const std::string& changeId) {
+        Configuration configuration = sampleConfiguration();
+        configuration.revision = revision;
+        configuration.changeId = changeId;
+        return StoreRead {"config", "current", now + Milliseconds(10),
+            {StoreStatus::Ok, {"current", revision * 10, encodeConfiguration(configuration)}}};
+    };
+    (void)apply(readOf(1, "first"));
+    ASSERT_EQ(control.revision(), 1U);
+
+    OperatorRequested request;
+    request.request = 1;
+    request.action = OperatorAction::Load;
+    request.configuration = sampleConfiguration();
+    request.configuration->services[0].slotsPerServer = 7;
+    request.baseRevision = 1;
+    request.changeId = "second";
+    (void)apply(request);
+    const Effects writes = apply(readOf(1, "first"));
+    ASSERT_TRUE(std::any_of(writes.begin(), writes.end(), [](const Effect& effect) {
+        const WriteObject* write = std::get_if<WriteObject>(&effect);
+        return write != nullptr && write->expectedVersion == 10;
+    }));
+    (void)apply(StoreWritten {"config", "current", "second", now, {StoreStatus::Unknown, 0}});
+    const Effects answers = apply(readOf(3, "third"));
+    const Effects::const_iterator it = std::find_if(answers.begin(), answers.end(),
+        [](const Effect& effect) { return std::holds_alternative<OperatorAnswer>(effect); });
+    ASSERT_NE(it, answers.end());
+    EXPECT_EQ(std::get<OperatorAnswer>(*it).status, 502U);
+    EXPECT_EQ(control.revision(), 3U);
+}
+
 // Guards against a change that is based on an old revision silently undoing the newer one.
 TEST_F(ConfigurationControlTest, OldBaseRevisionIsAConflict)
 {
--- a/tests/operator_tool_test.cpp
+++ b/tests/operator_tool_test.cpp
@@ -110,6 +110,9 @@
     EXPECT_EQ(
         runWithAnswer(409, R"({"result":"conflict","revision":5,"author":"ben","differences":["x: 1 -> 2"]})"), 3);
     EXPECT_THAT(errors.str(), testing::AllOf(testing::HasSubstr("revision 5 by ben"), testing::HasSubstr("x: 1 -> 2")));
+    EXPECT_THAT(errors.str(), testing::Not(testing::HasSubstr("earlier attempt")));
+    EXPECT_EQ(run({"load", "SHEET", "--base", "4", "--change", "x", "--server", "127.0.0.1:1"}), 3);
+    EXPECT_THAT(errors.str(), testing::HasSubstr("earlier attempt"));
     EXPECT_EQ(runWithAnswer(202,
                   R"({"result":"stored-not-confirmed","revision":5,)"
                   R"("regions":{"central":{"confirmed":["c1"],"missing":["c2"]}}})"),
@@ -272,6 +275,8 @@
     EXPECT_EQ(out.str(), "instance: w1\npeers:\n  -\n    id: c1\ngroups: []\n");
     EXPECT_EQ(run({"report", "--format", "html", "--server", "127.0.0.1:1"}), 0);
     EXPECT_EQ(calls.back().target, "/v1/report?format=html");
+    EXPECT_EQ(run({"report", "--output", "json", "--server", "127.0.0.1:1"}), 0);
+    EXPECT_EQ(calls.back().target, "/v1/report?format=json");
     EXPECT_EQ(run({"declare-gone", "ledger-1", "--server", "127.0.0.1:1"}), 0);
     EXPECT_EQ(calls.back().method + " " + calls.back().target, "POST /v1/servers/ledger-1/gone");
     EXPECT_EQ(run({"declare-lost", "w/2", "--server", "127.0.0.1:1"}), 0);
@@ -311,6 +316,20 @@
     }
 }
 
+// Guards against commands and exit codes that the operators' guide does not explain.
+TEST(OperatorsPageTest, ListsEveryCommand)
+{
+    std::ifstream file(std::string(SOURCE_DIR) + "/docs/operators.md");
+    std::ostringstream page;
+    page << file.rdbuf();
+    for (const EnumName<Command>& row : commandNames) {
+        EXPECT_THAT(page.str(), testing::HasSubstr("`" + std::string(row.name))) << row.name;
+    }
+    for (int code = 0; code <= static_cast<int>(ExitCode::UnknownOutcome); ++code) {
+        EXPECT_THAT(page.str(), testing::HasSubstr("\n| " + std::to_string(code) + " | "));
+    }
+}
+
 // Guards against sheets with errors being sent, and against sheets being checked differently offline.
 TEST_F(OperatorToolTest, ValidateAndDiffNeedNoInstance)
 {
