--- a/daemons/jasminespread-entry.cpp
+++ b/daemons/jasminespread-entry.cpp
@@ -1,124 +1,76 @@
-// The entry daemon: one per instance. See docs/design.md, section 3.
-#include <jasminespread/control_reducer.h>
-#include <jasminespread/http_object_store.h>
+#include <jasminespread/entry_daemon.h>
 #include <jasminespread/instance_settings.h>
 #include <jasminespread/log_event.h>
-#include <jasminespread/metrics_registry.h>
-#include <jasminespread/routing_table.h>
-#include <jasminespread/worker_pool.h>
-
-#include "daemon/control_loop.h"
 
 #include <boost/program_options.hpp>
 
+#include <csignal>
 #include <iostream>
-#include <optional>
-#include <random>
-
-namespace jasminespread {
-namespace {
-
-constexpr int exitSuccess = 0;
-constexpr int exitStartFailed = 1;
-constexpr int exitInvalidInput = 2;
 
-struct Arguments {
-    std::string settingsPath;
-    bool checkOnly = false;
-};
-
-std::uint64_t drawIncarnation()
-{
-    std::random_device device;
-    std::uint64_t incarnation = 0;
-    while (incarnation == 0) {
-        incarnation = (static_cast<std::uint64_t>(device()) << 32) | device();
-    }
-    return incarnation;
-}
+namespace po = boost::program_options;
+using namespace jasminespread;
 
-Result<void> serve(const InstanceSettings& settings)
-{
-    const std::uint64_t incarnation = drawIncarnation();
-    RoutingTable table;
-    MetricsRegistry metrics;
-    ControlReducer reducer(settings, incarnation);
-    std::optional<WorkerPool> workers;
-
-    ControlLoop::Hooks hooks;
-    hooks.reduce = [&reducer](const TimedEvent& event) { return reducer.reduce(event); };
-    hooks.makeStore = [&settings] { return makeHttpObjectStore(settings.platformUrl, settings.storeTimeout); };
-    hooks.takeHotKeys = [&workers] { return workers->takeHotKeys(); };
-    std::optional<ControlLoop> control;
-    hooks.shutdownFinished = [&control] { control->quit(); };
-    control.emplace(settings, incarnation, table, metrics, std::move(hooks));
+namespace {
 
-    WorkerPool::Hooks workerHooks;
-    workerHooks.routeRefused = [&control](const GroupName& group) { control->routeRefused(group); };
-    workers.emplace(settings, incarnation, table, metrics, std::move(workerHooks));
+constexpr const char* program = "jasminespread-entry";
 
-    BOOST_LEAF_CHECK(control->start());
-    BOOST_LEAF_CHECK(workers->start());
-    control->handleStopSignals();
-    logEvent(LogEvent::ProcessStarted,
-        "callers " + settings.callerAddress + ", operators " + settings.operatorAddress + ", peers "
-            + settings.controlAddress);
-    control->run();
-    const std::size_t cutOff = workers->drain(settings.shutdownTimeout);
-    logEvent(LogEvent::ProcessStopped, std::to_string(cutOff) + " requests cut off");
-    return {};
-}
+/// Exit codes, as README.md lists them.
+enum ExitCode : int { Success = 0, Failure = 1, BadInput = 2, AddressTaken = 3 };
 
-Result<int> runDaemon(const Arguments& arguments)
+int report(const Error& error)
 {
-    BOOST_LEAF_AUTO(settings, loadInstanceSettings(arguments.settingsPath));
-    if (arguments.checkOnly) {
-        std::cout << arguments.settingsPath << ": valid\n";
-        return exitSuccess;
+    std::cerr << program << ": " << describe(error) << '\n';
+    switch (error.kind) {
+    case ErrorKind::InvalidInput:
+    case ErrorKind::NotFound:
+        return BadInput;
+    case ErrorKind::AddressInUse:
+        return AddressTaken;
+    default:
+        return Failure;
     }
-    setUpLogging(settings.logLevel, settings.logFile, "jasminespread-entry " + settings.instance);
-    BOOST_LEAF_CHECK(serve(settings));
-    return exitSuccess;
-}
-
-int reportFailure(const Error& error)
-{
-    std::cerr << "jasminespread-entry: " << describe(error) << "\n";
-    return error.kind == ErrorKind::InvalidInput || error.kind == ErrorKind::NotFound ? exitInvalidInput
-                                                                                      : exitStartFailed;
 }
 
 } // namespace
-} // namespace jasminespread
 
 int main(int argc, char** argv)
 {
-    using namespace jasminespread;
-    namespace po = boost::program_options;
-    Arguments arguments;
-    po::options_description options("jasminespread-entry: routes requests to the backend servers that own their keys");
-    options.add_options()("help", "show this text")("version", "show the version")("settings",
-        po::value<std::string>(&arguments.settingsPath), "settings file (YAML), see docs/settings.md")(
-        "check", po::bool_switch(&arguments.checkOnly), "check the settings file and exit");
+    po::options_description options("Options of jasminespread-entry");
+    options.add_options()("settings", po::value<std::string>()->value_name("FILE"), "settings of the instance (YAML)")(
+        "check", "check the settings and exit")("version", "print the version and exit")(
+        "help", "print this help and exit");
     po::variables_map values;
     try {
         po::store(po::parse_command_line(argc, argv, options), values);
         po::notify(values);
     } catch (const po::error& error) {
-        std::cerr << "jasminespread-entry: " << error.what() << "; see --help\n";
-        return exitInvalidInput;
+        std::cerr << program << ": " << error.what() << "; see --help\n";
+        return BadInput;
     }
-    if (values.count("help") != 0) {
+    if (values.contains("help")) {
         std::cout << options;
-        return exitSuccess;
+        return Success;
     }
-    if (values.count("version") != 0) {
-        std::cout << "jasminespread-entry " JASMINESPREAD_VERSION "\n";
-        return exitSuccess;
+    if (values.contains("version")) {
+        std::cout << program << " " JASMINESPREAD_VERSION "\n";
+        return Success;
     }
-    if (arguments.settingsPath.empty()) {
-        std::cerr << "jasminespread-entry: --settings is missing; name a settings file\n";
-        return exitInvalidInput;
+    if (!values.contains("settings")) {
+        std::cerr << program << ": --settings FILE is missing; see --help\n";
+        return BadInput;
     }
-    return handleError([&] { return runDaemon(arguments); }, reportFailure);
+    // A peer that closes its connection is reported by the failing write, not by a signal.
+    std::signal(SIGPIPE, SIG_IGN);
+    return handleError(
+        [&]() -> Result<int> {
+            BOOST_LEAF_AUTO(settings, loadInstanceSettings(values["settings"].as<std::string>()));
+            if (values.contains("check")) {
+                std::cout << values["settings"].as<std::string>() << ": settings are valid\n";
+                return Success;
+            }
+            setUpLogging(settings.logLevel, settings.logFile, program);
+            BOOST_LEAF_CHECK(runEntryDaemon(settings));
+            return Success;
+        },
+        report);
 }
