Report hot keys and the load of backend servers

Workers count the keys of callers' requests in a space-saving sketch per service; the pool merges them into rates.

--- a/src/daemon/worker.cpp
+++ b/src/daemon/worker.cpp
@@ -13,6 +13,9 @@
 constexpr std::uint32_t protocolVersion = 1;
 constexpr guint tickMs = 5; ///< Interval of route polling and timers.
 constexpr std::uint64_t ticksPerCallerCheck = 5; ///< A caller that left is noticed within 25 ms.
+constexpr std::uint64_t ticksPerGaugeUpdate = 50;
+constexpr std::size_t hotKeyCapacity = 256; ///< Keys counted per worker and service.
+constexpr std::size_t hotKeysTaken = 64; ///< Keys reported per worker and service.
 
 std::string hostOf(const std::string& address) { return address.substr(0, address.rfind(':')); }
 
@@ -118,16 +121,7 @@
     BOOST_LEAF_CHECK(m_sockets->bind(m_forwardAddress));
     m_listener = std::make_unique<CallerListener>(m_settings.maxBodyBytes,
         CallerListener::Hooks {
-            [this](std::uint64_t caller, RawRequest&& raw) {
-                std::variant<CallerRequest, RequestAnswer> parsed = parseCallerRequest(std::move(raw), wallNow());
-                if (CallerRequest* request = std::get_if<CallerRequest>(&parsed)) {
-                    refreshRoutes();
-                    return apply(RequestArrived {caller, std::move(*request)});
-                }
-                RequestAnswer& answer = std::get<RequestAnswer>(parsed);
-                execute(RecordRequest {"", answer.outcome, answer.reason, 0});
-                m_listener->answer(caller, RequestId(), std::move(answer));
-            },
+            [this](std::uint64_t caller, RawRequest&& raw) { onCallerRequest(caller, std::move(raw)); },
             [this](std::uint64_t caller) { apply(CallerLeft {caller}); },
             [this](std::string_view why) {
                 execute(RecordRequest {"", Outcome::NotRun, std::string(why), 0});
@@ -170,10 +164,87 @@
     }
     apply(WorkerTick {});
     m_sockets->flush(monotonicNow());
+    if (m_ticks % ticksPerGaugeUpdate == 0) {
+        updateGauges();
+    }
     const bool listening = m_draining && !m_listener->stopListening();
     m_inFlight = m_reducer.requestsInFlight() + m_listener->pending() + (listening ? 1 : 0);
 }
 
+void Worker::onCallerRequest(std::uint64_t caller, RawRequest&& raw)
+{
+    std::variant<CallerRequest, RequestAnswer> parsed = parseCallerRequest(std::move(raw), wallNow());
+    if (RequestAnswer* answer = std::get_if<RequestAnswer>(&parsed)) {
+        execute(RecordRequest {"", answer->outcome, answer->reason, 0});
+        return m_listener->answer(caller, RequestId(), std::move(*answer));
+    }
+    CallerRequest& request = std::get<CallerRequest>(parsed);
+    refreshRoutes();
+    if (m_snapshot->services.contains(request.service)) {
+        const std::lock_guard<std::mutex> lock(m_hotKeysMutex);
+        m_hotKeys.try_emplace(request.service, hotKeyCapacity).first->second.add(request.key);
+    }
+    apply(RequestArrived {caller, std::move(request)});
+}
+
+void Worker::takeHotKeys(std::map<std::string, std::map<std::string, std::uint64_t>>& counts)
+{
+    const std::lock_guard<std::mutex> lock(m_hotKeysMutex);
+    for (auto& [service, sketch] : m_hotKeys) {
+        for (HotKeySketch::KeyCount& key : sketch.take(hotKeysTaken)) {
+            counts[service][std::move(key.key)] += key.count;
+        }
+    }
+}
+
+void Worker::updateGauges()
+{
+    const auto set = [this](const RequestReducer::ServerLoad& load) {
+        const std::string labels = "server=\"" + load.server + "\"";
+        gauge("jasminespread_server_slots_in_use", labels, "Requests that run on a backend server.")
+            .set(load.slotsInUse);
+        gauge("jasminespread_server_queue_length", labels, "Requests that wait for a slot of a backend server.")
+            .set(static_cast<double>(load.queued));
+        gauge("jasminespread_server_concurrency_limit", labels, "Concurrent requests allowed to a backend server.")
+            .set(load.limit);
+    };
+    const std::set<std::string> before = std::exchange(m_gaugedServers, {});
+    for (const RequestReducer::ServerLoad& load : m_reducer.serverLoads()) {
+        m_gaugedServers.insert(load.server);
+        set(load);
+    }
+    for (const std::string& gone : before) {
+        if (!m_gaugedServers.contains(gone)) {
+            set({gone, 0, 0, 0});
+        }
+    }
+    gauge("jasminespread_requests_in_flight", "", "Requests that workers have not answered yet.")
+        .set(static_cast<double>(m_reducer.requestsInFlight()));
+    if (m_transport->connectionsOpened) {
+        const std::uint64_t opened = m_transport->connectionsOpened();
+        counter("jasminespread_connections_opened_total", "", "Connections opened to backend servers.")
+            .add(opened - std::exchange(m_connectionsOpened, opened));
+    }
+}
+
+MetricsRegistry::Counter& Worker::counter(const std::string& name, const std::string& labels, const std::string& help)
+{
+    MetricsRegistry::Counter*& cell = m_counters[name + "{" + labels];
+    if (cell == nullptr) {
+        cell = &m_metrics.counter(name, labels, help);
+    }
+    return *cell;
+}
+
+MetricsRegistry::Gauge& Worker::gauge(const std::string& name, const std::string& labels, const std::string& help)
+{
+    MetricsRegistry::Gauge*& cell = m_gauges[name + "{" + labels];
+    if (cell == nullptr) {
+        cell = &m_metrics.gauge(name, labels, help);
+    }
+    return *cell;
+}
+
 void Worker::onEnvelope(wire::Envelope&& envelope, const std::string& peerIp)
 {
     refreshRoutes();
@@ -312,12 +383,7 @@
 {
     const std::string labels = "service=\"" + effect.service + "\",outcome=\""
         + std::string(enumName(outcomeNames, effect.outcome)) + "\",reason=\"" + effect.reason + "\"";
-    MetricsRegistry::Counter*& counter = m_counters[labels];
-    if (counter == nullptr) {
-        counter = &m_metrics.counter(
-            "jasminespread_requests_total", labels, "Requests of callers by service, outcome and reason.");
-    }
-    counter->add();
+    counter("jasminespread_requests_total", labels, "Requests of callers by service, outcome and reason.").add();
     MetricsRegistry::Histogram*& histogram = m_histograms[effect.service];
     if (histogram == nullptr) {
         histogram = &m_metrics.histogram("jasminespread_request_seconds", "service=\"" + effect.service + "\"",
@@ -345,23 +411,16 @@
     };
     for (const Info& info : infos) {
         if (info.counter == effect.counter) {
-            MetricsRegistry::Counter*& counter = m_counters[info.name];
-            if (counter == nullptr) {
-                counter = &m_metrics.counter(info.name, "", info.help);
-            }
-            counter->add();
+            counter(info.name, "", info.help).add();
         }
     }
 }
 
 void Worker::execute(CountRetry&& effect)
 {
-    MetricsRegistry::Counter*& counter = m_counters["retries " + effect.service];
-    if (counter == nullptr) {
-        counter = &m_metrics.counter("jasminespread_retries_total", "service=\"" + effect.service + "\"",
-            "Requests sent again to a backend server.");
-    }
-    counter->add();
+    counter(
+        "jasminespread_retries_total", "service=\"" + effect.service + "\"", "Requests sent again to a backend server.")
+        .add();
 }
 
 void Worker::execute(WriteWorkerLog&& effect) { logEvent(effect.event, effect.details); }
--- a/src/daemon/worker.h
+++ b/src/daemon/worker.h
@@ -3,6 +3,7 @@
 #include "base/glib_pointer.h"
 #include "daemon/caller_listener.h"
 #include "daemon/forward_sockets.h"
+#include "entry/hot_key_sketch.h"
 #include "entry/request_reducer.h"
 
 #include <jasminespread/instance_settings.h>
@@ -14,6 +15,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <mutex>
 #include <set>
 #include <string>
 #include <thread>
@@ -37,6 +39,8 @@
     void startDrain();
     /// Number of requests in flight; connections in the backlog count as one while draining. Thread-safe.
     [[nodiscard]] std::size_t requestsInFlight() const noexcept { return m_inFlight.load(); }
+    /// Adds this worker's counts of hot keys since the last call to @p counts, by service and key. Thread-safe.
+    void takeHotKeys(std::map<std::string, std::map<std::string, std::uint64_t>>& counts);
     /// Ends the thread at once. Not thread-safe.
     void stop();
 
@@ -45,6 +49,12 @@
     void close();
     void run();
     void onTick();
+    void onCallerRequest(std::uint64_t caller, RawRequest&& raw);
+    void updateGauges();
+    [[nodiscard]] MetricsRegistry::Counter& counter(
+        const std::string& name, const std::string& labels, const std::string& help);
+    [[nodiscard]] MetricsRegistry::Gauge& gauge(
+        const std::string& name, const std::string& labels, const std::string& help);
     void onEnvelope(wire::Envelope&& envelope, const std::string& peerIp);
     void apply(WorkerEvent&& event);
     void refreshRoutes();
@@ -77,6 +87,8 @@
     std::thread m_thread;
     std::atomic<bool> m_stopping = false;
     std::atomic<std::size_t> m_inFlight = 0;
+    std::mutex m_hotKeysMutex;
+    std::map<std::string, HotKeySketch, std::less<>> m_hotKeys; ///< By service.
 
     /// @name State of the worker's thread
     /// @{
@@ -93,7 +105,10 @@
     bool m_draining = false;
     std::uint64_t m_ticks = 0;
     std::map<std::string, MetricsRegistry::Counter*> m_counters;
+    std::map<std::string, MetricsRegistry::Gauge*> m_gauges;
     std::map<std::string, MetricsRegistry::Histogram*> m_histograms;
+    std::set<std::string> m_gaugedServers;
+    std::uint64_t m_connectionsOpened = 0; ///< As far as counted in the metrics.
     /// @}
 };
 
--- a/src/daemon/worker_pool.cpp
+++ b/src/daemon/worker_pool.cpp
@@ -4,12 +4,17 @@
 
 #include <zmq.h>
 
+#include <algorithm>
+#include <map>
+#include <mutex>
 #include <thread>
 
 namespace jasminespread {
 namespace {
 
 constexpr Milliseconds drainPollInterval {5};
+constexpr std::size_t hotKeysReported = 64; ///< Per service.
+constexpr double shortestRateInterval = 0.001; ///< Seconds.
 
 struct ZmqTerminate {
     void operator()(void* context) const noexcept { zmq_ctx_term(context); }
@@ -23,6 +28,8 @@
     RoutingTable& table;
     MetricsRegistry& metrics;
     Hooks hooks;
+    std::mutex hotKeysMutex {}; ///< Also held while `workers` changes.
+    MonotonicTime hotKeysTakenAt = monotonicNow();
     std::unique_ptr<void, ZmqTerminate> zmqContext {zmq_ctx_new()};
     std::vector<std::unique_ptr<Worker>> workers {}; ///< Destroyed before the context that their sockets use.
 
@@ -47,6 +54,7 @@
 Result<void> WorkerPool::start()
 {
     BOOST_LEAF_CHECK(CallerListener::checkAddressFree(m_state->settings.callerAddress));
+    const std::lock_guard<std::mutex> lock(m_state->hotKeysMutex);
     for (std::uint32_t i = 0; i < m_state->settings.workers; ++i) {
         m_state->workers.push_back(std::make_unique<Worker>(m_state->settings, i, m_state->incarnation,
             m_state->zmqContext.get(), m_state->table, m_state->metrics, m_state->hooks));
@@ -69,10 +77,37 @@
         std::this_thread::sleep_for(drainPollInterval);
     }
     const std::size_t cutOff = m_state->requestsInFlight();
+    const std::lock_guard<std::mutex> lock(m_state->hotKeysMutex);
     m_state->workers.clear();
     return cutOff;
 }
 
-std::vector<wire::HotKeyReport> WorkerPool::takeHotKeys() { return {}; }
+std::vector<wire::HotKeyReport> WorkerPool::takeHotKeys()
+{
+    std::map<std::string, std::map<std::string, std::uint64_t>> counts;
+    const std::lock_guard<std::mutex> lock(m_state->hotKeysMutex);
+    for (const std::unique_ptr<Worker>& worker : m_state->workers) {
+        worker->takeHotKeys(counts);
+    }
+    const MonotonicTime now = monotonicNow();
+    const double seconds = std::chrono::duration<double>(now - std::exchange(m_state->hotKeysTakenAt, now)).count();
+    std::vector<wire::HotKeyReport> reports;
+    for (const auto& [service, keys] : counts) {
+        std::vector<std::pair<std::uint64_t, std::string>> sorted;
+        for (const auto& [key, count] : keys) {
+            sorted.emplace_back(count, key);
+        }
+        std::sort(sorted.rbegin(), sorted.rend());
+        sorted.resize(std::min(sorted.size(), hotKeysReported));
+        wire::HotKeyReport& report = reports.emplace_back();
+        report.set_service(service);
+        for (const auto& [count, key] : sorted) {
+            wire::HotKeyRate& rate = *report.add_keys();
+            rate.set_key(key);
+            rate.set_requests_per_second(static_cast<double>(count) / std::max(seconds, shortestRateInterval));
+        }
+    }
+    return reports;
+}
 
 } // namespace jasminespread
--- a/tests/worker_pool_test.cpp
+++ b/tests/worker_pool_test.cpp
@@ -1,9 +1,11 @@
 #include "support/http_peer.h"
 
+#include <jasminespread/request_id.h>
 #include <jasminespread/worker_pool.h>
 
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
+#include <zmq.h>
 
 namespace jasminespread {
 namespace {
@@ -85,6 +87,7 @@
 
     static constexpr std::uint64_t incarnation = 77;
     std::mutex mutex;
+    std::atomic<bool> release = false; ///< For handlers that block until then.
     std::vector<std::string> requests;
     std::function<std::string(const std::string&)> handler;
     TestBackend backend;
@@ -209,5 +212,135 @@
     EXPECT_FALSE(Connection(callerPort).connected());
 }
 
+// Guards against passing on a part of an answer as the whole one.
+TEST_F(WorkerPoolTest, TruncatedAnswerIsNeverPassedOn)
+{
+    handler = [](const std::string&) { return "HTTP/1.1 200 OK\r\nContent-Length: 10\r\n\r\npart<cut>"; };
+    start();
+    Connection caller(callerPort);
+    for (const char* method : {"GET", "POST"}) {
+        const std::string answer = caller.exchange(request(method, "/v1/ledger/x", "Jasminespread-Key: a\r\n"));
+        EXPECT_THAT(answer, StartsWith("HTTP/1.1 502"));
+        EXPECT_THAT(answer, HasSubstr("Jasminespread-Outcome: unknown"));
+        EXPECT_THAT(answer, Not(HasSubstr("part\n")));
+    }
+    EXPECT_EQ(std::count_if(
+                  requests.begin(), requests.end(), [](const std::string& sent) { return sent.starts_with("POST"); }),
+        1);
+}
+
+// Guards against work that goes on for a caller that closed its connection.
+TEST_F(WorkerPoolTest, CallerThatLeavesEndsItsRequest)
+{
+    handler = [this](const std::string&) {
+        while (!release) {
+            std::this_thread::sleep_for(Milliseconds(1));
+        }
+        return TestBackend::answer("x");
+    };
+    start();
+    Connection caller(callerPort);
+    caller.write(request("GET", "/v1/ledger/x", "Jasminespread-Key: a\r\n"));
+    std::this_thread::sleep_for(Milliseconds(100));
+    caller.end();
+    EXPECT_EQ(pool->drain(Milliseconds(3000)), 0U);
+    release = true;
+}
+
+// Guards against requests that strangers send past the checks of the entry: the sender's address is no instance's.
+TEST_F(WorkerPoolTest, ForwardFromUnknownAddressIsDropped)
+{
+    start();
+    wire::Envelope envelope;
+    envelope.set_protocol_version(1);
+    envelope.mutable_sender()->set_id("entry-1");
+    envelope.mutable_sender()->set_incarnation(incarnation);
+    const RequestId id = RequestId::generate(wallNow());
+    wire::ForwardRequest& forward = *envelope.mutable_forward_request();
+    forward.set_correlation(1);
+    forward.set_reply_address("tcp://" + settings.forwardAddress);
+    forward.set_service("ledger");
+    forward.set_key("a");
+    forward.set_request_id(id.bytes().data(), id.bytes().size());
+    forward.set_method("POST");
+    forward.set_target("/x");
+    forward.set_remaining_ms(1000);
+    forward.set_id_made_by_entry(true);
+    const std::string bytes = envelope.SerializeAsString();
+
+    void* context = zmq_ctx_new();
+    for (const std::string source : {"127.0.0.2:0", "127.0.0.1:0"}) {
+        const int linger = 1000;
+        std::vector<void*> sockets;
+        for (int worker = 0; worker < 2; ++worker) {
+            const std::size_t colon = settings.forwardAddress.rfind(':');
+            const int port = std::stoi(settings.forwardAddress.substr(colon + 1)) + worker;
+            void* socket = zmq_socket(context, ZMQ_PUSH);
+            zmq_setsockopt(socket, ZMQ_LINGER, &linger, sizeof linger);
+            zmq_connect(socket, ("tcp://" + source + ";127.0.0.1:" + std::to_string(port)).c_str());
+            zmq_send(socket, bytes.data(), bytes.size(), 0);
+            sockets.push_back(socket);
+        }
+        std::this_thread::sleep_for(Milliseconds(200));
+        {
+            const std::lock_guard<std::mutex> lock(mutex);
+            // Only one of the two workers holds the key's group.
+            EXPECT_EQ(requests.size(), source.starts_with("127.0.0.2") ? 0U : 1U);
+        }
+        for (void* socket : sockets) {
+            zmq_close(socket);
+        }
+    }
+    zmq_ctx_term(context);
+}
+
+// Guards against losing requests or answers between two instances.
+TEST_F(WorkerPoolTest, OtherInstanceForwardsToThePrimary)
+{
+    InstanceSettings other = settings;
+    other.instance = "entry-2";
+    const std::uint16_t otherPort = test::freePorts(1);
+    other.callerAddress = "127.0.0.1:" + std::to_string(otherPort);
+    other.forwardAddress = "127.0.0.1:" + std::to_string(test::freePorts(2));
+    start();
+    auto routes = std::make_shared<RoutingSnapshot>(*table.current());
+    routes->instances.push_back({"entry-2", 88, "western", other.forwardAddress, 2, true});
+    table.publish(routes);
+    routes = std::make_shared<RoutingSnapshot>(*routes);
+    routes->self = {"entry-2", 88};
+    RoutingTable otherTable;
+    otherTable.publish(routes);
+    WorkerPool second(other, 88, otherTable, metrics, {});
+    ASSERT_TRUE(second.start());
+    const std::string id = RequestId::generate(wallNow() + Milliseconds(100)).text();
+    for (int i = 0; i < 20; ++i) {
+        // The last request repeats the id of the one before over the other instance.
+        Connection caller(i < 19 ? otherPort : callerPort);
+        const std::string key = "Jasminespread-Key: key-" + std::to_string(std::min(i, 18)) + "\r\n";
+        const std::string answer = caller.exchange(
+            request("POST", "/v1/ledger/x", key + (i >= 18 ? "Jasminespread-Request-Id: " + id + "\r\n" : ""), "body"));
+        EXPECT_THAT(answer, StartsWith("HTTP/1.1 200"));
+        EXPECT_THAT(answer, testing::EndsWith("stored"));
+    }
+    EXPECT_EQ(requests.size(), 19U);
+}
+
+// Guards against hot keys that no report shows.
+TEST_F(WorkerPoolTest, ReportsHotKeys)
+{
+    start();
+    Connection caller(callerPort);
+    for (int i = 0; i < 30; ++i) {
+        const std::string key = i % 3 == 0 ? "cold-" + std::to_string(i) : "hot";
+        caller.exchange(request("GET", "/v1/ledger/x", "Jasminespread-Key: " + key + "\r\n"));
+    }
+    const std::vector<wire::HotKeyReport> reports = pool->takeHotKeys();
+    ASSERT_EQ(reports.size(), 1U);
+    EXPECT_EQ(reports[0].service(), "ledger");
+    ASSERT_GT(reports[0].keys_size(), 1);
+    EXPECT_EQ(reports[0].keys(0).key(), "hot");
+    EXPECT_GT(reports[0].keys(0).requests_per_second(), 10 * reports[0].keys(1).requests_per_second());
+}
+
 } // namespace
 } // namespace jasminespread
--- a/tools/path-benchmark.cpp
+++ b/tools/path-benchmark.cpp
@@ -189,8 +189,8 @@
         }
         const std::string request = load.method
             + " /v1/ledger/orders HTTP/1.1\r\nHost: entry\r\nJasminespread-Key: key-"
-            + std::to_string(std::uint64_t(caller) * 1'000'003 + i) + "\r\nContent-Length: " + std::to_string(load.bodyBytes)
-            + "\r\n\r\n" + std::string(load.bodyBytes, 'b');
+            + std::to_string(std::uint64_t(caller) * 1'000'003 + i)
+            + "\r\nContent-Length: " + std::to_string(load.bodyBytes) + "\r\n\r\n" + std::string(load.bodyBytes, 'b');
         send(fd, request.data(), request.size(), MSG_NOSIGNAL);
         std::size_t whole = 0;
         while (whole == 0 || input.size() < whole) {
