--- a/src/control/control_reducer.cpp
+++ b/src/control/control_reducer.cpp
@@ -61,7 +61,9 @@
     void followTenure(const GroupName& name, const GroupAuthority& group, MonotonicTime now);
     void publish(const ReduceContext& context);
     void finishShutdown(const ReduceContext& context);
-    [[nodiscard]] std::map<std::string, std::uint32_t> countPartitions() const;
+    [[nodiscard]] std::map<std::uint32_t, double> hotPartitionLoads(
+        const Service& service, const GroupAuthority& group) const;
+    [[nodiscard]] std::map<std::string, double> serverLoads(const Service& service) const;
     void evaluateHotKeys(MonotonicTime now);
     [[nodiscard]] std::set<std::string> wantedHotKeys(const Service& service, const GroupName& group) const;
     [[nodiscard]] std::optional<HotKeyTracker::Place> placeOf(const std::string& service, const std::string& key) const;
@@ -498,16 +500,18 @@
 
 void ControlReducer::State::decideGroups(const ReduceContext& context)
 {
-    const std::map<std::string, std::uint32_t> partitions = countPartitions();
     std::set<std::string> probed;
     bool wanted = false;
     bool urgent = false;
     for (const Service& service : context.configuration->services) {
+        const std::map<std::string, double> loads = serverLoads(service);
         for (std::uint32_t index = 0; index < service.groups; ++index) {
             GroupAuthority& group = m_groups.at({service.name, index});
             followTenure({service.name, index}, group, context.now);
             const std::set<std::string> hotKeys = wantedHotKeys(service, {service.name, index});
-            group.decide(context, service, {m_leases, m_declarations, m_placement, partitions, hotKeys});
+            const std::map<std::uint32_t, double> hot
+                = group.record() != nullptr ? hotPartitionLoads(service, group) : std::map<std::uint32_t, double>();
+            group.decide(context, service, {m_leases, m_declarations, m_placement, loads, hot, hotKeys});
             group.updateLeases(context, m_leases);
             group.refreshDeadline();
             wanted = wanted || group.wantsRead(context);
@@ -541,18 +545,37 @@
     }
 }
 
-std::map<std::string, std::uint32_t> ControlReducer::State::countPartitions() const
+// Compares a hot key with the load of a mean partition. Only hot keys are reported, which makes that load look smaller
+// than it is, so the result is bounded by the load of a mean server.
+std::map<std::uint32_t, double> ControlReducer::State::hotPartitionLoads(
+    const Service& service, const GroupAuthority& group) const
 {
-    std::map<std::string, std::uint32_t> counts;
-    for (const auto& [name, group] : m_groups) {
+    std::map<std::uint32_t, double> loads;
+    const double meanRate = m_hotKeys.totalRateOf(service.name) / service.partitions;
+    const auto servers = std::ranges::count(m_configuration.inForce()->servers, service.name, &BackendServer::service);
+    const double highest = std::max(1.0, static_cast<double>(service.partitions) / std::max<double>(1, servers));
+    for (const auto& [key, partition] : group.record()->overrides) {
+        const double rate = m_hotKeys.rateOf(service.name, key);
+        loads[partition] = meanRate > 0 ? std::clamp(rate / meanRate, 1.0, highest) : 1.0;
+    }
+    return loads;
+}
+
+std::map<std::string, double> ControlReducer::State::serverLoads(const Service& service) const
+{
+    std::map<std::string, double> loads;
+    for (std::uint32_t index = 0; index < service.groups; ++index) {
+        const GroupAuthority& group = m_groups.at({service.name, index});
         if (group.record() == nullptr) {
             continue;
         }
+        const std::map<std::uint32_t, double> hot = hotPartitionLoads(service, group);
         for (const PartitionAssignment& assignment : group.record()->partitions) {
-            ++counts[assignment.owner];
+            const auto it = hot.find(assignment.partition);
+            loads[assignment.owner] += it != hot.end() ? it->second : 1;
         }
     }
-    return counts;
+    return loads;
 }
 
 std::set<std::string> ControlReducer::State::wantedHotKeys(const Service& service, const GroupName& group) const
--- a/src/control/group_ownership.cpp
+++ b/src/control/group_ownership.cpp
@@ -41,8 +41,8 @@
     std::vector<PlacementServer> candidates;
     for (const BackendServer& server : context.configuration->servers) {
         if (server.service == service.name && usable(context, input.leases, input.declarations, server.id)) {
-            const auto it = input.partitionsOfServer.find(server.id);
-            candidates.push_back({server.id, server.region, it != input.partitionsOfServer.end() ? it->second : 0});
+            const auto it = input.loadOfServer.find(server.id);
+            candidates.push_back({server.id, server.region, it != input.loadOfServer.end() ? it->second : 0});
         }
     }
     return candidates;
@@ -286,7 +286,7 @@
 {
     const GroupRecord& record = planning.proposed;
     return {record.group, record.homeRegion, planning.candidates, record.partitions, planning.ownerless,
-        planning.preferred, planning.context.configuration->weights};
+        planning.preferred, planning.input.loadOfPartition, planning.context.configuration->weights};
 }
 
 void GroupOwnership::collectOwnerless(Planning& planning)
--- a/src/control/group_ownership.h
+++ b/src/control/group_ownership.h
@@ -27,7 +27,8 @@
     const ServerLeases& leases;
     const Declarations& declarations;
     const PlacementPolicy& placement;
-    const std::map<std::string, std::uint32_t>& partitionsOfServer; ///< Over all groups.
+    const std::map<std::string, double>& loadOfServer; ///< Over all groups, in loads of an ordinary partition.
+    const std::map<std::uint32_t, double>& loadOfPartition; ///< Partitions of this group whose load is not 1.
     const std::set<std::string>& hotKeys; ///< Keys that shall have their own partitions in this group.
 };
 
--- a/src/control/hot_key_tracker.cpp
+++ b/src/control/hot_key_tracker.cpp
@@ -34,25 +34,40 @@
     }
 }
 
-std::map<std::string, HotKeyTracker::Load> HotKeyTracker::sumRates(MonotonicTime now, const PlaceOf& placeOf)
+void HotKeyTracker::sumRates(MonotonicTime now, const PlaceOf& placeOf)
 {
     std::erase_if(m_reports, [&](const auto& entry) { return now - entry.second.receivedAt > reportValidity; });
-    std::map<std::string, Load> loads;
+    m_loads.clear();
     for (const auto& [source, report] : m_reports) {
-        Load& load = loads[source.second];
+        Load& load = m_loads[source.second];
         for (const auto& [key, rate] : report.rates) {
             load.ofKey[key] += rate;
             load.total += rate;
         }
     }
-    for (auto& [service, load] : loads) {
+    for (auto& [service, load] : m_loads) {
         for (const auto& [key, rate] : load.ofKey) {
             if (const std::optional<Place> place = placeOf(service, key)) {
                 load.ofServer[place->owner] += rate;
             }
         }
     }
-    return loads;
+}
+
+double HotKeyTracker::rateOf(const std::string& service, const std::string& key) const
+{
+    const auto load = m_loads.find(service);
+    if (load == m_loads.end()) {
+        return 0;
+    }
+    const auto rate = load->second.ofKey.find(key);
+    return rate != load->second.ofKey.end() ? rate->second : 0;
+}
+
+double HotKeyTracker::totalRateOf(const std::string& service) const
+{
+    const auto load = m_loads.find(service);
+    return load != m_loads.end() ? load->second.total : 0;
 }
 
 void HotKeyTracker::evaluate(
@@ -62,9 +77,9 @@
         return;
     }
     m_evaluatedAt = now;
-    std::map<std::string, Load> loads = sumRates(now, placeOf);
+    sumRates(now, placeOf);
     for (auto& [group, keys] : m_keys) {
-        Load& load = loads[group.service];
+        Load& load = m_loads[group.service];
         for (const auto& [key, rate] : load.ofKey) {
             const std::optional<Place> place = placeOf(group.service, key);
             if (place && place->group == group) {
--- a/src/control/hot_key_tracker.h
+++ b/src/control/hot_key_tracker.h
@@ -32,6 +32,10 @@
     void drop(const GroupName& group) { m_keys.erase(group); }
     /// Decides anew, at most once a second. @p servers: number of servers that share the load of each service.
     void evaluate(MonotonicTime now, const PlaceOf& placeOf, const std::map<std::string, std::size_t>& servers);
+    /// Reported requests/s of a key at the last evaluation.
+    [[nodiscard]] double rateOf(const std::string& service, const std::string& key) const;
+    /// Reported requests/s of all hot keys of the service at the last evaluation.
+    [[nodiscard]] double totalRateOf(const std::string& service) const;
     /// Keys of the group that shall have their own partitions.
     [[nodiscard]] std::set<std::string> isolated(const GroupName& group) const;
 
@@ -54,11 +58,12 @@
         double total = 0;
     };
 
-    [[nodiscard]] std::map<std::string, Load> sumRates(MonotonicTime now, const PlaceOf& placeOf);
+    void sumRates(MonotonicTime now, const PlaceOf& placeOf);
     void evaluateKey(MonotonicTime now, const GroupName& group, const std::string& name, double rate, double hotRate);
 
     std::map<std::pair<std::string, std::string>, Report> m_reports; ///< By instance and service.
     std::map<GroupName, std::map<std::string, Key>> m_keys;
+    std::map<std::string, Load> m_loads; ///< By service.
     std::optional<MonotonicTime> m_evaluatedAt;
 };
 
--- a/src/control/placement.cpp
+++ b/src/control/placement.cpp
@@ -3,13 +3,14 @@
 #include "control/rendezvous.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 
 namespace jasminespread {
 namespace {
 
-// Part of the mean number of partitions per server by which a move must reduce the difference between two servers,
-// at equal weights. Smaller differences are not worth moving the state of a partition.
+// Part of the mean load of a server by which a move must reduce the difference between two servers, at equal weights.
+// Smaller differences are not worth moving the state of a partition.
 constexpr double worthwhileDifference = 0.1;
 
 PlacementServer* findServer(std::vector<PlacementServer>& servers, const std::string& id)
@@ -22,10 +23,19 @@
 auto loadRank(const std::string& item)
 {
     return [item](const PlacementServer& server) {
-        return std::tuple(server.partitions, rendezvousScore(item, server.id), server.id);
+        return std::tuple(server.load, rendezvousScore(item, server.id), server.id);
     };
 }
 
+/// The ownerless partitions, heaviest first, so that the light ones even out what the heavy ones leave.
+std::vector<std::uint32_t> heaviestFirst(const PlacementInput& input)
+{
+    std::vector<std::uint32_t> partitions = input.ownerless;
+    std::ranges::stable_sort(
+        partitions, std::greater<>(), [&](std::uint32_t partition) { return input.loadOf(partition); });
+    return partitions;
+}
+
 Owners assignToLeastLoaded(const PlacementInput& input)
 {
     Owners owners;
@@ -34,7 +44,7 @@
     if (near.empty()) {
         return owners;
     }
-    for (const std::uint32_t partition : input.ownerless) {
+    for (const std::uint32_t partition : heaviestFirst(input)) {
         const auto preferred = input.preferred.find(partition);
         if (preferred != input.preferred.end() && findServer(all, preferred->second) != nullptr) {
             owners[partition] = preferred->second;
@@ -42,59 +52,75 @@
             owners[partition] = std::ranges::min_element(near, {}, loadRank(toText(input.group)))->id;
         }
         if (PlacementServer* server = findServer(near, owners[partition])) {
-            ++server->partitions;
+            server->load += input.loadOf(partition);
         }
     }
     return owners;
 }
 
-bool worthMoving(
-    const PlacementInput& input, const std::vector<PlacementServer>& servers, std::uint32_t from, std::uint32_t to)
+double meanLoad(const std::vector<PlacementServer>& servers)
 {
-    if (from <= to + 1) {
-        return false;
-    }
     double total = 0;
     for (const PlacementServer& server : servers) {
-        total += server.partitions;
+        total += server.load;
     }
-    const double mean = total / static_cast<double>(servers.size());
-    const double gain = input.weights.imbalance * (from - to - 1) / mean;
-    const double cost = worthwhileDifference * (input.weights.churn + input.weights.unavailability) / 2;
-    return gain > cost;
+    return total / static_cast<double>(servers.size());
+}
+
+/// The least difference between two servers, apart from the load to be moved, that is worth a move.
+double leastGain(const PlacementInput& input, double mean)
+{
+    const double cost = (input.weights.churn + input.weights.unavailability) / 2;
+    return worthwhileDifference * mean * cost / std::max(input.weights.imbalance, 1e-6);
 }
 
-/// A partition of the group on @p server that may move: not one that operators placed.
-const PartitionAssignment* movablePartition(const PlacementInput& input, const std::string& server, const Owners& moved)
+/// The partition on @p from whose move to @p to evens them out best; null when no move is worth it.
+const PartitionAssignment* bestMove(const PlacementInput& input, const PlacementServer& from, const PlacementServer& to,
+    double least, const Owners& moved)
 {
-    const auto it = std::ranges::find_if(input.assignments, [&](const PartitionAssignment& assignment) {
-        return assignment.owner == server && !input.preferred.contains(assignment.partition)
-            && !moved.contains(assignment.partition);
-    });
-    return it != input.assignments.end() ? &*it : nullptr;
+    const PartitionAssignment* best = nullptr;
+    const double difference = from.load - to.load;
+    double bestLeft = difference;
+    for (const PartitionAssignment& assignment : input.assignments) {
+        // Operators chose the owner of a partition with a preferred server.
+        if (assignment.owner != from.id || input.preferred.contains(assignment.partition)
+            || moved.contains(assignment.partition)) {
+            continue;
+        }
+        const double load = input.loadOf(assignment.partition);
+        const double left = std::abs(difference - 2 * load);
+        if (left < bestLeft && difference - load > least) {
+            best = &assignment;
+            bestLeft = left;
+        }
+    }
+    return best;
 }
 
 Owners moveFromFullestToEmptiest(const PlacementInput& input, std::size_t budget)
 {
     Owners moves;
     std::vector<PlacementServer> servers = serversNearHome(input);
+    if (servers.empty()) {
+        return moves;
+    }
+    const double least = leastGain(input, meanLoad(servers));
     while (moves.size() < budget) {
         std::ranges::sort(servers, {}, loadRank(toText(input.group)));
+        PlacementServer& to = servers.front();
         const PartitionAssignment* moving = nullptr;
         std::size_t from = servers.size();
+        // The most loaded server may have no partition of this group.
         while (moving == nullptr && from > 1) {
             --from;
-            if (!worthMoving(input, servers, servers[from].partitions, servers.front().partitions)) {
-                return moves;
-            }
-            moving = movablePartition(input, servers[from].id, moves);
+            moving = bestMove(input, servers[from], to, least, moves);
         }
         if (moving == nullptr) {
-            return moves;
+            break;
         }
-        moves[moving->partition] = servers.front().id;
-        --servers[from].partitions;
-        ++servers.front().partitions;
+        moves[moving->partition] = to.id;
+        servers[from].load -= input.loadOf(moving->partition);
+        to.load += input.loadOf(moving->partition);
     }
     return moves;
 }
--- a/src/control/placement.h
+++ b/src/control/placement.h
@@ -15,7 +15,7 @@
 struct PlacementServer {
     std::string id;
     std::string region;
-    std::uint32_t partitions = 0; ///< Partitions of the service that it owns now, in all groups.
+    double load = 0; ///< Sum over its partitions of the service, in all groups.
 };
 
 /// Everything that a placement policy sees. The same input gives the same placement on every instance.
@@ -26,7 +26,14 @@
     std::vector<PartitionAssignment> assignments; ///< The whole group.
     std::vector<std::uint32_t> ownerless; ///< Partitions that need an owner.
     std::map<std::uint32_t, std::string> preferred; ///< Preferred owner, by partition.
+    std::map<std::uint32_t, double> loads; ///< Loads of partitions that differ from 1, the load of an ordinary one.
     PlacementWeights weights;
+
+    [[nodiscard]] double loadOf(std::uint32_t partition) const
+    {
+        const auto it = loads.find(partition);
+        return it != loads.end() ? it->second : 1;
+    }
 };
 
 /// New owners by partition.
@@ -41,8 +48,8 @@
 };
 
 /// The policy in use. Ownerless partitions go to the preferred server if it is a candidate, else to the server with the
-/// fewest partitions. Partitions move from the fullest to the emptiest server when the weights say that it is worth
-/// it. Only servers of the home region are used while there are any.
+/// least load. Partitions move from the most to the least loaded server when the weights say that it is worth it. Only
+/// servers of the home region are used while there are any.
 [[nodiscard]] PlacementPolicy leastLoadedPlacement();
 
 /// Home region of a new group: regions get groups in proportion to their servers of the service.
