--- a/src/control/control_reducer.cpp
+++ b/src/control/control_reducer.cpp
@@ -54,6 +54,7 @@
 
     void declare(const ReduceContext& context, const OperatorRequested& request);
     void adoptConfiguration();
+    [[nodiscard]] static bool needsDecision(const Event& event);
     void expireDeclarations(MonotonicTime now);
     void seeStored(const ReduceContext& context, const StoredObject& object, MonotonicTime startedAt);
     void decide(const ReduceContext& context);
@@ -111,10 +112,21 @@
     const ReduceContext context {event.now, event.wall, m_settings, m_self, m_membership, m_configuration.inForce(),
         m_stoppingSince.has_value(), effects};
     std::visit([&](const auto& concrete) { handle(context, concrete); }, event.event);
-    decide(context);
+    if (needsDecision(event.event)) {
+        decide(context);
+    }
     return effects;
 }
 
+// Heartbeats and their replies are the most frequent events; what they change is decided at the next tick.
+bool ControlReducer::State::needsDecision(const Event& event)
+{
+    if (const PeerMessageReceived* message = std::get_if<PeerMessageReceived>(&event)) {
+        return message->envelope.has_group_view() || message->envelope.has_declaration();
+    }
+    return std::get_if<RouteRefused>(&event) == nullptr && std::get_if<HotKeysObserved>(&event) == nullptr;
+}
+
 void ControlReducer::State::adoptConfiguration()
 {
     const Configuration* configuration = m_configuration.inForce();
@@ -123,6 +135,15 @@
     }
     m_configuredRevision = configuration->revision;
     m_leases.configure(*configuration);
+    std::erase_if(m_groups, [&](const auto& entry) {
+        const bool declared = std::ranges::any_of(configuration->services, [&](const Service& service) {
+            return service.name == entry.first.service && entry.first.index < service.groups;
+        });
+        if (!declared) {
+            m_leases.dropGroup(entry.first);
+        }
+        return !declared;
+    });
     for (const Service& service : configuration->services) {
         for (std::uint32_t index = 0; index < service.groups; ++index) {
             const GroupName name {service.name, index};
@@ -291,7 +312,7 @@
     const InstanceReference primary {sender.id(), sender.incarnation()};
     for (const wire::BackingRequest& request : heartbeat.backing_requests()) {
         const GroupAuthority* group = findGroup(fromWire(request.group()));
-        if (group != nullptr && !context.stopping && group->backs(m_self, primary, request.term())) {
+        if (group != nullptr && group->backs(m_self, primary, request.term())) {
             *reply.add_backed() = request;
         }
     }
@@ -318,6 +339,7 @@
     for (const wire::BackingRequest& backed : reply.backed()) {
         if (GroupAuthority* group = findGroup(fromWire(backed.group()))) {
             group->receiveBacking({sender.id(), sender.incarnation()}, backed.term(), *requestedAt);
+            group->refreshDeadline();
         }
     }
 }
--- a/src/control/group_authority.cpp
+++ b/src/control/group_authority.cpp
@@ -162,6 +162,7 @@
 void GroupAuthority::decideAsPrimary(const ReduceContext& context, const Service& service, const OwnershipInput& input)
 {
     if (m_clock.update(context.now)) {
+        context.count("jasminespread_authority_lapses_total", "service=\"" + m_group.service + "\"");
         context.log(LogEvent::AuthorityLapsed, toText(m_group));
     }
     if (m_ownership.updateConfirmed(context, service, *m_record, input)) {
@@ -310,6 +311,9 @@
     } else if (!owned && m_primary) {
         stepDown(context);
     }
+    if (owned && before) {
+        reportMoves(context, *before);
+    }
     if (!owned || newTerm) {
         publish(context);
     }
@@ -318,6 +322,20 @@
     }
 }
 
+void GroupAuthority::reportMoves(const ReduceContext& context, const GroupRecord& before) const
+{
+    for (const PartitionAssignment& assignment : m_record->partitions) {
+        const auto it = std::ranges::find(before.partitions, assignment.partition, &PartitionAssignment::partition);
+        const std::string from = it != before.partitions.end() ? it->owner : "";
+        if (!from.empty() && from != assignment.owner) {
+            context.log(LogEvent::PartitionMoved,
+                toText(m_group) + " partition " + std::to_string(assignment.partition) + " from " + from + " to "
+                    + assignment.owner);
+            context.count("jasminespread_partition_moves_total", "service=\"" + m_group.service + "\"");
+        }
+    }
+}
+
 void GroupAuthority::becomePrimary(const ReduceContext& context, std::optional<ChangePurpose> ownChange)
 {
     m_primary = true;
@@ -331,6 +349,7 @@
         earlier.unconfirmedUntil = earlier.until + m_longestExtension;
     }
     m_ownership.begin(*m_record, earlier);
+    context.count("jasminespread_group_takeovers_total", "service=\"" + m_group.service + "\"");
     context.log(LogEvent::GroupTakenOver, toText(m_group) + " term " + std::to_string(m_record->term));
 }
 
--- a/src/control/group_authority.h
+++ b/src/control/group_authority.h
@@ -97,6 +97,7 @@
         std::optional<ChangePurpose> ownChange);
     void apply(const ReduceContext& context, const AppliedChange& change);
     void becomePrimary(const ReduceContext& context, std::optional<ChangePurpose> ownChange);
+    void reportMoves(const ReduceContext& context, const GroupRecord& before) const;
     void stepDown(const ReduceContext& context);
     void create(const ReduceContext& context, const Service& service, const OwnershipInput& input);
     void takeOver(const ReduceContext& context, ChangePurpose purpose);
--- a/src/control/group_writer.cpp
+++ b/src/control/group_writer.cpp
@@ -1,11 +1,13 @@
 #include "control/group_writer.h"
 
+#include <algorithm>
 #include <charconv>
 
 namespace jasminespread {
 namespace {
 
-constexpr Milliseconds retryDelay {200};
+constexpr Milliseconds shortestRetryDelay {200};
+constexpr std::uint32_t maxRetryDoublings = 4;
 
 std::string makeChangeId(std::uint64_t incarnation, std::uint64_t number)
 {
@@ -47,6 +49,14 @@
     context.effects.push_back(ReadObject {"group", toText(m_group)});
 }
 
+// All groups of an instance fail together when the store is down, so they must not repeat their calls too fast.
+Milliseconds GroupWriter::nextRetryDelay()
+{
+    const Milliseconds delay = shortestRetryDelay * (1U << m_failures);
+    m_failures = std::min(m_failures + 1, maxRetryDoublings);
+    return delay;
+}
+
 void GroupWriter::clear(MonotonicTime retryAt)
 {
     m_pending.reset();
@@ -76,6 +86,7 @@
     switch (event.result.status) {
     case StoreStatus::Ok: {
         AppliedChange applied {m_pending->record, event.result.version, m_pending->purpose, event.startedAt};
+        m_failures = 0;
         clear(context.now);
         return applied;
     }
@@ -91,9 +102,9 @@
     case StoreStatus::NotFound:
         if (m_uncertain) {
             m_stage = Stage::ReadingBack;
-            m_retryAt = context.now + retryDelay;
+            m_retryAt = context.now + nextRetryDelay();
         } else {
-            clear(context.now + retryDelay);
+            clear(context.now + nextRetryDelay());
         }
         break;
     }
@@ -108,12 +119,12 @@
     m_readInFlight = false;
     const bool readable = status == StoreStatus::Ok || status == StoreStatus::NotFound;
     if (!readable) {
-        m_retryAt = context.now + retryDelay;
+        m_retryAt = context.now + nextRetryDelay();
     } else if (m_uncertain) {
         // observe() did not resolve the change, so the object is unchanged.
         send(context);
     } else {
-        clear(context.now + retryDelay);
+        clear(context.now + nextRetryDelay());
     }
 }
 
@@ -125,6 +136,7 @@
     }
     std::optional<AppliedChange> applied;
     if (record.changeId == m_pending->record.changeId) {
+        m_failures = 0;
         applied = AppliedChange {m_pending->record, version, m_pending->purpose, startedAt};
     }
     clear({});
--- a/src/control/group_writer.h
+++ b/src/control/group_writer.h
@@ -58,6 +58,7 @@
     void send(const ReduceContext& context);
     void readBack(const ReduceContext& context);
     void clear(MonotonicTime retryAt);
+    [[nodiscard]] Milliseconds nextRetryDelay();
 
     GroupName m_group;
     std::optional<Pending> m_pending;
@@ -66,6 +67,7 @@
     bool m_readInFlight = false;
     MonotonicTime m_sentAt;
     MonotonicTime m_retryAt;
+    std::uint32_t m_failures = 0; ///< Failed calls in a row.
     std::uint64_t m_changes = 0;
 };
 
--- a/src/control/membership.cpp
+++ b/src/control/membership.cpp
@@ -110,7 +110,7 @@
     std::vector<PeerInfo> peers;
     for (InstanceEntry& entry : entries) {
         const PeerInfo* known = find(entry.id);
-        // The list lags, so a peer that is still heard stays even when it is listed as gone.
+        // The list lags, so a peer that is still heard stays even when it is listed as gone or not at all.
         if (entry.state == ListedState::Gone && (known == nullptr || !known->live)) {
             continue;
         }
@@ -119,6 +119,12 @@
         peer.entry = std::move(entry);
         peers.push_back(std::move(peer));
     }
+    for (const PeerInfo& known : m_peers) {
+        if (known.live
+            && std::ranges::none_of(peers, [&](const PeerInfo& p) { return p.entry.id == known.entry.id; })) {
+            peers.push_back(known);
+        }
+    }
     std::ranges::sort(peers, {}, [](const PeerInfo& peer) { return peer.entry.id; });
     const auto sameEntry = [](const PeerInfo& a, const PeerInfo& b) { return a.entry == b.entry; };
     const bool changed = !std::ranges::equal(peers, m_peers, sameEntry);
--- a/src/control/reduce_context.h
+++ b/src/control/reduce_context.h
@@ -23,6 +23,10 @@
     bool stopping; ///< This instance hands its groups over.
     Effects& effects;
 
+    void count(std::string name, std::string labels, double value = 1) const
+    {
+        effects.push_back(RecordMetric {std::move(name), std::move(labels), value, false});
+    }
     void log(LogEvent event, std::string details) const { effects.push_back(WriteLog {event, std::move(details)}); }
 };
 
--- a/src/control/server_leases.cpp
+++ b/src/control/server_leases.cpp
@@ -25,6 +25,10 @@
     for (const BackendServer& declared : configuration.servers) {
         Server& server = m_servers[declared.id];
         server.declared = true;
+        if (!server.address.empty() && server.address != declared.address) {
+            server.nonce.clear();
+            server.retryAt = std::max(server.retryAt, bound(declared.id));
+        }
         server.address = declared.address;
         server.service = declared.service;
     }
@@ -52,7 +56,7 @@
     }
     lease.term = term;
     lease.length = length;
-    ++lease.revision;
+    lease.revision = ++m_revision;
     lease.partitions = std::move(partitions);
     lease.earlierSetsBound = lease.bound;
     lease.sendFull = true;
--- a/src/control/server_leases.h
+++ b/src/control/server_leases.h
@@ -28,7 +28,8 @@
         ServerState state = ServerState::Serving;
     };
 
-    /// Takes over the declared servers. Servers no longer declared stay while they hold a lease.
+    /// Takes over the declared servers. Servers no longer declared stay while they hold a lease. A server with a new
+    /// address may be another process, so it gets no grant before those of the old address have ended.
     void configure(const Configuration& configuration);
     /// Names the services whose servers are contacted even without a lease, to learn their health.
     void probe(std::set<std::string> services) { m_probed = std::move(services); }
@@ -74,8 +75,7 @@
         std::set<std::uint32_t> busy;
         bool sendFull = true;
 
-        /// True when the server has accepted that it has no partitions and finished their requests. The lease stays
-        /// known because its revision must rise when the server gets partitions again.
+        /// True when the server has accepted that it has no partitions and finished their requests.
         [[nodiscard]] bool released() const
         {
             return partitions.empty() && acceptedRevision == revision && busy.empty();
@@ -110,6 +110,9 @@
     [[nodiscard]] const Lease* find(const GroupName& group, const std::string& server) const;
 
     std::map<std::string, Server> m_servers;
+    /// Newest revision of any lease. Shared, so that a group that is dropped and served again in the same term does not
+    /// start with a revision that its servers have seen.
+    std::uint64_t m_revision = 0;
     std::set<std::string> m_probed;
 };
 
