--- a/include/jasminespread/burn_report.h
+++ b/include/jasminespread/burn_report.h
@@ -125,7 +125,7 @@
 /// needs. Not thread-safe.
 class BurnHistory {
 public:
-    /// Time between two samples.
+    /// Time between two samples that are kept.
     static constexpr Milliseconds sampleInterval {10'000};
 
     BurnHistory();
@@ -133,7 +133,8 @@
     BurnHistory(const BurnHistory&) = delete;
     BurnHistory& operator=(const BurnHistory&) = delete;
 
-    /// Adds a sample. Latencies are compared with the objectives that @p snapshot has now.
+    /// Adds a sample. It replaces the newest one when that followed its predecessor by less than sampleInterval, so
+    /// that reports on demand need no memory. Latencies are compared with the objectives that @p snapshot has now.
     /// Precondition: times never go backwards.
     void add(MonotonicTime now, const std::vector<MetricFamily>& metrics, const RoutingSnapshot& snapshot);
     /// Computes the report of the services of @p snapshot up to the newest sample.
--- a/src/burn/burn_history.cpp
+++ b/src/burn/burn_history.cpp
@@ -272,6 +272,10 @@
             = it == snapshot.services.end() ? Objective().latency : it->second.settings.objective.latency;
         state.addLatencies(sample, service, buckets, threshold);
     }
+    const std::size_t kept = state.samples.size();
+    if (kept >= 2 && state.samples[kept - 1].at - state.samples[kept - 2].at < sampleInterval) {
+        state.samples.pop_back();
+    }
     state.samples.push_back(std::move(sample));
     // One sample at or before the start of the longest window stays.
     const MonotonicTime oldest = now - burnWindowLengths.back();
--- a/src/daemon/control_loop.cpp
+++ b/src/daemon/control_loop.cpp
@@ -1,9 +1,11 @@
 #include "daemon/control_loop.h"
 
+#include "burn/ownership_meter.h"
 #include "daemon/operator_api.h"
 #include "grants/grant_client.h"
 #include "peer/peer_transport.h"
 
+#include <jasminespread/burn_report.h>
 #include <jasminespread/log_event.h>
 
 #include <glib-unix.h>
@@ -65,6 +67,8 @@
     PeerTransport peers;
     std::unique_ptr<GrantClient> grants;
     OperatorApi operatorApi;
+    OwnershipMeter ownership;
+    BurnHistory burnHistory;
     std::vector<GSource*> sources;
     /// Callbacks of calls in flight hold a copy and do nothing once it is false.
     std::shared_ptr<bool> alive = std::make_shared<bool>(true);
@@ -90,7 +94,8 @@
         , operatorApi(settings.operatorAddress, settings.confirmTimeout + operatorAnswerMargin,
               {[this](OperatorRequested request) { apply(std::move(request)); },
                   [this] { return !stopping && table.current()->ready; }, [this] { return metrics.exposition(); },
-                  nullptr})
+                  [this](const std::string& format) { return burnReport(format); }})
+        , ownership(registry)
         , events(registry.counter("jasminespread_control_events_total", "", "Events that the control thread handled."))
         , busyMicroseconds(registry.counter("jasminespread_control_busy_microseconds_total", "",
               "Time that the control thread spent on decisions and on starting their effects."))
@@ -197,7 +202,11 @@
         }));
     }
 
-    void carryOut(const PublishRouting& effect) { table.publish(effect.snapshot); }
+    void carryOut(const PublishRouting& effect)
+    {
+        table.publish(effect.snapshot);
+        ownership.observe(monotonicNow(), effect.snapshot);
+    }
 
     void carryOut(const OperatorAnswer& effect) { operatorApi.answer(effect.request, effect.status, effect.body); }
 
@@ -260,6 +269,35 @@
         add(g_timeout_source_new(intervalMs), priority, callback);
     }
 
+    void takeBurnSample()
+    {
+        const MonotonicTime now = monotonicNow();
+        ownership.advance(now);
+        burnHistory.add(now, metrics.read(), *table.current());
+    }
+
+    OperatorApi::Answer burnReport(const std::string& format)
+    {
+        takeBurnSample();
+        const BurnReport report = burnHistory.report(settings.instance, wallNow(), *table.current());
+        if (format == "text") {
+            return {200, "text/plain; charset=utf-8", renderBurnText(report)};
+        }
+        if (format == "json") {
+            return {200, "application/json", encodeBurnReport(report)};
+        }
+        if (format == "html") {
+            return {200, "text/html; charset=utf-8", renderBurnHtml(report)};
+        }
+        return {400, "text/plain; charset=utf-8", "unknown format; use format=text, json or html\n"};
+    }
+
+    static gboolean onBurnTimer(gpointer data)
+    {
+        static_cast<State*>(data)->takeBurnSample();
+        return G_SOURCE_CONTINUE;
+    }
+
     static gboolean onTick(gpointer data)
     {
         static_cast<State*>(data)->apply(Tick {});
@@ -300,6 +338,8 @@
     // Ticks come before other sources, so that a flood of requests or messages does not delay leases.
     state.addTimer(tickIntervalMs, G_PRIORITY_HIGH, State::onTick);
     state.addTimer(hotKeyIntervalMs, G_PRIORITY_DEFAULT, State::onHotKeyTimer);
+    state.takeBurnSample();
+    state.addTimer(static_cast<guint>(BurnHistory::sampleInterval.count()), G_PRIORITY_DEFAULT, State::onBurnTimer);
     return {};
 }
 
--- a/src/daemon/worker.cpp
+++ b/src/daemon/worker.cpp
@@ -311,11 +311,12 @@
 void Worker::execute(RecordRequest&& effect)
 {
     const std::string labels = "service=\"" + effect.service + "\",outcome=\""
-        + std::string(enumName(outcomeNames, effect.outcome)) + "\",reason=\"" + effect.reason + "\"";
+        + std::string(enumName(outcomeNames, effect.outcome)) + "\",reason=\"" + effect.reason + "\",server=\""
+        + effect.server + "\"";
     MetricsRegistry::Counter*& counter = m_counters[labels];
     if (counter == nullptr) {
         counter = &m_metrics.counter(
-            "jasminespread_requests_total", labels, "Requests of callers by service, outcome and reason.");
+            "jasminespread_requests_total", labels, "Requests of callers by service, outcome, reason and server.");
     }
     counter->add();
     MetricsRegistry::Histogram*& histogram = m_histograms[effect.service];
--- a/src/entry/request_reducer.cpp
+++ b/src/entry/request_reducer.cpp
@@ -607,7 +607,7 @@
     }
     if (job.caller != 0) {
         const double seconds = std::chrono::duration<double>(m_now - job.arrivedAt).count();
-        emit(RecordRequest {job.request.service, answer.outcome, answer.reason, seconds});
+        emit(RecordRequest {job.request.service, answer.outcome, answer.reason, seconds, answer.server});
         emit(AnswerCaller {job.caller, job.request.id, std::move(answer)});
     } else if (job.origin) {
         SendForwardAnswer send;
--- a/src/entry/worker_effect.h
+++ b/src/entry/worker_effect.h
@@ -60,6 +60,7 @@
     Outcome outcome = Outcome::Done;
     std::string reason;
     double seconds = 0;
+    std::string server = {}; ///< Empty when no backend server was involved.
 };
 
 /// Counters of the data path without labels of their own.
