--- a/src/burn/burn_history.cpp
+++ b/src/burn/burn_history.cpp
@@ -38,7 +38,11 @@
     std::string reason;
     std::string server;
 
-    auto operator<=>(const Series&) const = default;
+    bool operator<(const Series& other) const
+    {
+        return std::tie(kind, outcome, reason, server)
+            < std::tie(other.kind, other.outcome, other.reason, other.server);
+    }
 };
 
 using Values = std::vector<std::uint64_t>;
