--- a/src/daemon/worker.cpp
+++ b/src/daemon/worker.cpp
@@ -382,8 +382,10 @@
 void Worker::execute(RecordRequest&& effect)
 {
     const std::string labels = "service=\"" + effect.service + "\",outcome=\""
-        + std::string(enumName(outcomeNames, effect.outcome)) + "\",reason=\"" + effect.reason + "\"";
-    counter("jasminespread_requests_total", labels, "Requests of callers by service, outcome and reason.").add();
+        + std::string(enumName(outcomeNames, effect.outcome)) + "\",reason=\"" + effect.reason + "\",server=\""
+        + effect.server + "\"";
+    counter("jasminespread_requests_total", labels, "Requests of callers by service, outcome, reason and server.")
+        .add();
     MetricsRegistry::Histogram*& histogram = m_histograms[effect.service];
     if (histogram == nullptr) {
         histogram = &m_metrics.histogram("jasminespread_request_seconds", "service=\"" + effect.service + "\"",
