--- a/scripts/run-seatwright.sh
+++ b/scripts/run-seatwright.sh
@@ -20,6 +20,7 @@
 stop_all
 trap stop_all EXIT
 
+loads=()
 regions=(western central southern)
 rows=()
 for i in 1 2 3 4 5 6 7 8 9; do
@@ -44,6 +45,18 @@
 
 "$build/jasminespreadctl" load "$sheet" --base 0 --server 127.0.1.1:8001
 sleep 3
-"$build/jasminespread-load" --targets 127.0.1.1:8000,127.0.1.2:8000,127.0.1.3:8000,127.0.1.4:8000,127.0.1.5:8000 \
-    --service refit-planner --rate "$rate" --duration "$seconds" --connections 50
+targets=()
+for i in 1 2 3 4 5 6 7 8 9; do
+    targets+=(--target "127.0.1.$i:8000")
+done
+for service in refit-planner fabric-ledger bay-desk; do
+    "$build/jasminespread-load" "${targets[@]}" --service "$service" --rate $((rate / 3)) --seconds "$seconds" \
+        --connections 36 --threads 1 >"$run_dir/load-$service.out" &
+    loads+=($!)
+done
+wait "${loads[@]}"
+for service in refit-planner fabric-ledger bay-desk; do
+    echo "== $service"
+    cat "$run_dir/load-$service.out"
+done
 "$build/jasminespreadctl" report --server 127.0.1.1:8001
