Move nothing before the superseded primary's authority ended; confirm configurations strictly

Cause: (1) a backend server that restarts after it released a partition forgets the newer term, and a superseded primary that is cut off from peers and store, but still holds authority, can grant the partition to it again, beside its new owner. (2) A configuration was reported as accepted while a paused instance, still listed as live, served by the old one. (3) lease and extensionLimit could be lowered while longer grants ran. Change: no release counts before (takeover confirmed) + L + D; silent instances count as missing until the platform lists them as leaving or gone; both times may only rise. Ruled out: relying on servers that keep the term over a restart, which only the third-party takeover still needs.

--- a/src/config/configuration_transition.cpp
+++ b/src/config/configuration_transition.cpp
@@ -17,6 +17,17 @@
     };
     checkCount("partitions", before.partitions, after.partitions);
     checkCount("groups", before.groups, after.groups);
+    // A new primary waits for leases of the length that it knows; longer ones may still run.
+    const auto checkNotLowered = [&](const char* field, Milliseconds from, Milliseconds to) {
+        if (to < from) {
+            errors.push_back({ErrorKind::InvalidInput,
+                "field \"" + std::string(field) + "\" of service \"" + after.name + "\" cannot fall from "
+                    + std::to_string(from.count()) + "ms to " + std::to_string(to.count())
+                    + "ms while grants of the longer time run; keep it or declare a service with another name"});
+        }
+    };
+    checkNotLowered("lease", before.lease, after.lease);
+    checkNotLowered("extensionLimit", before.extensionLimit, after.extensionLimit);
 }
 
 void checkServer(const BackendServer& before, const BackendServer& after, std::vector<Error>& errors)
--- a/src/control/configuration_control.cpp
+++ b/src/control/configuration_control.cpp
@@ -572,20 +572,17 @@
     for (const Region& region : load.proposed.regions) {
         std::vector<std::string> confirmed;
         std::vector<std::string> missing;
-        std::vector<std::string> silent;
         if (region.name == m_settings.region) {
             confirmed.push_back(m_settings.instance);
         }
         for (const PeerInfo& peer : *m_peers) {
-            if (peer.entry.region == region.name) {
-                std::vector<std::string>& list = !peer.live ? silent : hasConfirmed(peer, wanted) ? confirmed : missing;
-                list.push_back(peer.entry.id);
+            // A silent instance may be paused or cut off and still take requests by an older revision.
+            const bool mayServe = peer.live || peer.entry.state == ListedState::Live;
+            if (peer.entry.region == region.name && mayServe) {
+                const bool inForce = peer.live && hasConfirmed(peer, wanted);
+                (inForce ? confirmed : missing).push_back(peer.entry.id);
             }
         }
-        if (confirmed.empty() && missing.empty()) {
-            // Nobody can confirm for a region of which no instance is heard.
-            missing = silent;
-        }
         if (confirmed.empty() || !missing.empty()) {
             unconfirmed += (unconfirmed.empty() ? "" : ", ") + region.name;
         }
--- a/src/control/group_ownership.cpp
+++ b/src/control/group_ownership.cpp
@@ -122,6 +122,10 @@
     }
     const ServerLeases& leases = planning.input.leases;
     const GroupName& group = planning.proposed.group;
+    // A server that restarts forgets the newer term; until then a superseded primary may still grant to it.
+    if (planning.context.now <= m_earlier.until) {
+        return false;
+    }
     const bool releaseWanted = releasing(assignment.partition);
     if (releaseWanted && leases.releasedByAnswer(group, owner, assignment.partition)) {
         return true;
--- a/tests/configuration_control_test.cpp
+++ b/tests/configuration_control_test.cpp
@@ -33,6 +33,7 @@
         std::uint64_t incarnation = 0;
         std::unique_ptr<ConfigurationControl> control;
         bool running = true;
+        ListedState listed = ListedState::Live;
         std::vector<std::uint64_t> revisions; ///< Every revision seen in force, in order.
     };
 
@@ -140,6 +141,7 @@
                 peer.entry.region = instance.settings.region;
                 peer.incarnation = instance.incarnation;
                 peer.live = instance.running && linked(other, id);
+                peer.entry.state = instance.listed;
                 peer.ready = instance.control->revision() > 0;
                 peer.configurationRevision = m_heard[{id, other}];
                 peers.push_back(peer);
@@ -464,6 +466,21 @@
     EXPECT_EQ(body.at("regions").at("central").at("missing"), boost::json::array({"c2"}));
 }
 
+// Guards against `accepted` while a paused instance, which the platform still lists as live, serves by an old revision.
+TEST_F(ConfigurationControlTest, PausedInstanceIsMissingUntilThePlatformListsItAsGone)
+{
+    loadFirst();
+    fleet.at("c2").running = false;
+    const std::uint64_t request = fleet.load("w1", withSlots(7, "ana"), 1, "second");
+    fleet.run(Milliseconds(3'200));
+    ASSERT_EQ(fleet.status(request), 202U);
+    EXPECT_EQ(fleet.body(request).at("regions").at("central").at("missing"), boost::json::array({"c2"}));
+    fleet.at("c2").listed = ListedState::Gone;
+    const std::uint64_t repeated = fleet.load("w1", withSlots(7, "ana"), 1, "second");
+    fleet.run(Milliseconds(1'000));
+    EXPECT_EQ(fleet.status(repeated), 200U);
+}
+
 // Guards against counting a region of which no instance is heard as confirmed.
 TEST_F(ConfigurationControlTest, RegionWithoutLiveInstanceIsMissing)
 {
@@ -593,11 +610,13 @@
     Configuration configuration = sampleConfiguration();
     configuration.services[0].partitions = 128;
     configuration.services[0].groups = 8;
+    configuration.services[0].lease -= Milliseconds(500);
+    configuration.services[0].extensionLimit -= Milliseconds(500);
     configuration.servers[0].address = "127.0.0.1:7009";
     const std::uint64_t request = fleet.load("w1", configuration, 1, "second");
     fleet.run(Milliseconds(1'000));
     ASSERT_EQ(fleet.status(request), 400U);
-    EXPECT_EQ(fleet.body(request).at("errors").as_array().size(), 3U);
+    EXPECT_EQ(fleet.body(request).at("errors").as_array().size(), 5U);
     EXPECT_EQ(fleet.object.version, 1U);
 }
 
