--- a/src/control/control_reducer.cpp
+++ b/src/control/control_reducer.cpp
@@ -18,13 +18,6 @@
 constexpr Milliseconds viewRequestInterval {50};
 constexpr Milliseconds declarationHolds {10'000}; // A server that answers later than this has returned.
 
-/// Heartbeats and their replies are the most frequent events; what they change is decided at the next tick.
-bool isHeartbeat(const Event& event)
-{
-    const PeerMessageReceived* message = std::get_if<PeerMessageReceived>(&event);
-    return message != nullptr && (message->envelope.has_heartbeat() || message->envelope.has_heartbeat_reply());
-}
-
 } // namespace
 
 struct ControlReducer::State {
@@ -61,6 +54,7 @@
 
     void declare(const ReduceContext& context, const OperatorRequested& request);
     void adoptConfiguration();
+    [[nodiscard]] static bool needsDecision(const Event& event);
     void expireDeclarations(MonotonicTime now);
     void seeStored(const ReduceContext& context, const StoredObject& object, MonotonicTime startedAt);
     void decide(const ReduceContext& context);
@@ -68,7 +62,9 @@
     void followTenure(const GroupName& name, const GroupAuthority& group, MonotonicTime now);
     void publish(const ReduceContext& context);
     void finishShutdown(const ReduceContext& context);
-    [[nodiscard]] std::map<std::string, std::uint32_t> countPartitions() const;
+    [[nodiscard]] std::map<std::uint32_t, double> hotPartitionLoads(
+        const Service& service, const GroupAuthority& group) const;
+    [[nodiscard]] std::map<std::string, double> serverLoads(const Service& service) const;
     void evaluateHotKeys(MonotonicTime now);
     [[nodiscard]] std::set<std::string> wantedHotKeys(const Service& service, const GroupName& group) const;
     [[nodiscard]] std::optional<HotKeyTracker::Place> placeOf(const std::string& service, const std::string& key) const;
@@ -116,12 +112,21 @@
     const ReduceContext context {event.now, event.wall, m_settings, m_self, m_membership, m_configuration.inForce(),
         m_stoppingSince.has_value(), effects};
     std::visit([&](const auto& concrete) { handle(context, concrete); }, event.event);
-    if (!isHeartbeat(event.event)) {
+    if (needsDecision(event.event)) {
         decide(context);
     }
     return effects;
 }
 
+// Heartbeats and their replies are the most frequent events; what they change is decided at the next tick.
+bool ControlReducer::State::needsDecision(const Event& event)
+{
+    if (const PeerMessageReceived* message = std::get_if<PeerMessageReceived>(&event)) {
+        return message->envelope.has_group_view() || message->envelope.has_declaration();
+    }
+    return std::get_if<RouteRefused>(&event) == nullptr && std::get_if<HotKeysObserved>(&event) == nullptr;
+}
+
 void ControlReducer::State::adoptConfiguration()
 {
     const Configuration* configuration = m_configuration.inForce();
@@ -130,6 +135,15 @@
     }
     m_configuredRevision = configuration->revision;
     m_leases.configure(*configuration);
+    std::erase_if(m_groups, [&](const auto& entry) {
+        const bool declared = std::ranges::any_of(configuration->services, [&](const Service& service) {
+            return service.name == entry.first.service && entry.first.index < service.groups;
+        });
+        if (!declared) {
+            m_leases.dropGroup(entry.first);
+        }
+        return !declared;
+    });
     for (const Service& service : configuration->services) {
         for (std::uint32_t index = 0; index < service.groups; ++index) {
             const GroupName name {service.name, index};
@@ -298,7 +312,7 @@
     const InstanceReference primary {sender.id(), sender.incarnation()};
     for (const wire::BackingRequest& request : heartbeat.backing_requests()) {
         const GroupAuthority* group = findGroup(fromWire(request.group()));
-        if (group != nullptr && !context.stopping && group->backs(m_self, primary, request.term())) {
+        if (group != nullptr && group->backs(m_self, primary, request.term())) {
             *reply.add_backed() = request;
         }
     }
@@ -325,6 +339,7 @@
     for (const wire::BackingRequest& backed : reply.backed()) {
         if (GroupAuthority* group = findGroup(fromWire(backed.group()))) {
             group->receiveBacking({sender.id(), sender.incarnation()}, backed.term(), *requestedAt);
+            group->refreshDeadline();
         }
     }
 }
@@ -507,16 +522,18 @@
 
 void ControlReducer::State::decideGroups(const ReduceContext& context)
 {
-    const std::map<std::string, std::uint32_t> partitions = countPartitions();
     std::set<std::string> probed;
     bool wanted = false;
     bool urgent = false;
     for (const Service& service : context.configuration->services) {
+        const std::map<std::string, double> loads = serverLoads(service);
         for (std::uint32_t index = 0; index < service.groups; ++index) {
             GroupAuthority& group = m_groups.at({service.name, index});
             followTenure({service.name, index}, group, context.now);
             const std::set<std::string> hotKeys = wantedHotKeys(service, {service.name, index});
-            group.decide(context, service, {m_leases, m_declarations, m_placement, partitions, hotKeys});
+            const std::map<std::uint32_t, double> hot
+                = group.record() != nullptr ? hotPartitionLoads(service, group) : std::map<std::uint32_t, double>();
+            group.decide(context, service, {m_leases, m_declarations, m_placement, loads, hot, hotKeys});
             group.updateLeases(context, m_leases);
             group.refreshDeadline();
             wanted = wanted || group.wantsRead(context);
@@ -550,18 +567,37 @@
     }
 }
 
-std::map<std::string, std::uint32_t> ControlReducer::State::countPartitions() const
+// Compares a hot key with the load of a mean partition. Only hot keys are reported, which makes that load look smaller
+// than it is, so the result is bounded by the load of a mean server.
+std::map<std::uint32_t, double> ControlReducer::State::hotPartitionLoads(
+    const Service& service, const GroupAuthority& group) const
 {
-    std::map<std::string, std::uint32_t> counts;
-    for (const auto& [name, group] : m_groups) {
+    std::map<std::uint32_t, double> loads;
+    const double meanRate = m_hotKeys.totalRateOf(service.name) / service.partitions;
+    const auto servers = std::ranges::count(m_configuration.inForce()->servers, service.name, &BackendServer::service);
+    const double highest = std::max(1.0, static_cast<double>(service.partitions) / std::max<double>(1, servers));
+    for (const auto& [key, partition] : group.record()->overrides) {
+        const double rate = m_hotKeys.rateOf(service.name, key);
+        loads[partition] = meanRate > 0 ? std::clamp(rate / meanRate, 1.0, highest) : 1.0;
+    }
+    return loads;
+}
+
+std::map<std::string, double> ControlReducer::State::serverLoads(const Service& service) const
+{
+    std::map<std::string, double> loads;
+    for (std::uint32_t index = 0; index < service.groups; ++index) {
+        const GroupAuthority& group = m_groups.at({service.name, index});
         if (group.record() == nullptr) {
             continue;
         }
+        const std::map<std::uint32_t, double> hot = hotPartitionLoads(service, group);
         for (const PartitionAssignment& assignment : group.record()->partitions) {
-            ++counts[assignment.owner];
+            const auto it = hot.find(assignment.partition);
+            loads[assignment.owner] += it != hot.end() ? it->second : 1;
         }
     }
-    return counts;
+    return loads;
 }
 
 std::set<std::string> ControlReducer::State::wantedHotKeys(const Service& service, const GroupName& group) const
