--- a/src/daemon/caller_listener.cpp
+++ b/src/daemon/caller_listener.cpp
@@ -298,7 +298,12 @@
     soup_server_message_set_status(message, answer.status, nullptr);
     SoupMessageHeaders* headers = soup_server_message_get_response_headers(message);
     for (const HeaderField& field : answer.headers) {
-        soup_message_headers_append(headers, field.name.c_str(), field.value.c_str());
+        // libsoup has set its own date.
+        if (sameHeaderName(field.name, "Date")) {
+            soup_message_headers_replace(headers, "Date", field.value.c_str());
+        } else {
+            soup_message_headers_append(headers, field.name.c_str(), field.value.c_str());
+        }
     }
     const std::string outcome(enumName(outcomeNames, answer.outcome));
     soup_message_headers_append(headers, "Jasminespread-Outcome", outcome.c_str());
--- a/src/daemon/worker.cpp
+++ b/src/daemon/worker.cpp
@@ -14,6 +14,7 @@
 constexpr guint tickMs = 5; ///< Interval of route polling and timers.
 constexpr std::uint64_t ticksPerCallerCheck = 5; ///< A caller that left is noticed within 25 ms.
 constexpr std::uint64_t ticksPerGaugeUpdate = 50;
+constexpr Milliseconds logInterval {200}; ///< Shortest time between two equal log events of a worker.
 constexpr std::size_t hotKeyCapacity = 256; ///< Keys counted per worker and service.
 constexpr std::size_t hotKeysTaken = 64; ///< Keys reported per worker and service.
 
@@ -86,7 +87,7 @@
 
 void Worker::startDrain()
 {
-    m_inFlight.fetch_add(1); // Until the first tick of the drain stores the real number.
+    m_drainRequested = true;
     g_main_context_invoke(
         m_context.get(),
         [](gpointer data) -> gboolean {
@@ -98,6 +99,13 @@
         this);
 }
 
+std::size_t Worker::requestsInFlight() const noexcept
+{
+    // The last tick of a listening worker stores the number before it reports that it no longer listens.
+    const std::size_t backlog = m_drainRequested && m_listening ? 1 : 0;
+    return m_inFlight + backlog;
+}
+
 void Worker::stop()
 {
     m_stopping = true;
@@ -167,8 +175,9 @@
     if (m_ticks % ticksPerGaugeUpdate == 0) {
         updateGauges();
     }
-    const bool listening = m_draining && !m_listener->stopListening();
-    m_inFlight = m_reducer.requestsInFlight() + m_listener->pending() + (listening ? 1 : 0);
+    const bool stopped = m_draining && m_listener->stopListening();
+    m_inFlight = m_reducer.requestsInFlight() + m_listener->pending();
+    m_listening = !stopped;
 }
 
 void Worker::onCallerRequest(std::uint64_t caller, RawRequest&& raw)
@@ -255,13 +264,20 @@
     InstanceReference sender {envelope.sender().id(), envelope.sender().incarnation()};
     switch (envelope.message_case()) {
     case wire::Envelope::kForwardRequest: {
-        // Connects now, so that the answer need not wait for the connection.
-        const std::string& replyTo = envelope.forward_request().reply_address();
+        wire::ForwardRequest& request = *envelope.mutable_forward_request();
+        // The routes may know another way to the sender than its own address, such as a relay.
+        for (const InstanceRoute& instance : m_snapshot->instances) {
+            if (instance.id == sender.id) {
+                request.set_reply_address("tcp://" + addToPort(instance.forwardAddress, request.reply_worker()));
+            }
+        }
+        const std::string& replyTo = request.reply_address();
         if (!replyTo.starts_with("tcp://") || !isPeerAddress(hostOf(replyTo.substr(6)))) {
             return execute(WriteWorkerLog {LogEvent::ForwardRejected, "reply address of no instance: " + replyTo});
         }
+        // Connects now, so that the answer need not wait for the connection.
         m_sockets->connect(replyTo.substr(6));
-        return apply(ForwardReceived {std::move(sender), std::move(*envelope.mutable_forward_request())});
+        return apply(ForwardReceived {std::move(sender), std::move(request)});
     }
     case wire::Envelope::kForwardAnswer:
         return apply(ForwardAnswered {std::move(*envelope.mutable_forward_answer())});
@@ -350,6 +366,7 @@
     const std::uint64_t correlation = effect.request.correlation();
     wire::Envelope envelope = makeEnvelope();
     effect.request.set_reply_address(m_replyAddress);
+    effect.request.set_reply_worker(m_index);
     *envelope.mutable_forward_request() = std::move(effect.request);
     if (!m_sockets->send(effect.address, envelope)) {
         apply(ForwardNotSent {correlation});
@@ -423,7 +440,20 @@
         .add();
 }
 
-void Worker::execute(WriteWorkerLog&& effect) { logEvent(effect.event, effect.details); }
+void Worker::execute(WriteWorkerLog&& effect)
+{
+    // A failing server or a stranger can cause thousands of equal events per second.
+    LogLimit& limit = m_logLimits[effect.event];
+    const MonotonicTime now = monotonicNow();
+    if (now - limit.writtenAt < logInterval) {
+        ++limit.suppressed;
+        return;
+    }
+    limit.writtenAt = now;
+    const std::uint64_t suppressed = std::exchange(limit.suppressed, 0);
+    logEvent(effect.event,
+        suppressed == 0 ? effect.details : effect.details + " (" + std::to_string(suppressed) + " more before)");
+}
 
 /// @}
 
--- a/src/daemon/worker.h
+++ b/src/daemon/worker.h
@@ -37,14 +37,19 @@
     [[nodiscard]] Result<void> start();
     /// Stops accepting connections. Thread-safe.
     void startDrain();
-    /// Number of requests in flight; connections in the backlog count as one while draining. Thread-safe.
-    [[nodiscard]] std::size_t requestsInFlight() const noexcept { return m_inFlight.load(); }
+    /// Number of requests in flight; a worker that drains and still listens has at least one. Thread-safe.
+    [[nodiscard]] std::size_t requestsInFlight() const noexcept;
     /// Adds this worker's counts of hot keys since the last call to @p counts, by service and key. Thread-safe.
     void takeHotKeys(std::map<std::string, std::map<std::string, std::uint64_t>>& counts);
     /// Ends the thread at once. Not thread-safe.
     void stop();
 
 private:
+    struct LogLimit {
+        MonotonicTime writtenAt;
+        std::uint64_t suppressed = 0;
+    };
+
     [[nodiscard]] Result<void> open();
     void close();
     void run();
@@ -86,7 +91,9 @@
     GMainContextPointer m_context;
     std::thread m_thread;
     std::atomic<bool> m_stopping = false;
-    std::atomic<std::size_t> m_inFlight = 0;
+    std::atomic<bool> m_drainRequested = false;
+    std::atomic<bool> m_listening = true;
+    std::atomic<std::size_t> m_inFlight = 0; ///< As of the last tick.
     std::mutex m_hotKeysMutex;
     std::map<std::string, HotKeySketch, std::less<>> m_hotKeys; ///< By service.
 
@@ -108,6 +115,7 @@
     std::map<std::string, MetricsRegistry::Gauge*> m_gauges;
     std::map<std::string, MetricsRegistry::Histogram*> m_histograms;
     std::set<std::string> m_gaugedServers;
+    std::map<LogEvent, LogLimit> m_logLimits;
     std::uint64_t m_connectionsOpened = 0; ///< As far as counted in the metrics.
     /// @}
 };
--- a/src/entry/request_reducer.cpp
+++ b/src/entry/request_reducer.cpp
@@ -16,6 +16,9 @@
 constexpr Milliseconds firstBackOff = 5ms;
 constexpr Milliseconds highestBackOff = 500ms;
 constexpr unsigned highestBackOffShift = 10;
+/// Correlations of all workers of an instance differ, because a primary tells requests apart by instance and
+/// correlation.
+constexpr unsigned workerShift = 48;
 /// Interval of route polling and of retries of forward messages that could not be sent.
 constexpr Milliseconds shortRetry = 5ms;
 constexpr Milliseconds refusalReportInterval = 50ms;
@@ -55,6 +58,7 @@
     , m_retryShare(settings.retryBudget)
     , m_random(seed)
     , m_snapshot(std::make_shared<const RoutingSnapshot>())
+    , m_nextNumber((std::uint64_t(worker) + 1) << workerShift)
 {
 }
 
@@ -167,8 +171,7 @@
     endExchange(*job);
     if (message.wrong_primary()) {
         job->routeRefused = true;
-        const ServiceRoute& service = m_snapshot->services.at(job->request.service);
-        return waitForRoute(*job, routeKey(service, job->request.key).group->group, reason::noRoute);
+        return waitForRoute(*job, {job->request.service, job->group}, reason::noRoute);
     }
     if (message.outcome() > static_cast<std::uint32_t>(Outcome::Unknown)) {
         emit(WriteWorkerLog {LogEvent::ForwardRejected, "answer with an outcome that does not exist"});
@@ -218,7 +221,12 @@
     answer.outcome = Outcome::Done;
     answer.status = result.status;
     answer.headers = std::move(result.headers);
+    const std::optional<std::string_view> length = findHeader(answer.headers, "Content-Length");
+    const std::string headLength(job->request.method == "HEAD" && length ? *length : "");
     removePrivateHeaders(answer.headers);
+    if (!headLength.empty()) {
+        answer.headers.push_back({"Content-Length", headLength});
+    }
     answer.body = std::move(result.body);
     answer.server = job->route.server;
     finish(*job, std::move(answer));
--- a/src/entry/request_reducer.h
+++ b/src/entry/request_reducer.h
@@ -156,7 +156,7 @@
     double m_retryShare;
     std::mt19937_64 m_random;
     std::shared_ptr<const RoutingSnapshot> m_snapshot;
-    std::uint64_t m_nextNumber = 1;
+    std::uint64_t m_nextNumber; ///< Of jobs, dispatches and correlations.
     std::unordered_map<std::uint64_t, std::unique_ptr<Job>> m_jobs;
     std::unordered_map<std::uint64_t, std::uint64_t> m_exchanges; ///< Dispatch or correlation to job.
     std::unordered_map<std::uint64_t, std::uint64_t> m_callers; ///< Caller to job.
--- a/tests/backend_transport_test.cpp
+++ b/tests/backend_transport_test.cpp
@@ -181,7 +181,7 @@
     int answered = 0;
     for (int i = 0; i < 10; ++i) {
         transport.send(makeRequest(backend.address()),
-            [&](BackendResult result) { answered += result.progress == BackendProgress::Answered ? 1 : 0; });
+            [&](const BackendResult& result) { answered += result.progress == BackendProgress::Answered ? 1 : 0; });
     }
     EXPECT_TRUE(runUntil([&] { return answered == 10; }));
     EXPECT_EQ(backend.connections(), 2);
--- a/tests/request_reducer_test.cpp
+++ b/tests/request_reducer_test.cpp
@@ -496,5 +496,16 @@
     EXPECT_TRUE(only<SendForward>(effects).request.repeatable());
 }
 
+// Guards against a primary that takes requests of two workers of one instance for the same one.
+TEST_F(RequestReducerTest, CorrelationsOfWorkersDiffer)
+{
+    changeRoutes([](RoutingSnapshot&, GroupRoute& group) { group.primary = 1; });
+    RequestReducer other(InstanceSettings {}, 1, 1);
+    EXPECT_TRUE(other.reduce({now, wallNow, RoutesChanged {routes}}).empty());
+    const WorkerEffects effects = other.reduce({now, wallNow, RequestArrived {1, makeRequest(false)}});
+    EXPECT_NE(only<SendForward>(effects).request.correlation(),
+        only<SendForward>(arrive(1, makeRequest(false))).request.correlation());
+}
+
 } // namespace
 } // namespace jasminespread
--- a/tests/worker_pool_test.cpp
+++ b/tests/worker_pool_test.cpp
@@ -155,9 +155,28 @@
     EXPECT_THAT(
         caller.exchange(request("GET", "/v1/ledger/x", "Jasminespread-Key: a\r\nJasminespread-Deadline-Ms: soon\r\n")),
         testing::AllOf(StartsWith("HTTP/1.1 400"), HasSubstr("Jasminespread-Reason: bad-deadline")));
+    EXPECT_THAT(Connection(callerPort)
+                    .exchange(request(
+                        "GET", "/v1/ledger/x", "Jasminespread-Key: a\r\nX-Long: " + std::string(17'000, 'a') + "\r\n")),
+        testing::AllOf(StartsWith("HTTP/1.1 431"), HasSubstr("Jasminespread-Reason: headers-too-large")));
     EXPECT_TRUE(requests.empty());
 }
 
+// Guards against an answer to HEAD that gives another length than GET has, and against a second date.
+TEST_F(WorkerPoolTest, HeadKeepsLengthAndDateOfTheServer)
+{
+    handler = [](const std::string&) {
+        return "HTTP/1.1 200 OK\r\nDate: Mon, 01 Jan 2024 00:00:00 GMT\r\nContent-Length: 1234\r\n\r\n";
+    };
+    start();
+    Connection caller(callerPort);
+    caller.write(request("HEAD", "/v1/ledger/x", "Jasminespread-Key: a\r\nConnection: close\r\n"));
+    const std::string answer = caller.read();
+    EXPECT_THAT(answer, HasSubstr("\r\nContent-Length: 1234\r\n"));
+    EXPECT_THAT(answer, HasSubstr("\r\nDate: Mon, 01 Jan 2024 00:00:00 GMT\r\n"));
+    EXPECT_EQ(answer.find("Date: "), answer.rfind("Date: "));
+}
+
 // Guards against buffering a body beyond the limit, whether or not its size is declared.
 TEST_F(WorkerPoolTest, OversizedBodiesAreRefused)
 {
@@ -316,9 +335,11 @@
     for (int i = 0; i < 20; ++i) {
         // The last request repeats the id of the one before over the other instance.
         Connection caller(i < 19 ? otherPort : callerPort);
-        const std::string key = "Jasminespread-Key: key-" + std::to_string(std::min(i, 18)) + "\r\n";
-        const std::string answer = caller.exchange(
-            request("POST", "/v1/ledger/x", key + (i >= 18 ? "Jasminespread-Request-Id: " + id + "\r\n" : ""), "body"));
+        std::string headers = "Jasminespread-Key: key-" + std::to_string(std::min(i, 18)) + "\r\n";
+        if (i >= 18) {
+            headers += "Jasminespread-Request-Id: " + id + "\r\n";
+        }
+        const std::string answer = caller.exchange(request("POST", "/v1/ledger/x", headers, "body"));
         EXPECT_THAT(answer, StartsWith("HTTP/1.1 200"));
         EXPECT_THAT(answer, testing::EndsWith("stored"));
     }
