--- a/tests/backend_transport_test.cpp
+++ b/tests/backend_transport_test.cpp
@@ -146,7 +146,9 @@
     });
     BackendRequest request = makeRequest(backend.address());
     request.mayWrite = [] { return false; };
-    EXPECT_EQ(exchange(std::move(request)).progress, BackendProgress::NotSent);
+    const BackendResult withheld = exchange(std::move(request));
+    EXPECT_EQ(withheld.progress, BackendProgress::NotSent);
+    EXPECT_TRUE(withheld.withheld);
     EXPECT_EQ(exchange(makeRequest(backend.address())).progress, BackendProgress::Answered);
     EXPECT_EQ(requests, 1);
 }
@@ -181,7 +183,7 @@
     int answered = 0;
     for (int i = 0; i < 10; ++i) {
         transport.send(makeRequest(backend.address()),
-            [&](BackendResult result) { answered += result.progress == BackendProgress::Answered ? 1 : 0; });
+            [&](const BackendResult& result) { answered += result.progress == BackendProgress::Answered ? 1 : 0; });
     }
     EXPECT_TRUE(runUntil([&] { return answered == 10; }));
     EXPECT_EQ(backend.connections(), 2);
