Start terms from the stored object only; keep authority of a stopping primary while the store is down

Cause: a view of a peer that names this instance as primary lacks the servers that a superseded primary may still use, so the new term could have waited too short for them. A handover during a store outage froze the authority until it lapsed. Change: such a view only causes a read of the store; a handover starts only after fresh store evidence. Tests for regions that are cut off and for a stop during an outage.

--- a/src/control/group_authority.cpp
+++ b/src/control/group_authority.cpp
@@ -214,6 +214,10 @@
     // A failed attempt ends here; until the next one the authority may be extended again.
     m_clock.setFrozen(false);
     m_handingOver = false;
+    // A write whose outcome stays unknown would end the authority, so the store must answer first.
+    if (!m_clock.confirmedByStore(context.now)) {
+        return;
+    }
     std::optional<InstanceReference> successor = m_record->standby;
     if (!successor || standbyMustChange(context)) {
         successor = chooseStandby(context, m_group, m_record->homeRegion, context.self);
@@ -260,6 +264,7 @@
         m_missingSince = std::min(m_missingSince.value_or(startedAt), startedAt);
         m_readAt = startedAt;
     }
+    m_suspected = false;
 }
 
 void GroupAuthority::seeView(const ReduceContext& context, const wire::GroupView& view)
@@ -267,7 +272,13 @@
     if (view.object_version() <= m_version) {
         return;
     }
-    adopt(context, fromView(view), view.object_version(), std::nullopt);
+    GroupRecord record = fromView(view);
+    if (record.primary == context.self) {
+        // A view lacks the servers that an earlier primary may still use, so a term starts from the stored object only.
+        m_suspected = true;
+        return;
+    }
+    adopt(context, std::move(record), view.object_version(), std::nullopt);
     m_fromStore = false;
 }
 
@@ -475,7 +486,7 @@
         return true;
     }
     if (m_primary) {
-        return !m_fromStore || !m_clock.steady(context.now) || standbyMustChange(context);
+        return context.stopping || !m_fromStore || !m_clock.steady(context.now) || standbyMustChange(context);
     }
     return takeoverPossible(context);
 }
@@ -486,7 +497,8 @@
         return true;
     }
     if (m_primary) {
-        return !m_fromStore || (standbyMustChange(context) && !m_clock.confirmedByStore(context.now));
+        const bool changeWaits = context.stopping || standbyMustChange(context);
+        return !m_fromStore || (changeWaits && !m_clock.confirmedByStore(context.now));
     }
     return takeoverPossible(context) && (!m_fromStore || !readRecently(context));
 }
--- a/tests/control_authority_test.cpp
+++ b/tests/control_authority_test.cpp
@@ -265,6 +265,23 @@
     EXPECT_THAT(simulation.violations(), IsEmpty());
 }
 
+// Guards against a stopping primary that loses its authority because the store does not answer the handover.
+TEST_F(ControlAuthorityTest, StoppingInstanceServesWhileStoreIsDown)
+{
+    settle();
+    const GroupRecord before = *simulation.stored(ledger0);
+    simulation.storeMode = ControlSimulation::StoreMode::Down;
+    simulation.run(Milliseconds(3000));
+    std::size_t gaps = 0;
+    simulation.onStep = [&] { gaps += unavailable(); };
+    simulation.send(before.primary.id, ShutdownRequested {});
+    simulation.run(Milliseconds(4500));
+    EXPECT_EQ(gaps, 0U);
+    EXPECT_FALSE(simulation.instances.at(before.primary.id).finished);
+    simulation.run(Milliseconds(1000));
+    EXPECT_TRUE(simulation.instances.at(before.primary.id).finished);
+}
+
 // Guards against an instance that inherits authority from its earlier life.
 TEST_F(ControlAuthorityTest, RestartedPrimaryInheritsNothing)
 {
--- /dev/null
+++ b/tests/control_region_test.cpp
@@ -0,0 +1,99 @@
+#include "control_simulation.h"
+
+#include <gmock/gmock.h>
+#include <gtest/gtest.h>
+
+#include <algorithm>
+
+namespace jasminespread {
+namespace {
+
+using testing::IsEmpty;
+
+class ControlRegionTest : public testing::Test {
+protected:
+    static Configuration twoRegions()
+    {
+        Configuration configuration = ledgerConfiguration(6);
+        configuration.regions.push_back({"east", {"e1", "e2"}});
+        for (std::size_t i = 3; i < 6; ++i) {
+            configuration.servers[i].region = "east";
+        }
+        return configuration;
+    }
+
+    ControlRegionTest()
+    {
+        simulation.run(Milliseconds(500));
+        simulation.load();
+        simulation.run(Milliseconds(3000));
+    }
+
+    /// Cuts all links between the regions; the store is in "west".
+    void cutRegions()
+    {
+        for (const auto& [a, first] : simulation.instances) {
+            for (const auto& [b, second] : simulation.instances) {
+                if (first.settings.region != second.settings.region) {
+                    simulation.cut(a, b);
+                }
+            }
+            for (const BackendServer& server : simulation.configuration.servers) {
+                if (first.settings.region != server.region) {
+                    simulation.cut(a, server.id);
+                }
+            }
+            if (first.settings.region != "west") {
+                simulation.cut(a, "store");
+            }
+        }
+    }
+
+    std::size_t unavailable()
+    {
+        std::size_t count = 0;
+        for (std::uint32_t partition = 0; partition < 8; ++partition) {
+            count += simulation.holders({"ledger", partition % 2}, partition).empty() ? 1 : 0;
+        }
+        return count;
+    }
+
+    ControlSimulation simulation {twoRegions(), {{"a", "b", "c"}, {"d", "e", "f"}}};
+};
+
+// Guards against groups whose primary, standby or owners are outside their home region.
+TEST_F(ControlRegionTest, GroupsStayInTheirHomeRegion)
+{
+    std::set<std::string> homes;
+    for (std::uint32_t index = 0; index < 2; ++index) {
+        const GroupRecord record = *simulation.stored({"ledger", index});
+        homes.insert(record.homeRegion);
+        EXPECT_EQ(simulation.instances.at(record.primary.id).settings.region, record.homeRegion);
+        EXPECT_EQ(simulation.instances.at(record.standby->id).settings.region, record.homeRegion);
+        for (const PartitionAssignment& assignment : record.partitions) {
+            const auto server
+                = std::ranges::find(simulation.configuration.servers, assignment.owner, &BackendServer::id);
+            EXPECT_EQ(server->region, record.homeRegion);
+        }
+    }
+    EXPECT_EQ(homes, (std::set<std::string> {"east", "west"}));
+}
+
+// Guards against takeovers from outside a region that is cut off, and against its groups going out of service.
+TEST_F(ControlRegionTest, RegionThatIsCutOffServesItsGroups)
+{
+    const GroupRecord before[] = {*simulation.stored({"ledger", 0}), *simulation.stored({"ledger", 1})};
+    std::size_t gaps = 0;
+    simulation.onStep = [&] { gaps += unavailable(); };
+    cutRegions();
+    simulation.run(Milliseconds(30'000));
+    simulation.heal();
+    simulation.run(Milliseconds(5000));
+    EXPECT_EQ(gaps, 0U);
+    EXPECT_EQ(*simulation.stored({"ledger", 0}), before[0]);
+    EXPECT_EQ(*simulation.stored({"ledger", 1}), before[1]);
+    EXPECT_THAT(simulation.violations(), IsEmpty());
+}
+
+} // namespace
+} // namespace jasminespread
