--- a/src/control/control_reducer.cpp
+++ b/src/control/control_reducer.cpp
@@ -415,9 +415,12 @@
                     || std::ranges::find(record->possibleGranters, request.argument) != record->possibleGranters.end());
         });
     }
-    if (context.configuration == nullptr || !known) {
-        const unsigned status = context.configuration == nullptr ? 503 : 404;
-        context.effects.push_back(OperatorAnswer {request.request, status, R"({"result":"unknown-name"})"});
+    if (context.configuration == nullptr) {
+        context.effects.push_back(OperatorAnswer {request.request, 503, R"({"result":"unavailable"})"});
+        return;
+    }
+    if (!known) {
+        context.effects.push_back(OperatorAnswer {request.request, 404, R"({"result":"unknown-name"})"});
         return;
     }
     receiveDeclaration(context.now, declaration);
--- a/tests/control_authority_test.cpp
+++ b/tests/control_authority_test.cpp
@@ -1,3 +1,4 @@
+#include "control/group_view.h"
 #include "control_simulation.h"
 
 #include <gmock/gmock.h>
@@ -50,7 +51,9 @@
     settle();
     ASSERT_TRUE(simulation.stored(ledger0));
     EXPECT_EQ(simulation.stored(ledger0)->term, 1U);
-    EXPECT_TRUE(simulation.stored(ledger0)->standby);
+    ASSERT_TRUE(simulation.stored(ledger0)->standby);
+    EXPECT_NE(simulation.instances.at(simulation.stored(ledger0)->primary.id).settings.failureDomain,
+        simulation.instances.at(simulation.stored(ledger0)->standby->id).settings.failureDomain);
     EXPECT_EQ(unavailable(), 0U);
     EXPECT_THAT(simulation.authorities(ledger0), ElementsAre(simulation.stored(ledger0)->primary.id));
     for (const auto& [id, instance] : simulation.instances) {
@@ -282,6 +285,25 @@
     EXPECT_TRUE(simulation.instances.at(before.primary.id).finished);
 }
 
+// Guards against a term that starts from a view, which lacks what the stored object says about earlier primaries.
+TEST_F(ControlAuthorityTest, ViewAloneMakesNoPrimary)
+{
+    settle();
+    GroupRecord record = *simulation.stored(ledger0);
+    const std::string primary = record.primary.id;
+    const std::string other = primary == "a" ? "b" : "a";
+    record.primary = {other, simulation.instances.at(other).incarnation};
+    ++record.term;
+    PeerMessageReceived event;
+    event.envelope.mutable_sender()->set_id(primary);
+    event.envelope.mutable_sender()->set_incarnation(simulation.instances.at(primary).incarnation);
+    *event.envelope.mutable_group_view() = toView(record, 1000, 0);
+    simulation.send(other, event);
+    simulation.run(Milliseconds(1000));
+    EXPECT_THAT(simulation.authorities(ledger0), ElementsAre(primary));
+    EXPECT_EQ(simulation.stored(ledger0)->primary.id, primary);
+}
+
 // Guards against an instance that inherits authority from its earlier life.
 TEST_F(ControlAuthorityTest, RestartedPrimaryInheritsNothing)
 {
--- a/tests/control_random_test.cpp
+++ b/tests/control_random_test.cpp
@@ -119,7 +119,7 @@
         m_simulation.storeDelay = draw(4) == 0 ? Milliseconds(400) : Milliseconds(5);
     }
 
-    void toggleServer(ControlSimulation::FakeServer& fake)
+    void toggleServer(FakeBackendServer& fake)
     {
         if (draw(3) == 0) {
             fake.state = fake.state == ServerState::Serving ? ServerState::Draining : ServerState::Serving;
--- a/tests/control_server_test.cpp
+++ b/tests/control_server_test.cpp
@@ -115,7 +115,7 @@
 {
     settle();
     const std::string server = ownerOfFirst();
-    ControlSimulation::FakeServer& fake = simulation.servers.at(server);
+    FakeBackendServer& fake = simulation.servers.at(server);
     const std::uint64_t incarnation = fake.incarnation;
     fake = {};
     fake.incarnation = incarnation + 1;
--- a/tests/control_simulation.cpp
+++ b/tests/control_simulation.cpp
@@ -78,7 +78,7 @@
 
 void ControlSimulation::unfreeze(const std::string& id)
 {
-    FakeServer& server = servers.at(id);
+    FakeBackendServer& server = servers.at(id);
     server.frozen = false;
     std::vector<std::function<void()>> waiting;
     waiting.swap(server.waiting);
@@ -298,11 +298,11 @@
     after(instance.settings.grantTimeout, [answer] { answer(std::nullopt); });
     const std::function<void()> arrive = [this, id, batch, answer] {
         if (servers.at(batch.server).running && connected(id, batch.server)) {
-            after(linkDelay, [answer, reply = answerGrants(batch.server, batch)] { answer(reply); });
+            after(linkDelay, [answer, reply = servers.at(batch.server).answer(batch, now)] { answer(reply); });
         }
     };
     after(grantDelay ? grantDelay(batch.server) : linkDelay, [this, batch, arrive] {
-        FakeServer& server = servers.at(batch.server);
+        FakeBackendServer& server = servers.at(batch.server);
         if (server.frozen) {
             server.waiting.push_back(arrive);
         } else {
@@ -311,54 +311,6 @@
     });
 }
 
-GrantReply ControlSimulation::answerGrants(const std::string& id, const GrantBatch& batch)
-{
-    FakeServer& server = servers.at(id);
-    GrantReply reply {id, server.incarnation, "n" + std::to_string(++m_nonces), server.state, {}};
-    const auto nonce = server.nonces.find(batch.nonce);
-    for (const GroupGrant& grant : batch.grants) {
-        if (nonce == server.nonces.end()) {
-            reply.results.push_back({grant.group, GrantStatus::UnknownNonce, 0, 0, {}});
-        } else {
-            reply.results.push_back(applyGrant(server, batch.granter, grant, nonce->second));
-        }
-    }
-    server.nonces[reply.nonce] = now;
-    return reply;
-}
-
-GroupGrantResult ControlSimulation::applyGrant(
-    FakeServer& server, const InstanceReference& granter, const GroupGrant& grant, MonotonicTime issuedAt) const
-{
-    FakeServer::Held& held = server.held[grant.group];
-    GroupGrantResult result {grant.group, GrantStatus::Accepted, held.term, held.revision, {}};
-    if (grant.term < held.term) {
-        result.status = GrantStatus::StaleTerm;
-        return result;
-    }
-    const bool sameSet = grant.term == held.term && grant.revision == held.revision;
-    const bool newer = grant.term > held.term || grant.revision > held.revision;
-    if (!sameSet && (!newer || !grant.partitions)) {
-        result.status = GrantStatus::NeedFull;
-        return result;
-    }
-    if (newer) {
-        held = {grant.term, grant.revision, {}, granter, {}};
-        for (const GrantedPartition& partition : *grant.partitions) {
-            held.tokens[partition.partition] = partition.token;
-        }
-    }
-    held.leaseUntil = std::max(held.leaseUntil, issuedAt + grant.lease);
-    for (const auto& [partition, until] : server.busyUntil) {
-        if (until > now && !held.tokens.contains(partition)) {
-            result.busy.push_back(partition);
-        }
-    }
-    result.term = held.term;
-    result.revision = held.revision;
-    return result;
-}
-
 // A key may be executed under one token by one server only, where a token covers the keys that it had when written.
 void ControlSimulation::checkCheckedServers()
 {
@@ -423,7 +375,7 @@
 bool ControlSimulation::executes(const std::string& server, const GroupName& group, std::uint32_t partition,
     std::optional<std::uint64_t> token) const
 {
-    const FakeServer& fake = servers.at(server);
+    const FakeBackendServer& fake = servers.at(server);
     const auto held = fake.held.find(group);
     if (!fake.running || fake.frozen || held == fake.held.end() || held->second.leaseUntil <= now) {
         return false;
--- a/tests/control_simulation.h
+++ b/tests/control_simulation.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "fake_backend_server.h"
+
 #include <jasminespread/control_reducer.h>
 #include <jasminespread/routing_table.h>
 
@@ -17,25 +19,6 @@
 /// Several ControlReducers, an object store and backend servers in one process, with a manual clock.
 class ControlSimulation {
 public:
-    /// A backend server that checks terms, revisions, nonces and leases.
-    struct FakeServer {
-        struct Held {
-            std::uint64_t term = 0;
-            std::uint64_t revision = 0;
-            MonotonicTime leaseUntil;
-            InstanceReference granter;
-            std::map<std::uint32_t, std::uint64_t> tokens;
-        };
-        std::uint64_t incarnation = 1;
-        bool running = true;
-        bool frozen = false; ///< Neither reads nor answers; messages wait.
-        ServerState state = ServerState::Serving;
-        std::map<std::string, MonotonicTime> nonces;
-        std::map<GroupName, Held> held;
-        std::map<std::uint32_t, MonotonicTime> busyUntil; ///< Requests in flight, by partition.
-        std::vector<std::function<void()>> waiting;
-    };
-
     struct Instance {
         InstanceSettings settings;
         std::uint64_t incarnation = 0;
@@ -90,7 +73,7 @@
     Configuration configuration;
     MonotonicTime now {std::chrono::hours(1)};
     std::map<std::string, Instance> instances;
-    std::map<std::string, FakeServer> servers;
+    std::map<std::string, FakeBackendServer> servers;
     std::map<std::string, ListedState> listed; ///< Overrides the state in the platform's list.
     std::set<std::pair<std::string, std::string>> cuts; ///< Links between instances, servers and "store".
     StoreMode storeMode = StoreMode::Up;
@@ -119,16 +102,12 @@
     [[nodiscard]] StoreListResult list(const std::string& kind) const;
     [[nodiscard]] InstanceListResult listInstances() const;
     void sendGrants(Instance& instance, const GrantBatch& batch);
-    [[nodiscard]] GrantReply answerGrants(const std::string& id, const GrantBatch& batch);
-    [[nodiscard]] GroupGrantResult applyGrant(
-        FakeServer& server, const InstanceReference& granter, const GroupGrant& grant, MonotonicTime issuedAt) const;
     void checkCheckedServers();
     void checkDispatchers();
 
     std::vector<Pending> m_queue;
     std::uint64_t m_order = 0;
     std::uint64_t m_version = 0;
-    std::uint64_t m_nonces = 0;
     std::uint64_t m_incarnations = 0;
     std::map<std::pair<std::string, std::string>, StoredObject> m_objects;
     std::map<GroupName, GroupRecord> m_records; ///< Decoded group objects.
