--- a/tests/control_restart_test.cpp
+++ b/tests/control_restart_test.cpp
@@ -41,7 +41,7 @@
         const bool moved = simulation.stored(group)->partitions.front().owner != server;
         if (moved && !restarted) {
             restarted = true;
-            ControlSimulation::FakeServer& restarting = simulation.servers.at(server);
+            FakeBackendServer& restarting = simulation.servers.at(server);
             ++restarting.incarnation;
             restarting.held.clear();
             restarting.nonces.clear();
