--- a/src/daemon/control_loop.cpp
+++ b/src/daemon/control_loop.cpp
@@ -11,7 +11,6 @@
 #include <glib-unix.h>
 #include <glib.h>
 
-#include <atomic>
 #include <csignal>
 #include <deque>
 #include <map>
@@ -22,16 +21,12 @@
 namespace {
 
 constexpr guint tickIntervalMs = 50;
-constexpr int maxClosingTurns = 10'000;
 constexpr guint hotKeyIntervalMs = 1000;
+/// Turns of the main context after the end, in which cancelled calls free their memory.
+constexpr int maxClosingTurns = 10'000;
 /// Time for the reducer's answer beyond the confirmation of a configuration.
 constexpr Milliseconds operatorAnswerMargin {2000};
 
-template <typename... Handlers> struct Overloaded : Handlers... {
-    using Handlers::operator()...;
-};
-template <typename... Handlers> Overloaded(Handlers...) -> Overloaded<Handlers...>;
-
 /// Main context that is the thread's default as long as this object lives.
 class ThreadContext {
 public:
@@ -111,7 +106,6 @@
             g_source_destroy(source);
             g_source_unref(source);
         }
-        // Cancelled calls end in callbacks that free their memory.
         grants.reset();
         for (int i = 0; i < maxClosingTurns && g_main_context_iteration(context.get(), FALSE) != FALSE; ++i) { }
         g_main_loop_unref(loop);
