--- a/daemons/jasminespread-entry.cpp
+++ b/daemons/jasminespread-entry.cpp
@@ -14,7 +14,7 @@
 
 constexpr const char* program = "jasminespread-entry";
 
-/// Exit codes, as README.md lists them.
+/// Exit codes; --help lists them.
 enum ExitCode : int { Success = 0, Failure = 1, BadInput = 2, AddressTaken = 3 };
 
 int report(const Error& error)
@@ -48,7 +48,10 @@
         return BadInput;
     }
     if (values.contains("help")) {
-        std::cout << options;
+        std::cout
+            << options
+            << "Exit codes: 0 stopped on SIGTERM or SIGINT, 1 other failure, 2 bad arguments or settings, 3 address in "
+               "use\n";
         return Success;
     }
     if (values.contains("version")) {
--- a/src/daemon/entry_daemon.cpp
+++ b/src/daemon/entry_daemon.cpp
@@ -71,7 +71,9 @@
         "instance=" + settings.instance + " incarnation=" + std::to_string(incarnation)
             + " caller=" + settings.callerAddress + " operator=" + settings.operatorAddress);
     controlLoop.run();
-    drainThread.join();
+    if (drainThread.joinable()) {
+        drainThread.join();
+    }
     workers.reset();
     logEvent(LogEvent::ProcessStopped, "instance=" + settings.instance + " requestsCutOff=" + std::to_string(cutOff));
     return {};
--- a/src/grants/grant_client.cpp
+++ b/src/grants/grant_client.cpp
@@ -38,7 +38,7 @@
 struct GrantClient::State {
     Milliseconds timeout;
     ObjectPtr<SoupSession> session;
-    /// Cancelled by the destructor of the client.
+    /// Set by the destructor of the client; no callback runs afterwards.
     bool closed = false;
 };
 
--- a/tools/jasminespread-load.cpp
+++ b/tools/jasminespread-load.cpp
@@ -1,5 +1,5 @@
 // Load tool: sends requests at a given rate, whether or not earlier ones were answered, and measures each latency from
-// the moment at which the request should have started. See README.md.
+// the moment at which the request should have started. See --help.
 #include <jasminespread/time.h>
 
 #include <boost/asio/buffer.hpp>
@@ -38,7 +38,7 @@
 namespace {
 
 constexpr const char* program = "jasminespread-load";
-/// Bounds the memory for latencies, which are all kept: 16 bytes each.
+/// Bounds the memory for latencies, which are all kept: 12 bytes each.
 constexpr double maxRequests = 20'000'000;
 constexpr std::size_t maxAnswerBytes = 4'194'304;
 constexpr Milliseconds reconnectDelay {100};
