Close idle connections of the stand-ins' HTTP server that clients ended

libsoup 3.2 leaves such connections in CLOSE-WAIT, so that a stand-in ran out of file descriptors after about a thousand connections. The store client opens one for each write. A watch on the idle socket closes it.

Measured: a minimal libsoup server leaves 3 of 3 ended connections open; the stand-ins leave none. The entry daemon's operator and caller ports show the same fault (5 of 5 each), which this commit does not touch.

--- a/standins/lib/http_server.cpp
+++ b/standins/lib/http_server.cpp
@@ -140,6 +140,29 @@
     bool m_finished = false;
 };
 
+gboolean closeEnded(GSocket* socket, GIOCondition /*condition*/, gpointer /*data*/)
+{
+    char byte = 0;
+    if (::recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0) {
+        g_socket_close(socket, nullptr);
+    }
+    return G_SOURCE_REMOVE;
+}
+
+/// libsoup 3.2 keeps an idle connection open after the client closed it, until the process has no file descriptors
+/// left. This closes it.
+void watchIdleConnection(SoupServerMessage* message, gpointer /*data*/)
+{
+    GSocket* socket = soup_server_message_get_socket(message);
+    if (socket == nullptr || g_socket_is_closed(socket) != 0) {
+        return;
+    }
+    GSource* source = g_socket_create_source(socket, G_IO_IN, nullptr);
+    g_source_set_callback(source, G_SOURCE_FUNC(closeEnded), nullptr, nullptr);
+    g_source_attach(source, g_main_context_get_thread_default());
+    g_source_unref(source);
+}
+
 } // namespace
 
 struct HttpServer::State {
@@ -150,6 +173,7 @@
         SoupServer* /*server*/, SoupServerMessage* message, const char* path, GHashTable* query, gpointer data)
     {
         const std::shared_ptr<SoupExchange> exchange = std::make_shared<SoupExchange>(message, path, query);
+        g_signal_connect(message, "finished", G_CALLBACK(watchIdleConnection), nullptr);
         exchange->pause();
         static_cast<State*>(data)->handler(exchange);
     }
