--- a/tests/http_server_test.cpp
+++ b/tests/http_server_test.cpp
@@ -1,6 +1,8 @@
 #include <http_server.h>
 
+#include <algorithm>
 #include <arpa/inet.h>
+#include <cerrno>
 #include <filesystem>
 #include <glib.h>
 #include <gtest/gtest.h>
@@ -25,7 +27,8 @@
     address.sin_family = AF_INET;
     address.sin_port = htons(static_cast<std::uint16_t>(port));
     address.sin_addr.s_addr = htonl(INADDR_LOOPBACK);
-    ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    const int connected = ::connect(fd, reinterpret_cast<const sockaddr*>(&address), sizeof address);
+    ASSERT_TRUE(connected == 0 || errno == EINPROGRESS);
     const std::string_view request = "GET / HTTP/1.1\r\nHost: test\r\n\r\n";
     while (::send(fd, request.data(), request.size(), MSG_NOSIGNAL) < 0) {
         g_main_context_iteration(nullptr, false);
--- a/tests/integration/checker.cpp
+++ b/tests/integration/checker.cpp
@@ -23,6 +23,11 @@
         + std::to_string(call.start) + " ended at " + std::to_string(call.end);
 }
 
+Violation overlap(const std::string& key, const std::string& earlier, const ExecutionRecord& later)
+{
+    return {ViolationKind::OverlappingOwners, "key " + key + ": " + earlier + " before " + describe(later)};
+}
+
 using Executions = std::map<std::string, std::vector<const ExecutionRecord*>>;
 
 void checkOwners(const Executions& byKey, std::vector<Violation>& violations)
@@ -36,12 +41,10 @@
         for (const ExecutionRecord* record : ordered) {
             const std::string& owner = owners.try_emplace(record->token, record->server).first->second;
             if (owner != record->server) {
-                violations.push_back(
-                    {ViolationKind::OverlappingOwners, "key " + key + ": " + owner + " and then " + describe(*record)});
+                violations.push_back(overlap(key, owner, *record));
             }
             if (highest != nullptr && record->token < highest->token) {
-                violations.push_back({ViolationKind::OverlappingOwners,
-                    "key " + key + ": " + describe(*highest) + " before " + describe(*record)});
+                violations.push_back(overlap(key, describe(*highest), *record));
             } else {
                 highest = record;
             }
--- a/tests/integration/cluster.cpp
+++ b/tests/integration/cluster.cpp
@@ -232,17 +232,17 @@
         throw std::runtime_error(
             "the configuration was not accepted: " + std::to_string(response.status) + " " + response.body);
     }
-    for (const auto& [name, process] : m_entries) {
+    for (const Callers::Entry& entry : callerEntries()) {
         for (unsigned i = 0; i < Callers::keyCount; ++i) {
             for (const bool repeatable : {true, false}) {
                 CallerRecord call;
                 const bool served = eventually(startLimit, [&] {
-                    call = callOnce(m_http, callerEntry(name), service, Callers::key(i), repeatable, Callers::deadline);
+                    call = callOnce(m_http, entry, service, Callers::key(i), repeatable, Callers::deadline);
                     return call.outcome == Outcome::Done;
                 });
                 if (!served) {
-                    throw std::runtime_error(name + " does not serve key " + call.key + ": status "
-                        + std::to_string(call.status) + ", reason " + call.reason + "; see " + log(name));
+                    throw std::runtime_error(entry.id + " does not serve key " + call.key + ": status "
+                        + std::to_string(call.status) + ", reason " + call.reason + "; see " + log(entry.id));
                 }
             }
         }
