Make the simulation ready for the real configuration control

Cause: loads always named base revision 0 and the same change id, which only the stand-in accepts. Change: loads are based on the revision in force and have change ids of their own; the test configuration has valid addresses, an author and a class.

--- a/tests/control_placement_test.cpp
+++ b/tests/control_placement_test.cpp
@@ -149,7 +149,7 @@
     simulation.run(Milliseconds(500));
     simulation.load();
     simulation.run(Milliseconds(3000));
-    simulation.configuration.servers.push_back({"s3", "ledger", "west", "w1", "127.0.0.1:s3"});
+    simulation.configuration.servers.push_back({"s3", "ledger", "west", "w1", "127.0.0.1:9003"});
     simulation.load();
     simulation.run(Milliseconds(60'000));
     std::ptrdiff_t moved = 0;
--- a/tests/control_region_test.cpp
+++ b/tests/control_region_test.cpp
@@ -18,6 +18,7 @@
         configuration.regions.push_back({"east", {"e1", "e2"}});
         for (std::size_t i = 3; i < 6; ++i) {
             configuration.servers[i].region = "east";
+            configuration.servers[i].failureDomain = "e1";
         }
         return configuration;
     }
--- a/tests/control_simulation.cpp
+++ b/tests/control_simulation.cpp
@@ -15,16 +15,19 @@
 {
     Configuration configuration;
     configuration.deployment = "test";
+    configuration.author = "test";
     configuration.regions = {{"west", {"w1", "w2"}}};
     Service service;
     service.name = "ledger";
     service.grantCheck = GrantCheck::Checked;
     service.partitions = 8;
     service.groups = 2;
+    service.classes = {{"standard", 1}};
     configuration.services = {service};
     for (std::size_t i = 1; i <= servers; ++i) {
         const std::string id = "s" + std::to_string(i);
-        configuration.servers.push_back({id, "ledger", "west", i % 2 == 0 ? "w2" : "w1", "127.0.0.1:" + id});
+        const std::string address = "127.0.0.1:" + std::to_string(9000 + i);
+        configuration.servers.push_back({id, "ledger", "west", i % 2 == 0 ? "w2" : "w1", address});
     }
     return configuration;
 }
@@ -93,7 +96,8 @@
         OperatorRequested event;
         event.action = OperatorAction::Load;
         event.configuration = configuration;
-        event.changeId = "load-" + id;
+        event.baseRevision = instance.routing ? instance.routing->revision : 0;
+        event.changeId = "load-" + std::to_string(++m_loads) + "-" + id;
         send(id, event);
     }
 }
--- a/tests/control_simulation.h
+++ b/tests/control_simulation.h
@@ -109,6 +109,7 @@
     std::uint64_t m_order = 0;
     std::uint64_t m_version = 0;
     std::uint64_t m_incarnations = 0;
+    std::uint64_t m_loads = 0;
     std::map<std::pair<std::string, std::string>, StoredObject> m_objects;
     std::map<GroupName, GroupRecord> m_records; ///< Decoded group objects.
     /// Overrides in force when a token first appeared: the keys that the token covers.
