--- a/tests/control_simulation.h
+++ b/tests/control_simulation.h
@@ -108,8 +108,8 @@
     std::vector<Pending> m_queue;
     std::uint64_t m_order = 0;
     std::uint64_t m_version = 0;
-    std::uint64_t m_loads = 0; ///< Accepted configurations; the base of the next one.
     std::uint64_t m_incarnations = 0;
+    std::uint64_t m_loads = 0;
     std::map<std::pair<std::string, std::string>, StoredObject> m_objects;
     std::map<GroupName, GroupRecord> m_records; ///< Decoded group objects.
     /// Overrides in force when a token first appeared: the keys that the token covers.
