Let the last forwarded answers leave on a drain

A primary that stopped closed its sockets with linger 0 right after the last request ended, which could drop the answer for the entry that had forwarded it. A drain now waits for kept messages and lets the sockets linger for 500 ms.

Reasons of backend servers pass only as plain words, because they become metric labels. A message without a peer address is no longer accepted when an address override lacks its forward address.

Tests pick ports below the range of outgoing connections: 2 of 30 runs had failed because an outgoing connection took a port between its check and its use.

--- a/src/daemon/forward_sockets.cpp
+++ b/src/daemon/forward_sockets.cpp
@@ -69,6 +69,7 @@
 
     void* context = nullptr;
     std::uint64_t maxMessageBytes = 0;
+    int linger = 0; ///< Milliseconds.
     Hooks hooks;
     ZmqSocket pull;
     GSourcePointer source;
@@ -81,7 +82,7 @@
         if (!connection.socket) {
             connection.socket.reset(zmq_socket(context, ZMQ_PUSH));
             void* socket = connection.socket.get();
-            setOption(socket, ZMQ_LINGER, 0);
+            setOption(socket, ZMQ_LINGER, linger);
             setOption(socket, ZMQ_SNDHWM, sendHighWaterMark);
             // Without it, messages queue for a peer that is not connected and arrive long after their deadline.
             setOption(socket, ZMQ_IMMEDIATE, 1);
@@ -192,4 +193,21 @@
     }
 }
 
+std::size_t ForwardSockets::kept() const noexcept
+{
+    std::size_t n = 0;
+    for (const auto& [address, connection] : m_state->connections) {
+        n += connection.kept.size();
+    }
+    return n;
+}
+
+void ForwardSockets::setLinger(Milliseconds time)
+{
+    m_state->linger = static_cast<int>(time.count());
+    for (const auto& [address, connection] : m_state->connections) {
+        setOption(connection.socket.get(), ZMQ_LINGER, m_state->linger);
+    }
+}
+
 } // namespace jasminespread
--- a/src/daemon/forward_sockets.h
+++ b/src/daemon/forward_sockets.h
@@ -39,6 +39,10 @@
     void sendOrKeep(const std::string& address, const wire::Envelope& envelope, MonotonicTime expires);
     /// Sends kept messages, drops expired ones and closes connections that were not used for a while.
     void flush(MonotonicTime now);
+    /// Number of messages that sendOrKeep() still keeps.
+    [[nodiscard]] std::size_t kept() const noexcept;
+    /// Lets messages that were handed to a connection leave for up to @p time after the sockets are closed.
+    void setLinger(Milliseconds time);
 
 private:
     struct State;
--- a/src/daemon/worker.cpp
+++ b/src/daemon/worker.cpp
@@ -14,6 +14,8 @@
 constexpr guint tickMs = 5; ///< Interval of route polling and timers.
 constexpr std::uint64_t ticksPerCallerCheck = 5; ///< A caller that left is noticed within 25 ms.
 constexpr std::uint64_t ticksPerGaugeUpdate = 50;
+/// The last answers to forwarded requests leave within it after a drain.
+constexpr Milliseconds drainLinger {500};
 constexpr Milliseconds logInterval {200}; ///< Shortest time between two equal log events of a worker.
 constexpr std::size_t hotKeyCapacity = 256; ///< Keys counted per worker and service.
 constexpr std::size_t hotKeysTaken = 64; ///< Keys reported per worker and service.
@@ -94,6 +96,7 @@
             Worker& worker = *static_cast<Worker*>(data);
             worker.m_draining = true;
             worker.m_listener->closeAfterAnswers();
+            worker.m_sockets->setLinger(drainLinger);
             return G_SOURCE_REMOVE;
         },
         this);
@@ -176,7 +179,7 @@
         updateGauges();
     }
     const bool stopped = m_draining && m_listener->stopListening();
-    m_inFlight = m_reducer.requestsInFlight() + m_listener->pending();
+    m_inFlight = m_reducer.requestsInFlight() + m_listener->pending() + m_sockets->kept();
     m_listening = !stopped;
 }
 
@@ -320,6 +323,7 @@
     for (const auto& [instance, address] : m_settings.addressOverrides) {
         m_peerIps.insert(hostOf(address.forward));
     }
+    m_peerIps.erase("");
     const std::uint32_t sharers = std::max(1U, m_snapshot->liveInstances) * m_settings.workers;
     for (const ServerRoute& server : m_snapshot->servers) {
         m_transport->setConnectionLimit(server.address, std::max(1U, server.connections / sharers));
--- a/src/entry/request_reducer.cpp
+++ b/src/entry/request_reducer.cpp
@@ -41,6 +41,16 @@
     return instance.forwardAddress.substr(0, colon + 1) + std::to_string(port + worker);
 }
 
+/// Reason of a backend server's refusal. Only plain words pass, because reasons become metric labels.
+std::string reasonOf(const BackendResult& result)
+{
+    constexpr std::size_t longestReason = 32;
+    const std::string_view text = findHeader(result.headers, "Jasminespread-Reason").value_or("");
+    const bool plain = !text.empty() && text.size() <= longestReason
+        && text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") == std::string_view::npos;
+    return plain ? std::string(text) : "refused";
+}
+
 bool isRefusal(const BackendResult& result)
 {
     return (result.status == 409 || result.status == 503)
@@ -214,8 +224,7 @@
         return handleFailure(*job, result);
     }
     if (isRefusal(result)) {
-        const std::string why(findHeader(result.headers, "Jasminespread-Reason").value_or("refused"));
-        return handleRefusal(*job, result.status, why);
+        return handleRefusal(*job, result.status, reasonOf(result));
     }
     releaseSlot(*job, SlotResult::Success);
     RequestAnswer answer;
--- a/tests/support/http_peer.h
+++ b/tests/support/http_peer.h
@@ -8,11 +8,13 @@
 #include <sys/socket.h>
 #include <unistd.h>
 
+#include <algorithm>
 #include <atomic>
 #include <cstdint>
 #include <functional>
 #include <map>
 #include <mutex>
+#include <random>
 #include <string>
 #include <thread>
 #include <utility>
@@ -51,19 +53,23 @@
     return ntohs(address.sin_port);
 }
 
-/// First of @p count ports in a row that are free on loopback.
+/// First of @p count ports in a row that are free on loopback. They lie below the range that the kernel gives to
+/// outgoing connections, one of which could otherwise take a port between this check and its use.
 inline std::uint16_t freePorts(std::uint16_t count)
 {
+    static std::mt19937 random {std::random_device()()};
+    std::uniform_int_distribution<int> candidates(10'000, 32'000);
     while (true) {
-        std::vector<int> fds {bindLoopback(0)};
-        const std::uint16_t first = portOf(fds.front());
-        bool free = first < 65'000;
-        for (std::uint16_t i = 1; free && i < count; ++i) {
+        const auto first = static_cast<std::uint16_t>(candidates(random));
+        std::vector<int> fds;
+        for (std::uint16_t i = 0; i < count; ++i) {
             fds.push_back(bindLoopback(static_cast<std::uint16_t>(first + i)));
-            free = fds.back() >= 0;
         }
+        const bool free = std::find(fds.begin(), fds.end(), -1) == fds.end();
         for (const int fd : fds) {
-            close(fd);
+            if (fd >= 0) {
+                close(fd);
+            }
         }
         if (free) {
             return first;
--- a/tests/worker_pool_test.cpp
+++ b/tests/worker_pool_test.cpp
@@ -346,6 +346,41 @@
     EXPECT_EQ(requests.size(), 19U);
 }
 
+// Guards against a planned stop of a primary that loses the answers of requests which other instances forwarded.
+TEST_F(WorkerPoolTest, DrainAnswersForwardedRequests)
+{
+    handler = [](const std::string&) {
+        std::this_thread::sleep_for(Milliseconds(30));
+        return TestBackend::answer("whole");
+    };
+    InstanceSettings other = settings;
+    other.instance = "entry-2";
+    const std::uint16_t otherPort = test::freePorts(1);
+    other.callerAddress = "127.0.0.1:" + std::to_string(otherPort);
+    other.forwardAddress = "127.0.0.1:" + std::to_string(test::freePorts(2));
+    start();
+    auto routes = std::make_shared<RoutingSnapshot>(*table.current());
+    routes->instances.push_back({"entry-2", 88, "western", other.forwardAddress, 2, true});
+    table.publish(routes);
+    routes = std::make_shared<RoutingSnapshot>(*routes);
+    routes->self = {"entry-2", 88};
+    RoutingTable otherTable;
+    otherTable.publish(routes);
+    WorkerPool second(other, 88, otherTable, metrics, {});
+    ASSERT_TRUE(second.start());
+    std::vector<std::unique_ptr<Connection>> callers;
+    for (int i = 0; i < 10; ++i) {
+        callers.push_back(std::make_unique<Connection>(otherPort));
+        callers.back()->write(
+            request("POST", "/v1/ledger/x", "Jasminespread-Key: key-" + std::to_string(i) + "\r\n", "body"));
+    }
+    std::this_thread::sleep_for(Milliseconds(100));
+    EXPECT_EQ(pool->drain(Milliseconds(5000)), 0U);
+    for (const std::unique_ptr<Connection>& caller : callers) {
+        EXPECT_THAT(caller->read(), testing::AllOf(StartsWith("HTTP/1.1 200"), testing::EndsWith("whole")));
+    }
+}
+
 // Guards against hot keys that no report shows.
 TEST_F(WorkerPoolTest, ReportsHotKeys)
 {
