--- a/tests/request_reducer_test.cpp
+++ b/tests/request_reducer_test.cpp
@@ -568,8 +568,8 @@
         };
         std::vector<Sent> open;
         std::map<std::uint64_t, CallerRequest> waiting;
-        std::map<RequestId, int> mayHaveRun; // Attempts that ran or may have run.
-        std::map<RequestId, int> sendings; // How often callers sent the request.
+        std::unordered_map<RequestId, int, RequestIdHash> mayHaveRun; // Attempts that ran or may have run.
+        std::unordered_map<RequestId, int, RequestIdHash> sendings; // How often callers sent the request.
         std::vector<CallerRequest> known;
         std::uint64_t nextCaller = 1;
 
--- a/tools/path-benchmark.cpp
+++ b/tools/path-benchmark.cpp
@@ -1,4 +1,4 @@
-// Measures the path caller -> entry worker -> backend server on loopback against calling the server directly.
+// Measures the path caller -> entry instance -> backend server on loopback against calling the server directly.
 
 #include "support/metrics_and_log_stub.h"
 
@@ -139,6 +139,14 @@
     std::thread m_thread;
 };
 
+/// Start of a row of ports for forward sockets, below the range of outgoing connections.
+std::uint16_t nextForwardPort()
+{
+    static std::uint16_t port = static_cast<std::uint16_t>(10'000 + getpid() % 20'000);
+    port = static_cast<std::uint16_t>(port + 64);
+    return port;
+}
+
 struct Load {
     std::uint16_t port = 0;
     std::string method;
@@ -244,20 +252,21 @@
     return measured.microseconds[static_cast<std::size_t>(share * n)];
 }
 
-/// An entry instance with one worker that is primary of all groups of the service "ledger".
+/// An entry instance that is primary of all groups of the service "ledger".
 class Entry {
 public:
-    Entry(std::uint16_t backendPort, std::function<BackendTransport()> makeTransport)
+    Entry(std::uint16_t backendPort, std::uint32_t workers, std::function<BackendTransport()> makeTransport)
     {
         m_settings.instance = "entry-1";
+        m_settings.workers = workers;
         m_settings.callerAddress = "127.0.0.1:" + std::to_string(m_port);
-        m_settings.forwardAddress = "127.0.0.1:" + std::to_string(freePort());
+        m_settings.forwardAddress = "127.0.0.1:" + std::to_string(nextForwardPort());
         auto snapshot = std::make_shared<RoutingSnapshot>();
         snapshot->ready = true;
         snapshot->self = {"entry-1", 1};
         snapshot->servers.push_back(
             {"server-1", "127.0.0.1:" + std::to_string(backendPort), "western", 64, 110, GrantCheck::Checked});
-        snapshot->instances.push_back({"entry-1", 1, "western", m_settings.forwardAddress, 1, true});
+        snapshot->instances.push_back({"entry-1", 1, "western", m_settings.forwardAddress, workers, true});
         ServiceRoute& service = snapshot->services["ledger"];
         service.settings.name = "ledger";
         service.settings.grantCheck = GrantCheck::Checked;
@@ -299,11 +308,12 @@
     std::fflush(stdout);
 }
 
-Result<int> run(const Milliseconds& duration, double rate, std::size_t bodyBytes, const std::string& only)
+Result<int> run(
+    const Milliseconds& duration, double rate, std::size_t bodyBytes, std::uint32_t workers, const std::string& only)
 {
     FixedServer server(bodyBytes);
-    Entry soup(server.port(), [] { return makeSoupBackendTransport(); });
-    Entry beast(server.port(), [] { return makeBeastBackendTransport(1'048'576); });
+    Entry soup(server.port(), workers, [] { return makeSoupBackendTransport(); });
+    Entry beast(server.port(), workers, [] { return makeBeastBackendTransport(1'048'576); });
     BOOST_LEAF_CHECK(soup.start());
     BOOST_LEAF_CHECK(beast.start());
     const std::vector<std::pair<std::string, std::uint16_t>> paths {
@@ -337,12 +347,14 @@
     long milliseconds = 2000;
     double rate = 4600;
     std::size_t bodyBytes = 200;
+    std::uint32_t workers = 1;
     std::string only;
     options::options_description description("Options");
     description.add_options()("help", "show this text")("duration-ms",
         options::value(&milliseconds)->default_value(milliseconds), "length of each measurement after its warm-up")(
         "rate", options::value(&rate)->default_value(rate), "offered requests/s of the paced measurements")(
         "body-bytes", options::value(&bodyBytes)->default_value(bodyBytes), "size of bodies")(
+        "workers", options::value(&workers)->default_value(workers), "workers of each entry instance")(
         "only", options::value(&only), "measure only this path: direct, \"libsoup client\" or \"Beast codec\"");
     options::variables_map values;
     options::store(options::parse_command_line(argc, argv, description), values);
@@ -352,7 +364,7 @@
         return 0;
     }
     return jasminespread::handleError(
-        [&] { return jasminespread::run(jasminespread::Milliseconds(milliseconds), rate, bodyBytes, only); },
+        [&] { return jasminespread::run(jasminespread::Milliseconds(milliseconds), rate, bodyBytes, workers, only); },
         [](const jasminespread::Error& error) {
             std::cerr << error.message << '\n';
             return 1;
