Refuse stale terms for non-repeatable requests; double the margin for ids before serving

Cause: (1) a partition that does not move keeps its token over a takeover, and backend servers did not compare terms, so a superseded primary with authority left could run an id that its successor runs too. (2) A primary accepts ids 500 ms ahead of its clock, and its clock may be 500 ms ahead, so ids up to 1 s after the successor's start may have run. Change: a server starts a non-repeatable request only under the term of its lease; requests to servers say whether they are repeatable; the window answers unknown to ids issued before the start of serving + 1 s. The window test's bound rises from 500 ms to 1 s. Ruled out: refusing older terms for repeatable requests, which would stop entries cut off from the new primary.

--- a/src/entry/request_reducer.cpp
+++ b/src/entry/request_reducer.cpp
@@ -598,7 +598,7 @@
     request.address = server.address;
     request.method = job.request.method;
     request.target = job.request.target;
-    request.headers.reserve(job.request.headers.size() + 7);
+    request.headers.reserve(job.request.headers.size() + 8);
     request.headers = job.request.headers;
     request.headers.push_back({"Jasminespread-Group", toText(route.group->group)});
     request.headers.push_back({"Jasminespread-Partition", std::to_string(route.partition)});
@@ -606,6 +606,7 @@
     request.headers.push_back({"Jasminespread-Term", std::to_string(route.group->term)});
     request.headers.push_back({"Jasminespread-Deadline-Ms", std::to_string(remaining(m_now, job.deadline).count())});
     request.headers.push_back({"Jasminespread-Request-Id", job.request.id.text()});
+    request.headers.push_back({"Jasminespread-Repeatable", job.request.repeatable ? "yes" : "no"});
     request.headers.push_back({"Jasminespread-Key", job.request.key});
     request.body = job.request.body;
     request.deadline = job.deadline;
--- a/src/entry/request_window.cpp
+++ b/src/entry/request_window.cpp
@@ -63,7 +63,8 @@
     }
     // Nobody can have sent an id before that the entry made for this request.
     if (!request.idMadeByEntry) {
-        if (issued < servingSince + m_limits.clockSkewMargin) {
+        // An earlier primary accepted ids up to the margin ahead of its clock, which may itself be the margin ahead.
+        if (issued < servingSince + 2 * m_limits.clockSkewMargin) {
             return makeAnswer(Outcome::Unknown, reason::idBeforeServing,
                 "the id is older than this primary; an earlier primary may have run the request");
         }
--- a/standins/backend-standin.cpp
+++ b/standins/backend-standin.cpp
@@ -184,6 +184,11 @@
         refuse(exchange, 409, result == ClaimResult::NoLease ? "no-lease" : "not-owner");
     }
 
+    [[nodiscard]] static bool isRepeatable(const HttpExchange& exchange)
+    {
+        return exchange.header("Jasminespread-Repeatable").value_or(std::string()) == "yes";
+    }
+
     /// Reads the claim of a request; nothing when a header is missing or malformed.
     [[nodiscard]] static std::optional<PartitionClaim> readClaim(const HttpExchange& exchange)
     {
@@ -195,7 +200,7 @@
         if (!group || !partition || *partition > UINT32_MAX || !token || !term) {
             return std::nullopt;
         }
-        return PartitionClaim {*group, *term, static_cast<std::uint32_t>(*partition), *token};
+        return PartitionClaim {*group, *term, static_cast<std::uint32_t>(*partition), *token, isRepeatable(exchange)};
     }
 
     void execute(const Exchange& exchange)
@@ -252,12 +257,9 @@
             request.deadline = now + Milliseconds(static_cast<Milliseconds::rep>(*remaining));
         }
         const std::string method = exchange->method();
-        const bool safe = method == "GET" || method == "HEAD" || method == "OPTIONS";
-        const std::optional<std::string> repeatable = exchange->header("Jasminespread-Repeatable");
         request.record = {nanoseconds(now), 0, m_options.id, exchange->header("Jasminespread-Key").value_or(""),
             exchange->header("Jasminespread-Group").value_or(""), claim.partition, claim.token, claim.term,
-            exchange->header("Jasminespread-Request-Id").value_or(""), method,
-            repeatable ? *repeatable == "yes" : safe};
+            exchange->header("Jasminespread-Request-Id").value_or(""), method, isRepeatable(*exchange)};
         const std::optional<std::string> bytes = exchange->query("answerBytes");
         if (bytes) {
             std::from_chars(bytes->data(), bytes->data() + bytes->size(), request.answerBytes);
--- a/standins/lib/grant_ledger.cpp
+++ b/standins/lib/grant_ledger.cpp
@@ -78,6 +78,15 @@
 }
 
 ClaimResult GrantLedger::check(const PartitionClaim& claim, MonotonicTime now) const
+{
+    const Group* group = find(claim.group);
+    if (!claim.repeatable && group != nullptr && group->holding.term != claim.term) {
+        return ClaimResult::NotOwner;
+    }
+    return checkHolding(claim, now);
+}
+
+ClaimResult GrantLedger::checkHolding(const PartitionClaim& claim, MonotonicTime now) const
 {
     const Group* group = find(claim.group);
     if (group == nullptr || group->holding.term == 0) {
@@ -99,7 +108,7 @@
             return now < withdrawn->second.leaseUntil ? ClaimResult::Valid : ClaimResult::NoLease;
         }
     }
-    return check(claim, now);
+    return checkHolding(claim, now);
 }
 
 void GrantLedger::begin(const PartitionClaim& claim) { ++m_groups[toText(claim.group)].running[claim.partition]; }
--- a/standins/lib/grant_ledger.h
+++ b/standins/lib/grant_ledger.h
@@ -19,6 +19,7 @@
     std::uint64_t term = 0;
     std::uint32_t partition = 0;
     std::uint64_t token = 0;
+    bool repeatable = false;
 };
 
 enum class ClaimResult : std::uint8_t { Valid, NotOwner, NoLease };
@@ -40,7 +41,8 @@
 
     /// Applies a grant message received at @p now and returns the reply, with a fresh nonce issued at @p now.
     [[nodiscard]] GrantReply apply(const GrantBatch& batch, ServerState state, MonotonicTime now);
-    /// Tells whether a request with @p claim may start at @p now.
+    /// Tells whether a request with @p claim may start at @p now. One that may not be repeated must carry the term of
+    /// the lease: a superseded primary does not know which ids its successor ran.
     [[nodiscard]] ClaimResult check(const PartitionClaim& claim, MonotonicTime now) const;
     /// Marks a request as running after a valid check. Ended by finish() with the same claim.
     void begin(const PartitionClaim& claim);
@@ -78,6 +80,7 @@
         const GroupGrant& grant, const std::optional<MonotonicTime>& issuedAt, Group& group);
     static void replaceSet(const GroupGrant& grant, Group& group);
     [[nodiscard]] const Group* find(const GroupName& name) const;
+    [[nodiscard]] ClaimResult checkHolding(const PartitionClaim& claim, MonotonicTime now) const;
 
     std::string m_server;
     std::uint64_t m_incarnation;
--- a/tests/grant_ledger_test.cpp
+++ b/tests/grant_ledger_test.cpp
@@ -13,7 +13,7 @@
 
 MonotonicTime at(int milliseconds) { return MonotonicTime(Milliseconds(milliseconds)); }
 
-PartitionClaim claimOf(std::uint32_t partition, std::uint64_t token) { return {group, 1, partition, token}; }
+PartitionClaim claimOf(std::uint32_t partition, std::uint64_t token) { return {group, 1, partition, token, true}; }
 
 class GrantLedgerTest : public testing::Test {
 protected:
@@ -111,6 +111,22 @@
     EXPECT_EQ(m_ledger.check(claimOf(3, 6), at(3)), ClaimResult::Valid);
 }
 
+// Guards against a superseded primary that runs an id which its successor runs as well: after a takeover the token of a
+// partition that did not move is still valid.
+TEST_F(GrantLedgerTest, NonRepeatableRequestNeedsTheTermOfTheLease)
+{
+    const std::string first = nonce(entry1, at(0));
+    const std::string other = nonce(entry2, at(0));
+    EXPECT_EQ(statusOf(send(entry1, first, 1, 1, {{{3, 5}}}, at(1))), GrantStatus::Accepted);
+    EXPECT_EQ(m_ledger.check({group, 1, 3, 5, false}, at(1)), ClaimResult::Valid);
+    EXPECT_EQ(statusOf(send(entry2, other, 2, 1, {{{3, 5}}}, at(2))), GrantStatus::Accepted);
+    EXPECT_EQ(m_ledger.check({group, 1, 3, 5, false}, at(3)), ClaimResult::NotOwner);
+    EXPECT_EQ(m_ledger.check({group, 1, 3, 5, true}, at(3)), ClaimResult::Valid);
+    EXPECT_EQ(m_ledger.check({group, 2, 3, 5, false}, at(3)), ClaimResult::Valid);
+    // It started before the takeover, so the successor treats its id as possibly run.
+    EXPECT_EQ(m_ledger.checkCommit({group, 1, 3, 5, false}, at(3)), ClaimResult::Valid);
+}
+
 // Guards against a new term that inherits the longer lease of an earlier primary.
 TEST_F(GrantLedgerTest, NewTermReplacesLease)
 {
--- a/tests/request_window_test.cpp
+++ b/tests/request_window_test.cpp
@@ -89,7 +89,7 @@
 TEST(RequestWindowTest, IdOlderThanServingStartIsUnknown)
 {
     RequestWindow window({});
-    const Milliseconds margin {500};
+    const Milliseconds margin {1000}; // Twice the clock skew margin.
     const RequestWindow::Admission old
         = window.admit(makeRequest(servingSince + margin - Milliseconds(1)), 1, now, servingSince);
     EXPECT_EQ(refusalOf(old), "id-before-serving");
