Use forward address overrides in routes

Cause: addressOverrides.<peer>.forward was only used to accept peers; forwarded requests went to the listed address and passed by relays (FailureTest.EntryCutFromEntry was listed as known red).

--- a/include/jasminespread/request_id.h
+++ b/include/jasminespread/request_id.h
@@ -32,7 +32,8 @@
     [[nodiscard]] std::string text() const;
     [[nodiscard]] const Bytes& bytes() const noexcept { return m_bytes; }
 
-    auto operator<=>(const RequestId&) const noexcept = default;
+    // The check takes the 0 of a rewritten `<` for a null pointer.
+    auto operator<=>(const RequestId&) const noexcept = default; // NOLINT(modernize-use-nullptr)
 
 private:
     Bytes m_bytes {};
--- a/include/jasminespread/routing_snapshot.h
+++ b/include/jasminespread/routing_snapshot.h
@@ -28,9 +28,10 @@
     std::string id;
     std::uint64_t incarnation = 0;
     std::string region;
-    std::string forwardAddress; ///< Worker i listens on this port plus i.
+    std::string forwardAddress; ///< Where to reach worker 0; worker i has this port plus i. May be a relay.
     std::uint32_t workers = 1;
     bool live = false;
+    std::string listedAddress {}; ///< Forward address in the platform's list; connections come from its IP number.
 };
 
 /// Owner of one partition: an index into RoutingSnapshot::servers, or nobody.
--- a/src/control/routing_builder.cpp
+++ b/src/control/routing_builder.cpp
@@ -36,8 +36,11 @@
         {context.self.id, context.self.incarnation, settings.region, settings.forwardAddress, settings.workers, true});
     for (const PeerInfo& peer : context.membership.peers()) {
         indexes[peer.entry.id] = static_cast<std::uint32_t>(snapshot.instances.size());
-        snapshot.instances.push_back(
-            {peer.entry.id, peer.incarnation, peer.entry.region, peer.entry.forwardAddress, peer.workers, peer.live});
+        const auto override = settings.addressOverrides.find(peer.entry.id);
+        const bool overridden = override != settings.addressOverrides.end() && !override->second.forward.empty();
+        snapshot.instances.push_back({peer.entry.id, peer.incarnation, peer.entry.region,
+            overridden ? override->second.forward : peer.entry.forwardAddress, peer.workers, peer.live,
+            peer.entry.forwardAddress});
     }
     return indexes;
 }
--- a/src/daemon/worker.cpp
+++ b/src/daemon/worker.cpp
@@ -319,6 +319,7 @@
     m_peerIps.insert(hostOf(m_settings.forwardAddress));
     for (const InstanceRoute& instance : m_snapshot->instances) {
         m_peerIps.insert(hostOf(instance.forwardAddress));
+        m_peerIps.insert(hostOf(instance.listedAddress));
     }
     for (const auto& [instance, address] : m_settings.addressOverrides) {
         m_peerIps.insert(hostOf(address.forward));
--- a/tools/capacity-benchmark.cpp
+++ b/tools/capacity-benchmark.cpp
@@ -284,6 +284,7 @@
 {
     for (const Size& size : sizes) {
         std::vector<Cost> costs;
+        costs.reserve(static_cast<std::size_t>(repeats));
         for (int i = 0; i < repeats; ++i) {
             costs.push_back(Environment(size).run());
         }
