Add load tests of overload, faults on connections and bad input

The requirements on overload, retries and truthful outcomes under broken connections had no test with real processes. The harness gets options for slots, service time, classes, refusal rules and proxies before servers.

--- a/tests/integration/callers.cpp
+++ b/tests/integration/callers.cpp
@@ -26,18 +26,22 @@
 } // namespace
 
 CallerRecord callOnce(HttpCaller& http, const Callers::Entry& entry, const std::string& service, const std::string& key,
-    bool repeatable, Milliseconds deadline)
+    bool repeatable, Milliseconds deadline, const CallExtras& extras)
 {
     CallerRecord record;
-    record.requestId = RequestId::generate(wallNow()).text();
+    record.requestId = extras.requestId.empty() ? RequestId::generate(wallNow()).text() : extras.requestId;
     record.key = key;
     record.entry = entry.id;
     record.repeatable = repeatable;
     record.start = nowNanoseconds();
-    const HttpResponse response = http.call(repeatable ? "GET" : "POST", entry.url + "/v1/" + service + "/reading",
-        {{"Jasminespread-Key", key}, {"Jasminespread-Request-Id", record.requestId},
-            {"Jasminespread-Deadline-Ms", std::to_string(deadline.count())}},
-        repeatable ? "" : "{}");
+    std::vector<HeaderField> headers {{"Jasminespread-Key", key}, {"Jasminespread-Request-Id", record.requestId},
+        {"Jasminespread-Deadline-Ms", std::to_string(deadline.count())}};
+    if (!extras.workClass.empty()) {
+        headers.push_back({"Jasminespread-Class", extras.workClass});
+    }
+    const std::string query = extras.answerBytes == 0 ? "" : "?answerBytes=" + std::to_string(extras.answerBytes);
+    const HttpResponse response = http.call(repeatable ? "GET" : "POST",
+        entry.url + "/v1/" + service + "/reading" + query, headers, repeatable ? "" : extras.body);
     record.end = nowNanoseconds();
     record.answered = response.status != 0;
     record.status = response.status;
@@ -48,6 +52,7 @@
     if (!ec) {
         record.answerKey = textField(body, "key");
         record.answerRequestId = textField(body, "requestId");
+        record.answerPadding = textField(body, "padding").size();
     }
     if (!response.connected) {
         // Nothing was sent: the balancer would choose another instance.
--- a/tests/integration/callers.h
+++ b/tests/integration/callers.h
@@ -52,10 +52,19 @@
     std::vector<CallerRecord> m_records;
 };
 
-/// Sends one request with a fresh id and returns what the caller saw.
 class HttpCaller;
+
+/// Parts of a request that most tests leave at their defaults.
+struct CallExtras {
+    std::string requestId; ///< Empty: a fresh id.
+    std::string workClass; ///< Empty: none is named.
+    std::string body = "{}"; ///< Of non-repeatable requests.
+    std::size_t answerBytes = 0; ///< Padding that the backend server adds to its answer.
+};
+
+/// Sends one request and returns what the caller saw.
 [[nodiscard]] CallerRecord callOnce(HttpCaller& http, const Callers::Entry& entry, const std::string& service,
-    const std::string& key, bool repeatable, Milliseconds deadline);
+    const std::string& key, bool repeatable, Milliseconds deadline, const CallExtras& extras = {});
 
 /// Longest time without a `done` answer for any key, from @p since to the end of the newest call.
 [[nodiscard]] Milliseconds longestGap(const std::vector<CallerRecord>& calls, MonotonicTime since, bool repeatable);
--- a/tests/integration/checker.h
+++ b/tests/integration/checker.h
@@ -27,6 +27,7 @@
     std::string reason;
     std::string answerKey; ///< From the body of a `done` answer.
     std::string answerRequestId;
+    std::size_t answerPadding = 0; ///< Bytes that the backend server added to the answer.
 };
 
 enum class ViolationKind : std::uint8_t {
--- a/tests/integration/cluster.cpp
+++ b/tests/integration/cluster.cpp
@@ -6,6 +6,7 @@
 #include <arpa/inet.h>
 #include <filesystem>
 #include <fstream>
+#include <sstream>
 #include <stdexcept>
 #include <thread>
 #include <unistd.h>
@@ -24,10 +25,11 @@
 // Below the range from which the kernel takes ports of outgoing connections.
 constexpr unsigned platformPort = 21'000;
 constexpr unsigned serverPort = 21'001;
-constexpr unsigned callerPort = 21'010;
+constexpr unsigned serverProxyPort = 21'002;
+constexpr unsigned callerPort = Cluster::callerPort;
 constexpr unsigned operatorPort = 21'011;
-constexpr unsigned controlPort = 21'012;
-constexpr unsigned forwardPort = 21'020;
+constexpr unsigned controlPort = Cluster::controlPort;
+constexpr unsigned forwardPort = Cluster::forwardPort;
 constexpr unsigned proxyAdminOffset = 100;
 
 constexpr Milliseconds startLimit {10'000};
@@ -145,8 +147,16 @@
     const std::string name = "server-" + std::to_string(index + 1);
     m_servers[name] = std::make_unique<Process>(
         std::vector<std::string> {program("backend-standin"), "--listen", withPort(ip(m_hosts.at(name)), serverPort),
-            "--id", name, "--slots", "16", "--service-time-ms", "3", "--record", record(name)},
+            "--id", name, "--slots", std::to_string(m_options.slots), "--service-time-ms",
+            std::to_string(m_options.serviceTimeMs), "--record", record(name)},
         log(name));
+    if (m_options.proxiesToServers) {
+        const std::string own = ip(m_hosts.at(name));
+        m_proxies.push_back(std::make_unique<Process>(
+            std::vector<std::string> {program("fault-proxy"), "--listen", withPort(own, serverProxyPort), "--target",
+                withPort(own, serverPort), "--admin", withPort(own, serverProxyPort + proxyAdminOffset)},
+            log("proxy-" + name)));
+    }
 }
 
 void Cluster::startProxy(unsigned host, unsigned port, const std::string& from, const std::string& to)
@@ -170,7 +180,8 @@
              << "\nregion: seq\nfailureDomain: " << (m_hosts.at(name) % 2 == 0 ? "seq-b" : "seq-a")
              << "\ncallerAddress: " << withPort(own, callerPort) << "\noperatorAddress: " << withPort(own, operatorPort)
              << "\ncontrolAddress: " << withPort(own, controlPort) << "\nforwardAddress: " << withPort(own, forwardPort)
-             << "\nplatformUrl: http://" << withPort(ip(platformHost), platformPort) << "\nworkers: 1\n";
+             << "\nplatformUrl: http://" << withPort(ip(platformHost), platformPort) << "\nworkers: 1\n"
+             << m_options.entrySettings;
     if (m_options.proxiesBetweenEntries) {
         settings << "addressOverrides:\n";
         for (unsigned peer = 0; peer < m_options.entries; ++peer) {
@@ -199,15 +210,16 @@
     readings.grantCheck = GrantCheck::Checked;
     readings.partitions = 24;
     readings.groups = 3;
-    readings.slotsPerServer = 16;
+    readings.slotsPerServer = m_options.slots;
     readings.connectionsPerServer = 64;
     readings.lease = m_options.lease;
-    readings.classes = {{"default", 1}};
+    readings.classes = m_options.classes;
     configuration.services = {readings};
+    configuration.refusalRules = m_options.refusalRules;
     for (unsigned i = 0; i < m_options.servers; ++i) {
         const std::string name = "server-" + std::to_string(i + 1);
-        configuration.servers.push_back(
-            {name, service, "seq", i % 2 == 0 ? "seq-a" : "seq-b", withPort(ip(m_hosts.at(name)), serverPort)});
+        configuration.servers.push_back({name, service, "seq", i % 2 == 0 ? "seq-a" : "seq-b",
+            withPort(ip(m_hosts.at(name)), m_options.proxiesToServers ? serverProxyPort : serverPort)});
     }
     return configuration;
 }
@@ -316,6 +328,53 @@
     return counter(withPort(ip(platformHost), platformPort), name);
 }
 
+std::uint64_t Cluster::serverCounter(const std::string& server, const std::string& name)
+{
+    return counter(withPort(ip(m_hosts.at(server)), serverPort), name);
+}
+
+std::uint64_t Cluster::serverProxyCounter(const std::string& server, const std::string& name)
+{
+    return counter(withPort(ip(m_hosts.at(server)), serverProxyPort + proxyAdminOffset), name);
+}
+
+double Cluster::metric(const std::string& entry, const std::string& name)
+{
+    const HttpResponse response
+        = m_http.call("GET", "http://" + withPort(ip(m_hosts.at(entry)), operatorPort) + "/metrics");
+    if (response.status != 200) {
+        throw std::runtime_error(entry + " gives no metrics: " + std::to_string(response.status));
+    }
+    double sum = 0;
+    std::istringstream lines(response.body);
+    for (std::string line; std::getline(lines, line);) {
+        if (line.starts_with(name + " ") || line.starts_with(name + "{")) {
+            sum += std::stod(line.substr(line.rfind(' ') + 1));
+        }
+    }
+    return sum;
+}
+
+double Cluster::metric(const std::string& name)
+{
+    double sum = 0;
+    for (const auto& [entry, process] : m_entries) {
+        if (process->running()) {
+            sum += metric(entry, name);
+        }
+    }
+    return sum;
+}
+
+std::vector<std::string> Cluster::serverNames() const
+{
+    std::vector<std::string> result;
+    for (const auto& [name, process] : m_servers) {
+        result.push_back(name);
+    }
+    return result;
+}
+
 std::uint64_t Cluster::fewestProxyBytes(const std::string& from, const std::string& to)
 {
     std::uint64_t fewest = UINT64_MAX;
@@ -341,6 +400,11 @@
     put("http://" + withPort(ip(m_hosts.at(server)), serverPort) + "/admin/state", body);
 }
 
+void Cluster::setServerProxy(const std::string& server, const std::string& body)
+{
+    put("http://" + withPort(ip(m_hosts.at(server)), serverProxyPort + proxyAdminOffset) + "/admin/behaviour", body);
+}
+
 void Cluster::setProxies(const std::string& first, const std::string& second, const std::string& body)
 {
     for (const auto& [link, admins] : m_proxyAdmins) {
--- a/tests/integration/cluster.h
+++ b/tests/integration/cluster.h
@@ -22,6 +22,12 @@
     unsigned servers = 3;
     Milliseconds lease {2000};
     bool proxiesBetweenEntries = false; ///< Places fault proxies on all traffic between entry instances.
+    bool proxiesToServers = false; ///< Places a fault proxy in front of each backend server, for grants and requests.
+    unsigned slots = 16; ///< Of each backend server.
+    unsigned serviceTimeMs = 3; ///< Of each backend server.
+    std::vector<WorkClass> classes {{"default", 1}};
+    std::vector<RefusalRule> refusalRules;
+    std::string entrySettings; ///< Lines added to the settings of each entry daemon.
 };
 
 /// A platform, entry daemons and backend servers as processes, each with a loopback address of its own.
@@ -52,11 +58,28 @@
     void setPlatformFaults(const std::string& body);
     void setListed(const std::string& instance, const std::string& role, const std::string& state);
     void setServerState(const std::string& server, const std::string& body);
+    /// Replaces the behaviour of the proxy in front of @p server.
+    void setServerProxy(const std::string& server, const std::string& body);
     /// Replaces the behaviour of the proxies between two entry instances, in both directions.
     void setProxies(const std::string& first, const std::string& second, const std::string& body);
 
     /// A call counter of the platform.
     [[nodiscard]] std::uint64_t platformCounter(const std::string& name);
+    /// A counter of a backend server.
+    [[nodiscard]] std::uint64_t serverCounter(const std::string& server, const std::string& name);
+    /// A counter of the proxy in front of @p server.
+    [[nodiscard]] std::uint64_t serverProxyCounter(const std::string& server, const std::string& name);
+    /// Sum of a metric of @p entry over all its labels.
+    [[nodiscard]] double metric(const std::string& entry, const std::string& name);
+    /// Sum of a metric over all labels and all running entry instances.
+    [[nodiscard]] double metric(const std::string& name);
+    [[nodiscard]] std::vector<std::string> serverNames() const;
+    /// IP number and ports of @p entry, for tests that speak to its sockets directly.
+    [[nodiscard]] std::string entryIp(const std::string& entry) const { return ip(m_hosts.at(entry)); }
+    static constexpr unsigned callerPort = 21'010;
+    static constexpr unsigned controlPort = 21'012;
+    static constexpr unsigned forwardPort = 21'020;
+
     /// Bytes that the control and forward proxies passed from one entry instance to another; the smaller number.
     [[nodiscard]] std::uint64_t fewestProxyBytes(const std::string& from, const std::string& to);
 
--- /dev/null
+++ b/tests/integration/load_test.cpp
@@ -0,0 +1,796 @@
+#include "cluster.h"
+
+#include <jasminespread/request_id.h>
+
+#include <gtest/gtest.h>
+
+#include <algorithm>
+#include <arpa/inet.h>
+#include <atomic>
+#include <cmath>
+#include <future>
+#include <iostream>
+#include <random>
+#include <set>
+#include <sys/socket.h>
+#include <thread>
+#include <unistd.h>
+
+namespace jasminespread::test {
+
+namespace {
+
+constexpr Milliseconds deadline {1000};
+constexpr unsigned keyCount = 240;
+constexpr const char* passBehaviour = R"({"mode":"pass"})";
+
+void sleepFor(Milliseconds time) { std::this_thread::sleep_for(time); }
+
+std::string loadKey(unsigned index) { return "load-" + std::to_string(index); }
+
+struct TimedCall {
+    CallerRecord record;
+    double latencyMs = 0; ///< From the intended start.
+};
+
+/// Sends at a fixed rate, whether or not earlier requests were answered, as long as a thread is free. Latency counts
+/// from the intended start, so that a late sending does not hide waiting.
+class OpenLoop {
+public:
+    struct Plan {
+        double perSecond = 0;
+        unsigned threads = 0;
+        std::vector<std::string> keys;
+        std::string workClass;
+        bool repeatableOnly = false; ///< Otherwise every second request is non-repeatable.
+    };
+
+    OpenLoop(std::vector<Callers::Entry> entries, Plan plan)
+        : m_entries(std::move(entries))
+        , m_plan(std::move(plan))
+    {
+    }
+
+    std::vector<TimedCall> run(Milliseconds duration)
+    {
+        const MonotonicTime start = monotonicNow();
+        const auto total = static_cast<std::uint64_t>(m_plan.perSecond * static_cast<double>(duration.count()) / 1000);
+        std::atomic<std::uint64_t> next {0};
+        std::vector<std::vector<TimedCall>> parts(m_plan.threads);
+        std::vector<std::thread> threads;
+        for (unsigned t = 0; t < m_plan.threads; ++t) {
+            threads.emplace_back([&, t] {
+                HttpCaller http;
+                for (std::uint64_t i = next++; i < total; i = next++) {
+                    const MonotonicTime intended = start
+                        + std::chrono::nanoseconds(
+                            static_cast<std::int64_t>(static_cast<double>(i) * 1e9 / m_plan.perSecond));
+                    std::this_thread::sleep_until(intended);
+                    const std::uint64_t mixed = i * 0x9E3779B97F4A7C15U >> 20U;
+                    const bool repeatable = m_plan.repeatableOnly || mixed / 7 % 2 == 0;
+                    TimedCall call;
+                    call.record = callOnce(http, m_entries[i % m_entries.size()], Cluster::service,
+                        m_plan.keys[mixed % m_plan.keys.size()], repeatable, deadline,
+                        {.requestId = {}, .workClass = m_plan.workClass});
+                    call.latencyMs = std::chrono::duration<double, std::milli>(monotonicNow() - intended).count();
+                    parts[t].push_back(std::move(call));
+                }
+            });
+        }
+        std::vector<TimedCall> calls;
+        for (unsigned t = 0; t < m_plan.threads; ++t) {
+            threads[t].join();
+            std::move(parts[t].begin(), parts[t].end(), std::back_inserter(calls));
+        }
+        return calls;
+    }
+
+private:
+    std::vector<Callers::Entry> m_entries;
+    Plan m_plan;
+};
+
+std::vector<std::string> allKeys()
+{
+    std::vector<std::string> keys;
+    for (unsigned i = 0; i < keyCount; ++i) {
+        keys.push_back(loadKey(i));
+    }
+    return keys;
+}
+
+/// Latency of the `done` answers at a share (0 to 1), in ms; infinite without any.
+double latencyAt(const std::vector<TimedCall>& calls, double share)
+{
+    std::vector<double> values;
+    for (const TimedCall& call : calls) {
+        if (call.record.outcome == Outcome::Done) {
+            values.push_back(call.latencyMs);
+        }
+    }
+    if (values.empty()) {
+        return INFINITY;
+    }
+    std::sort(values.begin(), values.end());
+    return values[std::min(values.size() - 1, static_cast<std::size_t>(share * static_cast<double>(values.size())))];
+}
+
+std::string latencies(const std::vector<TimedCall>& calls)
+{
+    return std::to_string(latencyAt(calls, 0.5)) + " / " + std::to_string(latencyAt(calls, 0.99)) + " / "
+        + std::to_string(latencyAt(calls, 0.999)) + " ms at 50 / 99 / 99.9 of " + std::to_string(calls.size())
+        + " calls";
+}
+
+std::size_t countOf(const std::vector<CallerRecord>& calls, Outcome outcome)
+{
+    return static_cast<std::size_t>(
+        std::count_if(calls.begin(), calls.end(), [&](const CallerRecord& call) { return call.outcome == outcome; }));
+}
+
+void append(std::vector<CallerRecord>& records, const std::vector<TimedCall>& calls)
+{
+    for (const TimedCall& call : calls) {
+        records.push_back(call.record);
+    }
+}
+
+/// Prints the outcomes and expects no violation.
+void expectClean(const Cluster& cluster, const std::vector<CallerRecord>& calls, std::set<std::string> disturbed = {})
+{
+    const History history {cluster.executions(), calls, std::move(disturbed)};
+    std::map<std::string, std::size_t> counts;
+    for (const CallerRecord& call : calls) {
+        ++counts[call.outcome ? std::string(enumName(outcomeNames, *call.outcome)) + " " + call.reason : "no answer"];
+    }
+    std::cout << calls.size() << " calls, " << history.executions.size() << " executions\n";
+    for (const auto& [name, count] : counts) {
+        std::cout << "  " << name << ": " << count << "\n";
+    }
+    const std::vector<Violation> violations = findViolations(history);
+    for (std::size_t i = 0; i < std::min<std::size_t>(violations.size(), 10); ++i) {
+        std::cout << enumName(violationKindNames, violations[i].kind) << ": " << violations[i].text << "\n";
+    }
+    EXPECT_EQ(violations.size(), 0U);
+    EXPECT_FALSE(history.executions.empty());
+}
+
+std::map<std::string, unsigned> executionCounts(const Cluster& cluster)
+{
+    std::map<std::string, unsigned> counts;
+    for (const standins::ExecutionRecord& record : cluster.executions()) {
+        ++counts[record.requestId];
+    }
+    return counts;
+}
+
+/// Connection on which a test writes bytes of its own.
+class RawConnection {
+public:
+    RawConnection(const std::string& ip, unsigned port)
+        : m_fd(::socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        const timeval limit {3, 0};
+        ::setsockopt(m_fd, SOL_SOCKET, SO_RCVTIMEO, &limit, sizeof limit);
+        ::setsockopt(m_fd, SOL_SOCKET, SO_SNDTIMEO, &limit, sizeof limit);
+        sockaddr_in address {};
+        address.sin_family = AF_INET;
+        address.sin_port = htons(static_cast<std::uint16_t>(port));
+        ::inet_pton(AF_INET, ip.c_str(), &address.sin_addr);
+        m_connected = ::connect(m_fd, reinterpret_cast<const sockaddr*>(&address), sizeof address) == 0;
+    }
+    ~RawConnection() { close(); }
+    RawConnection(const RawConnection&) = delete;
+    RawConnection& operator=(const RawConnection&) = delete;
+
+    [[nodiscard]] bool connected() const { return m_connected; }
+
+    void send(const std::string& bytes) const
+    {
+        std::size_t sent = 0;
+        while (sent < bytes.size()) {
+            const ssize_t n = ::send(m_fd, bytes.data() + sent, bytes.size() - sent, MSG_NOSIGNAL);
+            if (n <= 0) {
+                return;
+            }
+            sent += static_cast<std::size_t>(n);
+        }
+    }
+
+    /// Reads up to the end of the headers, the end of the connection or a time limit.
+    [[nodiscard]] std::string readHead() const
+    {
+        std::string text;
+        std::array<char, 4096> buf {};
+        while (text.find("\r\n\r\n") == std::string::npos) {
+            const ssize_t n = ::recv(m_fd, buf.data(), buf.size(), 0);
+            if (n <= 0) {
+                break;
+            }
+            text.append(buf.data(), static_cast<std::size_t>(n));
+        }
+        return text;
+    }
+
+    void close()
+    {
+        if (m_fd >= 0) {
+            ::close(m_fd);
+            m_fd = -1;
+        }
+    }
+
+private:
+    int m_fd;
+    bool m_connected = false;
+};
+
+std::string freshId() { return RequestId::generate(wallNow()).text(); }
+
+/// Closed-loop callers of non-repeatable requests with a body or answer of a given size.
+class SizedCallers {
+public:
+    SizedCallers(const Cluster& cluster, bool repeatable, CallExtras extras)
+        : m_entries(cluster.callerEntries())
+        , m_repeatable(repeatable)
+        , m_extras(std::move(extras))
+    {
+        for (unsigned t = 0; t < threadCount; ++t) {
+            m_threads.emplace_back([this, t] { run(t); });
+        }
+    }
+    ~SizedCallers() { (void)stop(); }
+    SizedCallers(const SizedCallers&) = delete;
+    SizedCallers& operator=(const SizedCallers&) = delete;
+
+    std::vector<CallerRecord> stop()
+    {
+        m_stopping = true;
+        for (std::thread& thread : m_threads) {
+            thread.join();
+        }
+        m_threads.clear();
+        return m_records;
+    }
+
+private:
+    static constexpr unsigned threadCount = 12;
+    static constexpr Milliseconds pause {10};
+
+    void run(unsigned index)
+    {
+        HttpCaller http;
+        for (unsigned i = index; !m_stopping; ++i) {
+            CallerRecord record = callOnce(http, m_entries[i % m_entries.size()], Cluster::service,
+                loadKey(i * 7 % keyCount), m_repeatable, deadline, m_extras);
+            {
+                const std::scoped_lock lock(m_mutex);
+                m_records.push_back(std::move(record));
+            }
+            sleepFor(pause);
+        }
+    }
+
+    std::vector<Callers::Entry> m_entries;
+    bool m_repeatable;
+    CallExtras m_extras;
+    std::atomic<bool> m_stopping {false};
+    std::mutex m_mutex;
+    std::vector<CallerRecord> m_records;
+    std::vector<std::thread> m_threads;
+};
+
+/// Switches the proxies before all servers to @p behaviour for short times, shorter than a lease, so that ownership
+/// does not move.
+void disturbInPulses(Cluster& cluster, const std::string& behaviour)
+{
+    for (unsigned i = 0; i < 6; ++i) {
+        for (const std::string& server : cluster.serverNames()) {
+            cluster.setServerProxy(server, behaviour);
+        }
+        sleepFor(Milliseconds(250));
+        for (const std::string& server : cluster.serverNames()) {
+            cluster.setServerProxy(server, passBehaviour);
+        }
+        sleepFor(Milliseconds(600));
+    }
+}
+
+std::uint64_t sumOfProxyCounters(Cluster& cluster, const std::string& name)
+{
+    std::uint64_t sum = 0;
+    for (const std::string& server : cluster.serverNames()) {
+        sum += cluster.serverProxyCounter(server, name);
+    }
+    return sum;
+}
+
+} // namespace
+
+// Guards against congestion collapse: work that is refused or late must not take the capacity of work that is done, and
+// work of low importance must not delay protected work.
+TEST(LoadTest, Overload)
+{
+    ClusterOptions options;
+    options.servers = 2;
+    options.slots = 12;
+    options.serviceTimeMs = 40;
+    options.classes = {{"bulk", 1}, {"protected", 10}};
+    options.refusalRules = {{Cluster::service, "bulk", 0.02}};
+    Cluster cluster(options);
+    const double capacity = 2.0 * options.slots * 1000 / options.serviceTimeMs;
+    const OpenLoop::Plan protectedPlan {0.2 * capacity, 48, allKeys(), "protected"};
+    const OpenLoop::Plan bulkPlan {2.8 * capacity, 160, allKeys(), "bulk"};
+    std::vector<CallerRecord> records;
+
+    const std::vector<TimedCall> calm = OpenLoop(cluster.callerEntries(), protectedPlan).run(Milliseconds(5000));
+    append(records, calm);
+
+    // The limits adapt during the first second, which does not count.
+    append(records, OpenLoop(cluster.callerEntries(), bulkPlan).run(Milliseconds(1000)));
+    constexpr Milliseconds duration {7000};
+    const MonotonicTime start = monotonicNow();
+    std::future<std::vector<TimedCall>> bulkRun
+        = std::async(std::launch::async, [&] { return OpenLoop(cluster.callerEntries(), bulkPlan).run(duration); });
+    const std::vector<TimedCall> loaded = OpenLoop(cluster.callerEntries(), protectedPlan).run(duration);
+    const std::vector<TimedCall> bulk = bulkRun.get();
+    const std::int64_t from = start.time_since_epoch().count();
+    const std::int64_t to = (start + duration).time_since_epoch().count();
+    const auto doneWithin = [&](const std::vector<TimedCall>& calls) {
+        return static_cast<double>(std::count_if(calls.begin(), calls.end(), [&](const TimedCall& call) {
+            return call.record.outcome == Outcome::Done && call.record.end >= from && call.record.end < to;
+        }));
+    };
+    const auto startedWithin = [&](const std::vector<TimedCall>& calls) {
+        return static_cast<double>(
+            std::count_if(calls.begin(), calls.end(), [&](const TimedCall& call) { return call.record.start < to; }));
+    };
+    const double seconds = static_cast<double>(duration.count()) / 1000;
+    const double goodput = (doneWithin(loaded) + doneWithin(bulk)) / seconds;
+    const double offered = (startedWithin(loaded) + startedWithin(bulk)) / seconds;
+    append(records, loaded);
+    append(records, bulk);
+
+    std::cout << "capacity " << capacity << "/s, sent " << offered << "/s, goodput " << goodput << "/s, share "
+              << goodput / capacity << " (target at least 0.95)\n"
+              << "protected without overload: " << latencies(calm)
+              << "\nprotected during overload: " << latencies(loaded) << "\nbulk during overload: " << latencies(bulk)
+              << "\nratio at 99: " << latencyAt(loaded, 0.99) / latencyAt(calm, 0.99) << " (target at most 2)\n"
+              << "protected not done: "
+              << loaded.size()
+            - static_cast<std::size_t>(std::count_if(loaded.begin(), loaded.end(),
+                [](const TimedCall& call) { return call.record.outcome == Outcome::Done; }))
+              << "\n";
+    EXPECT_GE(offered, 0.95 * 3 * capacity) << "the callers did not offer the load";
+    EXPECT_GE(goodput / capacity, 0.95);
+    EXPECT_LE(latencyAt(loaded, 0.99), 2 * latencyAt(calm, 0.99));
+    std::size_t refused = 0;
+    for (const TimedCall& call : bulk) {
+        if (call.record.status == 429 || call.record.reason == "refused-by-rule") {
+            ++refused;
+            EXPECT_EQ(call.record.outcome, Outcome::NotRun);
+        }
+    }
+    EXPECT_GT(refused, 0U);
+    for (const TimedCall& call : loaded) {
+        EXPECT_NE(call.record.reason, "refused-by-rule");
+    }
+    // The checker reports each refused request that ran.
+    expectClean(cluster, records);
+}
+
+// Guards against retries that multiply the load on servers that shed it.
+TEST(LoadTest, AllServersShed)
+{
+    Cluster cluster({});
+    Callers callers(cluster.callerEntries(), Cluster::service);
+    callers.start();
+    sleepFor(Milliseconds(2000));
+    const double freshBefore = cluster.metric("jasminespread_requests_total");
+    const double retriesBefore = cluster.metric("jasminespread_retries_total");
+    for (const std::string& server : cluster.serverNames()) {
+        cluster.setServerState(server, R"({"shedding":1})");
+    }
+    sleepFor(Milliseconds(6000));
+    for (const std::string& server : cluster.serverNames()) {
+        cluster.setServerState(server, "{}");
+    }
+    sleepFor(Milliseconds(500));
+    callers.stop();
+    const double fresh = cluster.metric("jasminespread_requests_total");
+    const double retries = cluster.metric("jasminespread_retries_total");
+    std::cout << "while shedding: " << (retries - retriesBefore) / (fresh - freshBefore) << " retries per request ("
+              << retries - retriesBefore << " of " << fresh - freshBefore << "); since the start: " << retries / fresh
+              << " (target at most 0.1)\n";
+    EXPECT_GT(retries, retriesBefore);
+    EXPECT_LE(retries, 0.1 * fresh);
+    expectClean(cluster, callers.records());
+}
+
+// Guards against a slow server whose waiting requests hold back those of other servers.
+TEST(LoadTest, OneServerSlow)
+{
+    ClusterOptions options;
+    options.serviceTimeMs = 10;
+    Cluster cluster(options);
+    const std::string slow = cluster.ownerOf("entry-1", loadKey(0));
+    OpenLoop::Plan slowPlan {150, 160, {}, ""};
+    OpenLoop::Plan otherPlan {200, 64, {}, ""};
+    for (const std::string& key : allKeys()) {
+        (cluster.ownerOf("entry-1", key) == slow ? slowPlan : otherPlan).keys.push_back(key);
+    }
+    ASSERT_FALSE(otherPlan.keys.empty());
+    std::vector<CallerRecord> records;
+    const auto runBoth = [&](std::vector<TimedCall>& others) {
+        std::future<std::vector<TimedCall>> slowRun = std::async(
+            std::launch::async, [&] { return OpenLoop(cluster.callerEntries(), slowPlan).run(Milliseconds(5000)); });
+        others = OpenLoop(cluster.callerEntries(), otherPlan).run(Milliseconds(5000));
+        const std::vector<TimedCall> slowCalls = slowRun.get();
+        append(records, others);
+        append(records, slowCalls);
+        std::cout << "keys of other servers: " << latencies(others)
+                  << "\nkeys of the slow server: " << latencies(slowCalls) << "\n";
+    };
+    std::vector<TimedCall> before;
+    std::vector<TimedCall> during;
+    runBoth(before);
+    cluster.setServerState(slow, R"({"extraDelayMs":490,"health":"serving","healthInFlight":0})");
+    runBoth(during);
+    cluster.setServerState(slow, "{}");
+    std::cout << "ratio at 99: " << latencyAt(during, 0.99) / latencyAt(before, 0.99) << " (target at most 2)\n";
+    EXPECT_LE(latencyAt(during, 0.99), 2 * latencyAt(before, 0.99));
+    EXPECT_TRUE(std::all_of(
+        during.begin(), during.end(), [](const TimedCall& call) { return call.record.outcome == Outcome::Done; }));
+    expectClean(cluster, records);
+}
+
+// Guards against a second execution, or a refusal, of a request whose connection was refused before any byte was sent.
+TEST(LoadTest, ConnectionsRefused)
+{
+    ClusterOptions options;
+    options.proxiesToServers = true;
+    Cluster cluster(options);
+    SizedCallers callers(cluster, false, {});
+    disturbInPulses(cluster, R"({"mode":"cut"})");
+    const std::vector<CallerRecord> records = callers.stop();
+    EXPECT_GT(sumOfProxyCounters(cluster, "resets"), 0U);
+    expectClean(cluster, records);
+    EXPECT_GT(countOf(records, Outcome::Done), 0U);
+}
+
+// Guards against a second execution of a request whose connection was reset within its body, and against an answer that
+// says it was done.
+TEST(LoadTest, ResetWithinRequestBody)
+{
+    ClusterOptions options;
+    options.proxiesToServers = true;
+    Cluster cluster(options);
+    CallExtras extras;
+    extras.body = std::string(65'536, 'x');
+    SizedCallers callers(cluster, false, extras);
+    // Grants are smaller than this.
+    disturbInPulses(cluster, R"({"mode":"pass","resetAfterToServer":16384})");
+    const std::vector<CallerRecord> records = callers.stop();
+    EXPECT_GT(sumOfProxyCounters(cluster, "resets"), 0U);
+    const std::map<std::string, unsigned> executions = executionCounts(cluster);
+    std::size_t broken = 0;
+    for (const CallerRecord& call : records) {
+        if (call.outcome != Outcome::Done) {
+            ++broken;
+            EXPECT_TRUE(call.outcome == Outcome::NotRun || call.outcome == Outcome::Unknown);
+        }
+        const auto it = executions.find(call.requestId);
+        EXPECT_LE(it == executions.end() ? 0U : it->second, 1U);
+    }
+    EXPECT_GT(broken, 0U);
+    expectClean(cluster, records);
+}
+
+// Guards against `not-run` and a second execution after the whole request reached the server and the answer was lost.
+TEST(LoadTest, ResetBeforeAnswer)
+{
+    ClusterOptions options;
+    options.proxiesToServers = true;
+    Cluster cluster(options);
+    CallExtras extras;
+    extras.answerBytes = 65'536;
+    SizedCallers callers(cluster, false, extras);
+    disturbInPulses(cluster, R"({"mode":"pass","resetAfterToClient":16384})");
+    const std::vector<CallerRecord> records = callers.stop();
+    EXPECT_GT(sumOfProxyCounters(cluster, "resets"), 0U);
+    const std::map<std::string, unsigned> executions = executionCounts(cluster);
+    std::size_t lost = 0;
+    for (const CallerRecord& call : records) {
+        if (call.outcome != Outcome::Done && executions.contains(call.requestId)) {
+            ++lost;
+            EXPECT_EQ(call.outcome, Outcome::Unknown) << call.requestId << " " << call.reason;
+        }
+    }
+    std::cout << lost << " executed requests without their answer\n";
+    EXPECT_GT(lost, 0U);
+    expectClean(cluster, records);
+}
+
+// Guards against a truncated answer of a server that is passed on as whole.
+TEST(LoadTest, TruncatedAnswers)
+{
+    for (const bool repeatable : {true, false}) {
+        ClusterOptions options;
+        options.proxiesToServers = true;
+        Cluster cluster(options);
+        CallExtras extras;
+        extras.answerBytes = 65'536;
+        SizedCallers callers(cluster, repeatable, extras);
+        disturbInPulses(cluster, R"({"mode":"pass","truncateAfter":16384})");
+        const std::vector<CallerRecord> records = callers.stop();
+        const std::uint64_t truncated = sumOfProxyCounters(cluster, "truncated");
+        std::cout << truncated << " truncated connections\n";
+        EXPECT_GT(truncated, 0U);
+        for (const CallerRecord& call : records) {
+            if (call.outcome == Outcome::Done) {
+                EXPECT_EQ(call.answerPadding, extras.answerBytes) << call.requestId;
+            }
+        }
+        expectClean(cluster, records);
+    }
+}
+
+// Guards against slots and requests that stay in use after their caller left.
+TEST(LoadTest, CallersLeave)
+{
+    ClusterOptions options;
+    options.serviceTimeMs = 400;
+    Cluster cluster(options);
+    std::vector<std::unique_ptr<RawConnection>> connections;
+    std::set<std::string> ids;
+    for (unsigned i = 0; i < 24; ++i) {
+        const std::string entry = "entry-" + std::to_string(1 + i % 3);
+        const std::string id = freshId();
+        ids.insert(id);
+        connections.push_back(std::make_unique<RawConnection>(cluster.entryIp(entry), Cluster::callerPort));
+        ASSERT_TRUE(connections.back()->connected());
+        connections.back()->send(std::string(i % 2 == 0 ? "GET" : "POST") + " /v1/" + Cluster::service
+            + "/reading HTTP/1.1\r\nHost: entry\r\nJasminespread-Key: " + loadKey(i) + "\r\nJasminespread-Request-Id: "
+            + id + "\r\nJasminespread-Deadline-Ms: 5000\r\nContent-Length: 0\r\n\r\n");
+    }
+    sleepFor(Milliseconds(150));
+    std::uint64_t running = 0;
+    for (const std::string& server : cluster.serverNames()) {
+        running += cluster.serverCounter(server, "inFlight");
+    }
+    EXPECT_GT(running, 0U);
+    connections.clear();
+    const MonotonicTime left = monotonicNow();
+    const bool free = eventually(Milliseconds(3000), [&] {
+        return cluster.metric("jasminespread_requests_in_flight") == 0
+            && cluster.metric("jasminespread_server_slots_in_use") == 0;
+    });
+    const auto freeAfter = std::chrono::duration_cast<Milliseconds>(monotonicNow() - left);
+    std::uint64_t cancelled = 0;
+    for (const std::string& server : cluster.serverNames()) {
+        EXPECT_TRUE(eventually(Milliseconds(1000), [&] { return cluster.serverCounter(server, "inFlight") == 0; }));
+        cancelled += cluster.serverCounter(server, "cancelled");
+    }
+    std::cout << running << " of 24 requests were running when their callers left, " << cancelled
+              << " were cancelled at the server, slots free after " << freeAfter.count()
+              << " ms, callers left: " << cluster.metric("jasminespread_callers_left_total") << "\n";
+    EXPECT_TRUE(free);
+    EXPECT_GE(cluster.metric("jasminespread_callers_left_total"), 24);
+    for (const auto& [id, count] : executionCounts(cluster)) {
+        EXPECT_LE(count, 1U) << id;
+    }
+    HttpCaller http;
+    std::vector<CallerRecord> records;
+    for (unsigned i = 0; i < 6; ++i) {
+        records.push_back(
+            callOnce(http, cluster.callerEntries()[i % 3], Cluster::service, loadKey(i), i % 2 == 0, deadline));
+        EXPECT_EQ(records.back().outcome, Outcome::Done) << records.back().reason;
+    }
+    expectClean(cluster, records);
+}
+
+// Guards against a second execution when callers repeat an id through other instances after theirs was killed.
+TEST(LoadTest, RepeatsAfterInstanceKilled)
+{
+    ClusterOptions options;
+    options.serviceTimeMs = 20;
+    Cluster cluster(options);
+    const std::vector<Callers::Entry> entries = cluster.callerEntries();
+    constexpr unsigned threadCount = 24;
+    std::atomic<bool> stopping {false};
+    std::vector<std::vector<CallerRecord>> parts(threadCount);
+    std::atomic<unsigned> repeats {0};
+    std::vector<std::thread> threads;
+    for (unsigned t = 0; t < threadCount; ++t) {
+        threads.emplace_back([&, t] {
+            HttpCaller http;
+            for (unsigned i = 0; !stopping; ++i) {
+                CallExtras extras;
+                extras.requestId = freshId();
+                for (unsigned attempt = 0; attempt < 3; ++attempt) {
+                    parts[t].push_back(callOnce(http, entries[(t + attempt) % entries.size()], Cluster::service,
+                        loadKey((t + i * threadCount) % keyCount), false, deadline, extras));
+                    const CallerRecord& call = parts[t].back();
+                    if (call.answered && call.outcome != Outcome::NotRun) {
+                        break;
+                    }
+                    ++repeats;
+                }
+            }
+        });
+    }
+    sleepFor(Milliseconds(1500));
+    cluster.entry("entry-1").kill();
+    sleepFor(Milliseconds(5000));
+    stopping = true;
+    std::vector<CallerRecord> all;
+    for (unsigned t = 0; t < threadCount; ++t) {
+        threads[t].join();
+        all.insert(all.end(), parts[t].begin(), parts[t].end());
+    }
+    std::cout << repeats << " repeats\n";
+    EXPECT_GT(repeats.load(), 0U);
+    for (const auto& [id, count] : executionCounts(cluster)) {
+        EXPECT_LE(count, 1U) << id;
+    }
+    // `not-run` speaks only of its own sending (docs/protocol-callers.md): it says nothing about an id of which another
+    // sending ended otherwise.
+    std::set<std::string> mayHaveRun;
+    for (const CallerRecord& call : all) {
+        if (call.outcome != Outcome::NotRun) {
+            mayHaveRun.insert(call.requestId);
+        }
+    }
+    std::vector<CallerRecord> records;
+    std::copy_if(all.begin(), all.end(), std::back_inserter(records), [&](const CallerRecord& call) {
+        return call.outcome != Outcome::NotRun || !mayHaveRun.contains(call.requestId);
+    });
+    std::cout << all.size() - records.size() << " answers not-run to an id with another sending\n";
+    expectClean(cluster, records, {"entry-1"});
+}
+
+// Guards against two executions and different answers when one id arrives through two instances at the same time.
+TEST(LoadTest, SameIdThroughTwoInstances)
+{
+    ClusterOptions options;
+    options.serviceTimeMs = 20;
+    Cluster cluster(options);
+    const std::vector<Callers::Entry> entries = cluster.callerEntries();
+    std::vector<CallerRecord> records;
+    unsigned unknown = 0;
+    HttpCaller first;
+    HttpCaller second;
+    for (unsigned i = 0; i < 100; ++i) {
+        CallExtras extras;
+        extras.requestId = freshId();
+        std::future<CallerRecord> other = std::async(std::launch::async, [&] {
+            return callOnce(
+                second, entries[(i + 1) % entries.size()], Cluster::service, loadKey(i), false, deadline, extras);
+        });
+        const CallerRecord left
+            = callOnce(first, entries[i % entries.size()], Cluster::service, loadKey(i), false, deadline, extras);
+        const CallerRecord right = other.get();
+        for (const CallerRecord& call : {left, right}) {
+            EXPECT_TRUE(call.outcome == Outcome::Done || call.outcome == Outcome::Unknown) << call.reason;
+            unknown += call.outcome == Outcome::Unknown ? 1 : 0;
+            records.push_back(call);
+        }
+        if (left.outcome == Outcome::Done && right.outcome == Outcome::Done) {
+            EXPECT_EQ(left.status, right.status);
+            EXPECT_EQ(left.answerRequestId, right.answerRequestId);
+        }
+    }
+    const std::map<std::string, unsigned> executions = executionCounts(cluster);
+    for (const CallerRecord& call : records) {
+        const auto it = executions.find(call.requestId);
+        EXPECT_EQ(it == executions.end() ? 0U : it->second, 1U) << call.requestId;
+    }
+    std::cout << unknown << " of 200 answers unknown, joined: " << cluster.metric("jasminespread_joined_total") << "\n";
+    expectClean(cluster, records);
+}
+
+// Guards against input that stops the daemon, gets no clear error, is not counted, or is read as two requests.
+TEST(LoadTest, BadInput)
+{
+    Cluster cluster({});
+    const std::string ip = cluster.entryIp("entry-1");
+    const std::string line = std::string(" /v1/") + Cluster::service + "/reading HTTP/1.1\r\nHost: entry\r\n";
+    const std::string key = "Jasminespread-Key: bad-input\r\n";
+    const std::string chunked = "Transfer-Encoding: chunked\r\n";
+    struct Case {
+        const char* name;
+        std::string bytes;
+        std::vector<std::string> statuses;
+        std::string reason; ///< Empty: the answer need not name one.
+    };
+    const std::vector<Case> cases {
+        {"missing key", "GET" + line + "\r\n", {"400"}, "missing-key"},
+        {"long key", "GET" + line + "Jasminespread-Key: " + std::string(1025, 'k') + "\r\n\r\n", {"400"}, "bad-key"},
+        {"id that is no UUID", "GET" + line + key + "Jasminespread-Request-Id: 17\r\n\r\n", {"400"}, "bad-request-id"},
+        {"id of version 4",
+            "GET" + line + key + "Jasminespread-Request-Id: 8d1f3a52-4d0c-4c1e-9a55-0f6e2b7c9d10\r\n\r\n", {"400"},
+            "bad-request-id"},
+        {"id of the future",
+            "POST" + line + key + "Jasminespread-Request-Id: "
+                + RequestId::generate(wallNow() + std::chrono::hours(1)).text() + "\r\nContent-Length: 0\r\n\r\n",
+            {"400"}, "future-id"},
+        {"bad deadline", "GET" + line + key + "Jasminespread-Deadline-Ms: soon\r\n\r\n", {"400"}, "bad-deadline"},
+        {"bad repeatable", "GET" + line + key + "Jasminespread-Repeatable: maybe\r\n\r\n", {"400"}, "bad-repeatable"},
+        {"bad class", "GET" + line + key + "Jasminespread-Class: none-such\r\n\r\n", {"400"}, "bad-class"},
+        {"unknown service", "GET /v1/none-such/x HTTP/1.1\r\nHost: entry\r\n" + key + "\r\n", {"404"},
+            "unknown-service"},
+        {"bad path", "GET /other HTTP/1.1\r\nHost: entry\r\n" + key + "\r\n", {"404"}, "bad-path"},
+        {"declared oversized body", "POST" + line + key + "Content-Length: 5000000\r\n\r\n", {"413"}, "body-too-large"},
+        {"chunked oversized body",
+            "POST" + line + key + chunked + "\r\n200000\r\n" + std::string(0x200000, 'x') + "\r\n0\r\n\r\n", {"413"},
+            "body-too-large"},
+        {"oversized headers", "GET" + line + key + "X-Filler: " + std::string(40'000, 'f') + "\r\n\r\n", {"431"},
+            "headers-too-large"},
+        {"two different Content-Length", "POST" + line + key + "Content-Length: 3\r\nContent-Length: 30\r\n\r\nabc",
+            {"400"}, ""},
+        {"Transfer-Encoding with Content-Length",
+            "POST" + line + key + chunked + "Content-Length: 3\r\n\r\n3\r\nabc\r\n0\r\n\r\n", {"400"}, ""},
+        {"malformed request line", "GARBAGE\r\n\r\n", {"400"}, ""},
+        {"header without colon", "GET" + line + key + "NoColon\r\n\r\n", {"400"}, ""},
+        {"malformed chunk", "POST" + line + key + chunked + "\r\nzz\r\nabc\r\n0\r\n\r\n", {"400"}, ""},
+    };
+    for (const Case& bad : cases) {
+        const std::size_t ran = cluster.executions().size();
+        const double counted = cluster.metric("entry-1", "jasminespread_requests_total");
+        RawConnection connection(ip, Cluster::callerPort);
+        ASSERT_TRUE(connection.connected()) << bad.name;
+        connection.send(bad.bytes);
+        const std::string head = connection.readHead();
+        const std::string shown = head.substr(0, 200);
+        EXPECT_TRUE(std::any_of(bad.statuses.begin(), bad.statuses.end(),
+            [&](const std::string& status) { return head.starts_with("HTTP/1.1 " + status); }))
+            << bad.name << ": \"" << shown << "\"";
+        if (!bad.reason.empty()) {
+            EXPECT_NE(head.find("Jasminespread-Reason: " + bad.reason), std::string::npos)
+                << bad.name << ": \"" << shown << "\"";
+            EXPECT_NE(head.find("Jasminespread-Outcome: not-run"), std::string::npos) << bad.name;
+        }
+        EXPECT_TRUE(eventually(
+            Milliseconds(500), [&] { return cluster.metric("entry-1", "jasminespread_requests_total") > counted; }))
+            << bad.name << " is not counted";
+        EXPECT_EQ(cluster.executions().size(), ran) << bad.name << " reached a server";
+        EXPECT_TRUE(cluster.entry("entry-1").running()) << bad.name;
+    }
+
+    // Slow requests: heads and bodies that never end must not hold back other callers.
+    std::vector<std::unique_ptr<RawConnection>> slow;
+    for (unsigned i = 0; i < 50; ++i) {
+        slow.push_back(std::make_unique<RawConnection>(ip, Cluster::callerPort));
+        slow.back()->send(i % 2 == 0 ? "POST" + line + key : "POST" + line + key + "Content-Length: 10\r\n\r\nabc");
+    }
+    std::mt19937 random(7);
+    for (const unsigned port : {Cluster::controlPort, Cluster::forwardPort}) {
+        for (unsigned i = 0; i < 20; ++i) {
+            std::string bytes(i * 97, '\0');
+            std::generate(bytes.begin(), bytes.end(), [&] { return static_cast<char>(random()); });
+            RawConnection connection(ip, port);
+            connection.send(bytes);
+        }
+        // A valid ZeroMQ greeting (version 3.0, mechanism NULL) and READY command, then a message that is not protobuf.
+        std::string greeting("\xff\0\0\0\0\0\0\0\x01\x7f\x03\0NULL", 16);
+        greeting.resize(64, '\0');
+        const std::string ready("\x04\x1a\x05READY\x0bSocket-Type\0\0\0\x04PUSH", 28);
+        RawConnection connection(ip, port);
+        connection.send(greeting + ready + std::string("\0\x05hello", 7));
+        sleepFor(Milliseconds(200));
+    }
+    EXPECT_TRUE(cluster.entry("entry-1").running());
+    std::cout << "rejected peer messages: " << cluster.metric("entry-1", "jasminespread_peer_messages_rejected_total")
+              << "\n";
+    EXPECT_GT(cluster.metric("entry-1", "jasminespread_peer_messages_rejected_total"), 0);
+    HttpCaller http;
+    std::vector<CallerRecord> records;
+    for (unsigned i = 0; i < 20; ++i) {
+        records.push_back(
+            callOnce(http, cluster.callerEntries()[0], Cluster::service, loadKey(i), i % 2 == 0, deadline));
+        EXPECT_EQ(records.back().outcome, Outcome::Done) << records.back().reason;
+    }
+    expectClean(cluster, records);
+}
+
+} // namespace jasminespread::test
