--- a/tests/integration/load_test.cpp
+++ b/tests/integration/load_test.cpp
@@ -740,6 +740,43 @@
     expectClean(cluster, records);
 }
 
+// Guards against uneven use of equal servers and against a connection for each request.
+TEST(LoadTest, SteadyState)
+{
+    Cluster cluster({});
+    std::vector<std::string> keys;
+    for (unsigned i = 0; i < 6000; ++i) {
+        keys.push_back(loadKey(i));
+    }
+    const OpenLoop::Plan plan {400, 64, keys, ""};
+    std::vector<CallerRecord> records;
+    append(records, OpenLoop(cluster.callerEntries(), plan).run(Milliseconds(3000)));
+    const double opened = cluster.metric("jasminespread_connections_opened_total");
+    std::map<std::string, double> executed;
+    for (const std::string& server : cluster.serverNames()) {
+        executed[server] = -static_cast<double>(cluster.serverCounter(server, "executed"));
+    }
+    const std::vector<TimedCall> calls = OpenLoop(cluster.callerEntries(), plan).run(Milliseconds(8000));
+    append(records, calls);
+    double highest = 0;
+    double sum = 0;
+    for (const std::string& server : cluster.serverNames()) {
+        executed[server] += static_cast<double>(cluster.serverCounter(server, "executed"));
+        highest = std::max(highest, executed[server]);
+        sum += executed[server];
+    }
+    const double imbalance = highest / (sum / static_cast<double>(executed.size()));
+    const double connections = (cluster.metric("jasminespread_connections_opened_total") - opened) * 1000
+        / static_cast<double>(calls.size());
+    std::cout << "max/mean of requests over servers: " << imbalance
+              << " (target at most 1.1)\nnew connections per 1,000 "
+              << "requests: " << connections << " (target below 1)\n"
+              << latencies(calls) << "\n";
+    EXPECT_LE(imbalance, 1.1);
+    EXPECT_LT(connections, 1);
+    expectClean(cluster, records);
+}
+
 // Guards against input that stops the daemon, gets no clear error, is not counted, or reaches a server.
 TEST(LoadTest, BadInput)
 {
