--- a/tests/integration/load_test.cpp
+++ b/tests/integration/load_test.cpp
@@ -825,7 +825,7 @@
     std::mt19937 random(7);
     for (const unsigned port : {Cluster::controlPort, Cluster::forwardPort}) {
         for (unsigned i = 0; i < 20; ++i) {
-            std::string bytes(i * 97, '\0');
+            std::string bytes(std::size_t {97} * i, '\0');
             std::generate(bytes.begin(), bytes.end(), [&] { return static_cast<char>(random()); });
             RawConnection connection(cluster.entryIp("entry-1"), port);
             connection.send(bytes);
