Close the connections of callers and operators that have ended

libsoup 3.2 keeps an idle keep-alive connection open after its client has closed it, so that a daemon kept one descriptor in CLOSE-WAIT for each. The stand-ins' watch for such connections moves to src/base/ended_connections and serves the caller listener, the operator API and the stand-ins.

The watch no longer treats EAGAIN as an ended connection: libsoup may have read the next request before the watch runs.

--- a/src/daemon/caller_listener.cpp
+++ b/src/daemon/caller_listener.cpp
@@ -1,5 +1,6 @@
 #include "daemon/caller_listener.h"
 
+#include "base/ended_connections.h"
 #include "base/glib_pointer.h"
 #include "base/socket_address.h"
 
@@ -233,6 +234,7 @@
     m_state->maxBodyBytes = maxBodyBytes;
     m_state->hooks = std::move(hooks);
     m_state->server.reset(soup_server_new("server-header", nullptr, nullptr));
+    closeEndedConnections(m_state->server.get());
     soup_server_add_handler(m_state->server.get(), nullptr, State::onRequest, m_state.get(), nullptr);
     g_signal_connect(m_state->server.get(), "request-started", G_CALLBACK(State::onStarted), m_state.get());
 }
--- a/src/daemon/operator_api.cpp
+++ b/src/daemon/operator_api.cpp
@@ -1,5 +1,6 @@
 #include "daemon/operator_api.h"
 
+#include "base/ended_connections.h"
 #include "daemon/socket_address.h"
 
 #include <boost/json.hpp>
@@ -304,6 +305,7 @@
     State& state = *m_state;
     BOOST_LEAF_AUTO(socketAddress, parseSocketAddress(state.address, "operatorAddress"));
     state.server = soup_server_new("server-header", "jasminespread", nullptr);
+    closeEndedConnections(state.server);
     soup_server_add_early_handler(state.server, nullptr, State::onHeaders, &state, nullptr);
     soup_server_add_handler(state.server, nullptr, State::onRequest, &state, nullptr);
     GError* error = nullptr;
--- a/standins/lib/http_server.cpp
+++ b/standins/lib/http_server.cpp
@@ -1,5 +1,7 @@
 #include <http_server.h>
 
+#include "base/ended_connections.h"
+
 #include <libsoup/soup.h>
 #include <sys/socket.h>
 
@@ -140,29 +142,6 @@
     bool m_finished = false;
 };
 
-gboolean closeEnded(GSocket* socket, GIOCondition /*condition*/, gpointer /*data*/)
-{
-    char byte = 0;
-    if (::recv(g_socket_get_fd(socket), &byte, 1, MSG_PEEK | MSG_DONTWAIT) <= 0) {
-        g_socket_close(socket, nullptr);
-    }
-    return G_SOURCE_REMOVE;
-}
-
-/// libsoup 3.2 keeps an idle connection open after the client closed it, until the process has no file descriptors
-/// left. This closes it.
-void watchIdleConnection(SoupServerMessage* message, gpointer /*data*/)
-{
-    GSocket* socket = soup_server_message_get_socket(message);
-    if (socket == nullptr || g_socket_is_closed(socket) != 0) {
-        return;
-    }
-    GSource* source = g_socket_create_source(socket, G_IO_IN, nullptr);
-    g_source_set_callback(source, G_SOURCE_FUNC(closeEnded), nullptr, nullptr);
-    g_source_attach(source, g_main_context_get_thread_default());
-    g_source_unref(source);
-}
-
 } // namespace
 
 struct HttpServer::State {
@@ -173,7 +152,6 @@
         SoupServer* /*server*/, SoupServerMessage* message, const char* path, GHashTable* query, gpointer data)
     {
         const std::shared_ptr<SoupExchange> exchange = std::make_shared<SoupExchange>(message, path, query);
-        g_signal_connect(message, "finished", G_CALLBACK(watchIdleConnection), nullptr);
         exchange->pause();
         static_cast<State*>(data)->handler(exchange);
     }
@@ -184,6 +162,7 @@
 {
     m_state->handler = std::move(handler);
     m_state->server = soup_server_new("server-header", "standin", nullptr);
+    closeEndedConnections(m_state->server);
     soup_server_add_handler(m_state->server, nullptr, State::onRequest, m_state.get(), nullptr);
 }
 
