Merge the reports of several instances in jasminespreadctl report

Each instance is now asked for its JSON report, and the merged report is printed in the asked format. Instances without a report are named on standard error; exit code 5 means that none gave one. Reports that name an instance again are left out, so that its requests do not count twice. The test answers calls in the process; two running instances were not tried.

--- a/src/ctl/operator_tool.cpp
+++ b/src/ctl/operator_tool.cpp
@@ -8,11 +8,13 @@
 #include <boost/json.hpp>
 #include <glib.h>
 
+#include <algorithm>
 #include <cerrno>
 #include <charconv>
 #include <cstring>
 #include <fstream>
 #include <ostream>
+#include <set>
 #include <sstream>
 
 namespace jasminespread {
@@ -161,7 +163,7 @@
     case Command::Status:
         return print("/v1/status", true);
     case Command::Report:
-        return print("/v1/report?format=" + invocation.format, false);
+        return report();
     case Command::DeclareGone:
         return declare("/v1/servers/" + encoded(invocation.arguments[0]) + "/gone");
     case Command::DeclareLost:
@@ -315,6 +317,65 @@
     return ExitCode::Accepted;
 }
 
+ExitCode OperatorTool::report()
+{
+    if (m_invocation.servers.size() == 1) {
+        return print("/v1/report?format=" + m_invocation.format, false);
+    }
+    std::vector<BurnReport> reports;
+    std::set<std::string> instances;
+    std::vector<std::string> failures;
+    for (const std::string& server : m_invocation.servers) {
+        std::string failure;
+        const std::optional<BurnReport> fetched = fetchReport(server, failure);
+        if (!fetched) {
+            failures.push_back("no report from " + server + ": " + failure);
+            continue;
+        }
+        // The requests of an instance that is named twice must count only once.
+        const bool known = std::any_of(fetched->instances.begin(), fetched->instances.end(),
+            [&](const std::string& instance) { return instances.contains(instance); });
+        if (!known) {
+            instances.insert(fetched->instances.begin(), fetched->instances.end());
+            reports.push_back(*fetched);
+        }
+    }
+    if (reports.empty()) {
+        return refuse(ExitCode::Unavailable, "unavailable", failures);
+    }
+    for (const std::string& failure : failures) {
+        m_errors << "incomplete: " << failure << "\n";
+    }
+    const BurnReport merged = mergeBurnReports(reports);
+    const std::string text = m_invocation.format == "html" ? renderBurnHtml(merged)
+        : m_invocation.format == "json"                    ? encodeBurnReport(merged)
+                                                           : renderBurnText(merged);
+    m_out << text << (text.ends_with('\n') ? "" : "\n");
+    return ExitCode::Accepted;
+}
+
+std::optional<BurnReport> OperatorTool::fetchReport(const std::string& server, std::string& failure)
+{
+    const OperatorReply reply = m_caller({server, "GET", "/v1/report?format=json", ""});
+    if (reply.progress != CallProgress::Answered) {
+        failure = reply.failure;
+        return std::nullopt;
+    }
+    if (reply.status != 200) {
+        failure = "status " + std::to_string(reply.status);
+        return std::nullopt;
+    }
+    return handleError(
+        [&]() -> Result<std::optional<BurnReport>> {
+            BOOST_LEAF_AUTO(report, decodeBurnReport(reply.body));
+            return std::optional<BurnReport>(std::move(report));
+        },
+        [&](const Error& error) {
+            failure = describe(error);
+            return std::optional<BurnReport>();
+        });
+}
+
 OperatorReply OperatorTool::call(const std::string& method, const std::string& target, const std::string& body)
 {
     OperatorReply reply;
--- a/src/ctl/operator_tool.h
+++ b/src/ctl/operator_tool.h
@@ -4,6 +4,7 @@
 #include "ctl/exit_code.h"
 #include "ctl/operator_call.h"
 
+#include <jasminespread/burn_report.h>
 #include <jasminespread/configuration.h>
 
 #include <boost/json/object.hpp>
@@ -41,6 +42,10 @@
     ExitCode declare(const std::string& target);
     /// Gets a document and prints it.
     ExitCode print(const std::string& target, bool isJson);
+    /// Prints the report of one instance, or the merged report of several.
+    ExitCode report();
+    /// Returns nothing and sets @p failure when the instance gives no report.
+    [[nodiscard]] std::optional<BurnReport> fetchReport(const std::string& server, std::string& failure);
 
     /// Calls the first instance to which a connection can be made.
     [[nodiscard]] OperatorReply call(const std::string& method, const std::string& target, const std::string& body);
--- a/tests/operator_tool_test.cpp
+++ b/tests/operator_tool_test.cpp
@@ -300,6 +300,50 @@
     EXPECT_THAT(calls, testing::IsEmpty());
 }
 
+// Guards against a report of several instances that covers only the first, that counts an instance twice, or that hides
+// which instances are missing.
+TEST_F(OperatorToolTest, ReportMergesInstances)
+{
+    answer = [](const OperatorCall& call) {
+        if (call.server == "127.0.0.1:3") {
+            return OperatorReply {CallProgress::NotConnected, 0, "", "refused"};
+        }
+        if (call.server == "127.0.0.1:4") {
+            return answered(200, "{}");
+        }
+        BurnReport report;
+        report.instances = {call.server == "127.0.0.1:1" ? "w1" : "w2"};
+        ServiceBurn service;
+        service.service = "ledger";
+        service.loads = {{"ledger-1", 5}};
+        service.points.resize(burnPointCount);
+        report.services = {service};
+        return answered(200, encodeBurnReport(report));
+    };
+    std::vector<std::string> words {"report", "--format", "json"};
+    for (const char* server : {"127.0.0.1:1", "127.0.0.1:2", "127.0.0.1:3", "127.0.0.1:4", "127.0.0.1:1"}) {
+        words.insert(words.end(), {"--server", server});
+    }
+    EXPECT_EQ(run(words), 0) << errors.str();
+    EXPECT_THAT(errors.str(),
+        testing::AllOf(testing::HasSubstr("incomplete: no report from 127.0.0.1:3: refused\n"),
+            testing::HasSubstr("incomplete: no report from 127.0.0.1:4: "), testing::Not(testing::HasSubstr("0.1:1"))));
+    const BurnReport merged = handleError([&] { return decodeBurnReport(out.str()); },
+        [](const Error& error) {
+            ADD_FAILURE() << describe(error);
+            return BurnReport();
+        });
+    EXPECT_THAT(merged.instances, testing::ElementsAre("w1", "w2"));
+    ASSERT_EQ(merged.services.size(), 1U);
+    EXPECT_THAT(merged.services[0].loads, testing::ElementsAre(ServerLoad {"ledger-1", 10}));
+    words[2] = "html";
+    EXPECT_EQ(run(words), 0);
+    EXPECT_THAT(out.str(), testing::AllOf(testing::HasSubstr("<html"), testing::HasSubstr("ledger")));
+    EXPECT_EQ(run({"report", "--server", "127.0.0.1:3", "--server", "127.0.0.1:4"}), 5);
+    EXPECT_EQ(out.str(), "");
+    EXPECT_THAT(errors.str(), testing::HasSubstr("unavailable: no report from 127.0.0.1:3: refused\n"));
+}
+
 // Guards against commands without an explanation.
 TEST_F(OperatorToolTest, EveryCommandHasHelp)
 {
