Test that a report has the requests since the last sample

GET /v1/report takes a sample before it computes since the control loop got its burn history, but no test covered that through the daemon's loop. The new test fails when the call in burnReport() is removed.

--- a/tests/control_loop_test.cpp
+++ b/tests/control_loop_test.cpp
@@ -1,8 +1,12 @@
+#include "ctl/operator_call.h"
 #include "daemon/control_loop.h"
 #include "loopback_address.h"
 
+#include <jasminespread/burn_report.h>
+
 #include <gtest/gtest.h>
 
+#include <atomic>
 #include <glib.h>
 #include <thread>
 
@@ -90,6 +94,44 @@
     EXPECT_GE(answer->startedAt, askedAt);
 }
 
+// Guards against a report that lacks the requests since the last sample, which the timer takes every 10 s.
+TEST_F(ControlLoopTest, ReportHasTheNewestRequests)
+{
+    const auto snapshot = std::make_shared<RoutingSnapshot>();
+    snapshot->services["desk"].settings.name = "desk";
+    m_table.publish(snapshot);
+    std::thread client;
+    OperatorReply reply;
+    std::atomic<bool> answered = false;
+    m_hooks.reduce = [&](const TimedEvent&) -> Effects {
+        if (!client.joinable()) {
+            m_metrics
+                .counter(
+                    "jasminespread_requests_total", "service=\"desk\",outcome=\"done\",reason=\"\",server=\"s1\"", "")
+                .add(3);
+            client = std::thread([&] {
+                reply = makeHttpOperatorCaller(Milliseconds(5000))(
+                    {m_settings.operatorAddress, "GET", "/v1/report?format=json", ""});
+                answered = true;
+            });
+        }
+        if (answered) {
+            m_loop->quit();
+        }
+        return {};
+    };
+    run();
+    client.join();
+    ASSERT_EQ(reply.status, 200U) << reply.failure;
+    const BurnReport report = handleError([&] { return decodeBurnReport(reply.body); },
+        [](const Error& error) {
+            ADD_FAILURE() << describe(error);
+            return BurnReport();
+        });
+    ASSERT_EQ(report.services.size(), 1U);
+    EXPECT_EQ(report.services[0].points.back().requests, 3U);
+}
+
 // Guards against ticks that arrive too rarely for leases, or stop.
 TEST_F(ControlLoopTest, TicksArriveEvery50Milliseconds)
 {
