--- a/src/ctl/operator_tool.cpp
+++ b/src/ctl/operator_tool.cpp
@@ -329,7 +329,8 @@
         std::string failure;
         const std::optional<BurnReport> fetched = fetchReport(server, failure);
         if (!fetched) {
-            failures.push_back("no report from " + server + ": " + failure);
+            failure.insert(0, "no report from " + server + ": ");
+            failures.push_back(std::move(failure));
             continue;
         }
         // The requests of an instance that is named twice must count only once.
