--- a/src/entry/request_reducer.h
+++ b/src/entry/request_reducer.h
@@ -22,6 +22,9 @@
 
 namespace jasminespread {
 
+/// Longest pause before another attempt.
+inline constexpr Milliseconds highestBackOff {500};
+
 /// The decision core of one worker: routes requests of callers and of other instances, and matches answers.
 /// It reads no clock and does no I/O; its random numbers come from the given seed. Not thread-safe.
 class RequestReducer {
--- /dev/null
+++ b/src/entry/request_reducer_events.cpp
@@ -0,0 +1,321 @@
+#include "entry/request_reducer.h"
+
+#include <algorithm>
+
+namespace jasminespread {
+namespace {
+
+using namespace std::chrono_literals;
+
+/// Interval of route polling and of retries of forward messages that could not be sent.
+constexpr Milliseconds shortRetry = 5ms;
+
+/// Reason of a backend server's refusal. Only plain words pass, because reasons become metric labels.
+std::string reasonOf(const BackendResult& result)
+{
+    constexpr std::size_t longestReason = 32;
+    const std::string_view text = findHeader(result.headers, "Jasminespread-Reason").value_or("");
+    const bool plain = !text.empty() && text.size() <= longestReason
+        && text.find_first_not_of("abcdefghijklmnopqrstuvwxyz0123456789-") == std::string_view::npos;
+    return plain ? std::string(text) : "refused";
+}
+
+bool isRefusal(const BackendResult& result)
+{
+    return (result.status == 409 || result.status == 503)
+        && findHeader(result.headers, "Jasminespread-Outcome") == enumName(outcomeNames, Outcome::NotRun);
+}
+
+} // namespace
+
+/// @name Events
+/// @{
+
+void RequestReducer::handle(RequestArrived&& event)
+{
+    const auto refuse = [&](std::string_view why, std::string_view text) {
+        // Callers choose the names of services that do not exist; these must not become labels.
+        const bool known = m_snapshot->services.contains(event.request.service);
+        emit(RecordRequest {known ? event.request.service : std::string(), Outcome::NotRun, std::string(why), 0});
+        emit(AnswerCaller {event.caller, event.request.id, makeAnswer(Outcome::NotRun, why, text)});
+    };
+    if (!m_snapshot->ready) {
+        return refuse(reason::notReady, "no configuration is in force yet");
+    }
+    const auto service = m_snapshot->services.find(event.request.service);
+    if (service == m_snapshot->services.end() || service->second.groups.empty()) {
+        return refuse(reason::unknownService, "the configuration has no service of this name");
+    }
+    const std::vector<WorkClass>& classes = service->second.settings.classes;
+    const bool classKnown = event.request.workClass.empty() || classes.empty()
+        || std::any_of(classes.begin(), classes.end(),
+            [&](const WorkClass& workClass) { return workClass.name == event.request.workClass; });
+    if (!classKnown) {
+        return refuse(reason::badClass, "the service has no class of work of this name");
+    }
+    if (m_jobs.size() >= m_maxRequests) {
+        return refuse(reason::tooManyRequests, "this worker is at its limit of concurrent requests");
+    }
+    const Milliseconds allowed = event.request.deadline.value_or(service->second.settings.defaultDeadline);
+    Job& job = addJob(std::move(event.request), m_now + allowed);
+    job.caller = event.caller;
+    m_callers.emplace(job.caller, job.number);
+    advance(job);
+}
+
+void RequestReducer::handle(CallerLeft&& event)
+{
+    const auto it = m_callers.find(event.caller);
+    if (it == m_callers.end()) {
+        return;
+    }
+    emit(CountEvent {WorkerCounter::CallersLeft});
+    cancel(*m_jobs.at(it->second));
+}
+
+void RequestReducer::handle(ForwardReceived&& event)
+{
+    wire::ForwardRequest& message = event.request;
+    RequestId::Bytes id {};
+    if (message.request_id().size() != id.size()) {
+        return emit(WriteWorkerLog {LogEvent::ForwardRejected, "request id of wrong length from " + event.sender.id});
+    }
+    std::copy(message.request_id().begin(), message.request_id().end(), id.begin());
+    CallerRequest request;
+    request.service = std::move(*message.mutable_service());
+    request.key = std::move(*message.mutable_key());
+    request.method = std::move(*message.mutable_method());
+    request.target = std::move(*message.mutable_target());
+    request.body = std::move(*message.mutable_body());
+    request.workClass = std::move(*message.mutable_work_class());
+    request.headers.reserve(static_cast<std::size_t>(message.headers_size()));
+    for (wire::HeaderField& field : *message.mutable_headers()) {
+        request.headers.push_back({std::move(*field.mutable_name()), std::move(*field.mutable_value())});
+    }
+    request.id = RequestId(id);
+    request.idMadeByEntry = message.id_made_by_entry();
+    request.repeatable = message.repeatable();
+    const OriginKey originKey {event.sender.id, event.sender.incarnation, message.correlation()};
+    if (m_origins.contains(originKey)) {
+        return emit(WriteWorkerLog {LogEvent::ForwardRejected, "correlation in use, from " + event.sender.id});
+    }
+    Job& job = addJob(std::move(request), m_now + Milliseconds(message.remaining_ms()));
+    job.origin = ForwardOrigin {std::move(event.sender), message.reply_address(), message.correlation()};
+    job.throughPrimary = true;
+    m_origins.emplace(originKey, job.number);
+    if (m_jobs.size() > m_maxRequests) {
+        return finish(job, makeAnswer(Outcome::NotRun, reason::tooManyRequests, "the primary is at its limit"));
+    }
+    advance(job);
+}
+
+void RequestReducer::handle(ForwardCancelled&& event)
+{
+    const auto it = m_origins.find({event.sender.id, event.sender.incarnation, event.correlation});
+    if (it != m_origins.end()) {
+        cancel(*m_jobs.at(it->second));
+    }
+}
+
+void RequestReducer::handle(ForwardAnswered&& event)
+{
+    wire::ForwardAnswer& message = event.answer;
+    Job* job
+        = message.request_incarnation() == m_snapshot->self.incarnation ? findExchange(message.correlation()) : nullptr;
+    if (job == nullptr || job->phase != Phase::Forwarded) {
+        emit(CountEvent {WorkerCounter::LateAnswers});
+        return;
+    }
+    endExchange(*job);
+    if (message.wrong_primary()) {
+        job->mayHaveRun = job->mayHaveRun || message.outcome() == static_cast<std::uint32_t>(Outcome::Unknown);
+        return waitForRoute(*job, {job->request.service, job->group}, reason::noRoute);
+    }
+    if (message.outcome() > static_cast<std::uint32_t>(Outcome::Unknown)) {
+        emit(WriteWorkerLog {LogEvent::ForwardRejected, "answer with an outcome that does not exist"});
+        return finish(*job, makeAnswer(Outcome::Unknown, reason::connectionBroken));
+    }
+    RequestAnswer answer;
+    answer.outcome = static_cast<Outcome>(message.outcome());
+    answer.reason = std::move(*message.mutable_reason());
+    answer.status = message.status();
+    answer.server = std::move(*message.mutable_server());
+    answer.body = std::move(*message.mutable_body());
+    answer.headers.reserve(static_cast<std::size_t>(message.headers_size()));
+    for (wire::HeaderField& field : *message.mutable_headers()) {
+        answer.headers.push_back({std::move(*field.mutable_name()), std::move(*field.mutable_value())});
+    }
+    finish(*job, std::move(answer));
+}
+
+void RequestReducer::handle(ForwardNotSent&& event)
+{
+    Job* job = findExchange(event.correlation);
+    if (job == nullptr || job->phase != Phase::Forwarded) {
+        return;
+    }
+    endExchange(*job);
+    job->lastReason = reason::noRoute;
+    setWake(*job, m_now + shortRetry);
+}
+
+void RequestReducer::handle(BackendFinished&& event)
+{
+    Job* job = findExchange(event.dispatch);
+    if (job == nullptr || job->phase != Phase::Dispatched) {
+        emit(CountEvent {WorkerCounter::LateAnswers});
+        return;
+    }
+    BackendResult& result = event.result;
+    if (result.progress != BackendProgress::Answered) {
+        return handleFailure(*job, result);
+    }
+    if (isRefusal(result)) {
+        return handleRefusal(*job, result.status, reasonOf(result));
+    }
+    releaseSlot(*job, SlotResult::Success);
+    RequestAnswer answer;
+    answer.outcome = Outcome::Done;
+    answer.status = result.status;
+    answer.headers = std::move(result.headers);
+    const std::optional<std::string_view> length = findHeader(answer.headers, "Content-Length");
+    const std::string headLength(job->request.method == "HEAD" && length ? *length : "");
+    removePrivateHeaders(answer.headers);
+    if (!headLength.empty()) {
+        answer.headers.push_back({"Content-Length", headLength});
+    }
+    answer.body = std::move(result.body);
+    answer.server = job->route.server;
+    finish(*job, std::move(answer));
+}
+
+void RequestReducer::handle(RoutesChanged&& event)
+{
+    m_snapshot = std::move(event.snapshot);
+    std::erase_if(m_windows, [this](const auto& entry) {
+        const auto service = m_snapshot->services.find(entry.first.first);
+        if (service == m_snapshot->services.end() || entry.first.second >= service->second.groups.size()) {
+            return false;
+        }
+        // Only a later term has a later servingSince, which refuses the ids that this window knows.
+        const GroupRoute& group = service->second.groups[entry.first.second];
+        return !isLocalPrimary(group) && group.term > entry.second.term && entry.second.requests.running() == 0;
+    });
+    configureServers();
+    std::vector<std::uint64_t> waiting;
+    for (const auto& [number, job] : m_jobs) {
+        if (job->phase == Phase::Waiting || job->phase == Phase::Queued
+            || (job->phase == Phase::Forwarded && job->request.repeatable)) {
+            waiting.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : waiting) {
+        const auto it = m_jobs.find(number);
+        if (it == m_jobs.end()) {
+            continue;
+        }
+        Job& job = *it->second;
+        if (job.phase == Phase::Dispatched || job.phase == Phase::Joined) {
+            continue;
+        }
+        const auto service = m_snapshot->services.find(job.request.service);
+        if (service == m_snapshot->services.end() || service->second.groups.empty()) {
+            if (job.phase != Phase::Forwarded) {
+                unqueue(job);
+                advance(job);
+            }
+        } else if (job.phase == Phase::Forwarded) {
+            forwardAgain(job, *routeKey(service->second, job.request.key).group);
+        } else if (versionOf(routeKey(service->second, job.request.key)) != job.route) {
+            job.attempts = 0;
+            unqueue(job);
+            advance(job);
+        }
+    }
+}
+
+void RequestReducer::handle(WorkerTick&&)
+{
+    while (!m_wakes.empty() && m_wakes.begin()->first <= m_now) {
+        Job& job = *m_jobs.at(m_wakes.begin()->second);
+        if (job.deadline <= m_now) {
+            expire(job);
+        } else {
+            setWake(job, job.deadline);
+            advance(job);
+        }
+    }
+}
+
+/// @}
+
+/// The server refused before execution: the request did not run.
+void RequestReducer::handleRefusal(Job& job, unsigned status, const std::string& why)
+{
+    ++job.attempts;
+    job.lastReason = why;
+    const bool isRouteRefusal = status == 409 || why == "draining";
+    if (isRouteRefusal) {
+        releaseSlot(job, SlotResult::Neutral);
+        emit(CountEvent {WorkerCounter::RouteRefusals});
+        return waitForRoute(job, {job.request.service, job.group}, why);
+    }
+    releaseSlot(job, why == "cold" ? SlotResult::Unavailable : SlotResult::Overloaded);
+    if (!budgetOf(job.request.service).take()) {
+        return finish(job, makeAnswer(Outcome::NotRun, why, "the backend server refused the request: " + why));
+    }
+    retryLater(job);
+}
+
+/// No whole answer came.
+void RequestReducer::handleFailure(Job& job, const BackendResult& result)
+{
+    ++job.attempts;
+    if (result.withheld && result.progress == BackendProgress::NotSent) {
+        releaseSlot(job, SlotResult::Neutral);
+        return setWake(job, m_now + shortRetry);
+    }
+    emit(WriteWorkerLog {LogEvent::BackendFailed,
+        job.route.server + ": " + std::string(enumName(backendProgressNames, result.progress)) + ": "
+            + result.failure});
+    if (result.progress == BackendProgress::NotSent) {
+        releaseSlot(job, result.timedOut ? SlotResult::Neutral : SlotResult::Unavailable);
+        job.lastReason = "server-unreachable";
+        if (budgetOf(job.request.service).take()) {
+            return retryLater(job);
+        }
+        // Without budget it still waits for another owner: waiting puts no load on the server.
+        return setWake(job, m_now + highestBackOff);
+    }
+    releaseSlot(job, SlotResult::Failed);
+    if (!job.request.repeatable) {
+        return finish(job,
+            makeAnswer(Outcome::Unknown, result.timedOut ? reason::deadline : reason::connectionBroken,
+                "the backend server did not answer; the request may have run"));
+    }
+    job.mayHaveRun = true;
+    job.lastReason = reason::connectionBroken;
+    if (!budgetOf(job.request.service).take()) {
+        return finish(job,
+            makeAnswer(Outcome::Unknown, reason::connectionBroken,
+                "the backend server did not answer, and the budget for retries is used up"));
+    }
+    retryLater(job);
+}
+
+/// Sends a repeatable job to the new primary when the old one can no longer answer.
+void RequestReducer::forwardAgain(Job& job, const GroupRoute& group)
+{
+    if (!group.primary) {
+        return;
+    }
+    const InstanceRoute& primary = m_snapshot->instances[*group.primary];
+    if (InstanceReference {primary.id, primary.incarnation} == job.forwardedTo) {
+        return;
+    }
+    endExchange(job);
+    job.mayHaveRun = true;
+    advance(job);
+}
+
+} // namespace jasminespread
--- a/standins/backend-standin.cpp
+++ b/standins/backend-standin.cpp
@@ -2,6 +2,7 @@
 #include <grant_ledger.h>
 #include <http_server.h>
 #include <main_loop.h>
+#include <program.h>
 
 #include <boost/json.hpp>
 #include <boost/program_options.hpp>
@@ -437,32 +438,11 @@
         "time after the start in which requests are refused as cold");
     add("record", options::value(&settings.recordFile), "file to append a line to for each executed request");
     add("unchecked", options::bool_switch(&settings.unchecked), "check no grants");
-    options::variables_map values;
-    try {
-        options::store(options::parse_command_line(argc, argv, description), values);
-        if (values.count("help") > 0) {
-            std::cout << description;
-            return 0;
-        }
-        options::notify(values);
-    } catch (const options::error& error) {
-        std::cerr << "backend-standin: " << error.what() << "; see --help\n";
-        return 2;
+    if (const std::optional<int> status = parseArguments("backend-standin", description, argc, argv)) {
+        return *status;
     }
     Backend backend(settings);
-    const int status = handleError(
-        [&]() -> Result<int> {
-            BOOST_LEAF_CHECK(backend.start());
-            return 0;
-        },
-        [](const Error& error) {
-            std::cerr << "backend-standin: " << describe(error) << "\n";
-            return 1;
-        });
-    if (status == 0) {
-        runMainLoop();
-    }
-    return status;
+    return runProgram("backend-standin", [&] { return backend.start(); });
 }
 
 } // namespace
--- a/standins/fault-proxy.cpp
+++ b/standins/fault-proxy.cpp
@@ -1,5 +1,6 @@
 #include <http_server.h>
 #include <main_loop.h>
+#include <program.h>
 
 #include <boost/json.hpp>
 #include <boost/program_options.hpp>
@@ -467,17 +468,8 @@
     add("target", options::value(&target)->required(), "address to connect to");
     add("source", options::value(&source), "IP number that connections to the target come from");
     add("admin", options::value(&admin), "address of the admin endpoints");
-    options::variables_map values;
-    try {
-        options::store(options::parse_command_line(argc, argv, description), values);
-        if (values.count("help") > 0) {
-            std::cout << description;
-            return 0;
-        }
-        options::notify(values);
-    } catch (const options::error& error) {
-        std::cerr << "fault-proxy: " << error.what() << "; see --help\n";
-        return 2;
+    if (const std::optional<int> status = parseArguments("fault-proxy", description, argc, argv)) {
+        return *status;
     }
     GSocketAddress* parsed = parseAddress(target);
     if (parsed == nullptr) {
@@ -486,19 +478,7 @@
     }
     g_object_unref(parsed);
     Proxy proxy(listen, target, source);
-    const int status = handleError(
-        [&]() -> Result<int> {
-            BOOST_LEAF_CHECK(proxy.start(admin));
-            return 0;
-        },
-        [](const Error& error) {
-            std::cerr << "fault-proxy: " << describe(error) << "\n";
-            return 1;
-        });
-    if (status == 0) {
-        runMainLoop();
-    }
-    return status;
+    return runProgram("fault-proxy", [&] { return proxy.start(admin); });
 }
 
 } // namespace
--- a/standins/platform-standin.cpp
+++ b/standins/platform-standin.cpp
@@ -2,6 +2,7 @@
 #include <instance_list.h>
 #include <main_loop.h>
 #include <object_table.h>
+#include <program.h>
 
 #include <boost/json.hpp>
 #include <boost/program_options.hpp>
@@ -309,32 +310,11 @@
     add("listen", options::value(&listen)->required(), "address, <ip number>:<port>");
     add("instances", options::value(&instances), "JSON file with the initial rows of the instance list");
     add("list-lag-ms", options::value(&lag)->default_value(0), "how long changes of the list stay hidden");
-    options::variables_map values;
-    try {
-        options::store(options::parse_command_line(argc, argv, description), values);
-        if (values.count("help") > 0) {
-            std::cout << description;
-            return 0;
-        }
-        options::notify(values);
-    } catch (const options::error& error) {
-        std::cerr << "platform-standin: " << error.what() << "; see --help\n";
-        return 2;
+    if (const std::optional<int> status = parseArguments("platform-standin", description, argc, argv)) {
+        return *status;
     }
     Platform platform {Milliseconds(lag)};
-    const int status = handleError(
-        [&]() -> Result<int> {
-            BOOST_LEAF_CHECK(platform.start(listen, instances));
-            return 0;
-        },
-        [](const Error& error) {
-            std::cerr << "platform-standin: " << describe(error) << "\n";
-            return 1;
-        });
-    if (status == 0) {
-        runMainLoop();
-    }
-    return status;
+    return runProgram("platform-standin", [&] { return platform.start(listen, instances); });
 }
 
 } // namespace
