--- a/scripts/run-seatwright.sh
+++ b/scripts/run-seatwright.sh
@@ -46,8 +46,10 @@
 "$build/jasminespreadctl" load "$sheet" --base 0 --server 127.0.1.1:8001
 sleep 3
 targets=()
+servers=()
 for i in 1 2 3 4 5 6 7 8 9; do
     targets+=(--target "127.0.1.$i:8000")
+    servers+=(--server "127.0.1.$i:8001")
 done
 for service in refit-planner fabric-ledger bay-desk; do
     "$build/jasminespread-load" "${targets[@]}" --service "$service" --rate $((rate / 3)) --seconds "$seconds" \
@@ -59,4 +61,4 @@
     echo "== $service"
     cat "$run_dir/load-$service.out"
 done
-"$build/jasminespreadctl" report --server 127.0.1.1:8001
+"$build/jasminespreadctl" report "${servers[@]}"
--- a/tools/jasminespread-load.cpp
+++ b/tools/jasminespread-load.cpp
@@ -312,8 +312,8 @@
     void sendWaiting()
     {
         while (!m_waiting.empty() && !m_idle.empty()) {
-            Connection& connection = *m_idle.back();
-            m_idle.pop_back();
+            Connection& connection = *m_idle.front();
+            m_idle.pop_front();
             connection.current = m_waiting.front();
             m_waiting.pop_front();
             ++m_inFlight;
@@ -430,7 +430,7 @@
     MonotonicTime m_nextArrival {};
     MonotonicTime m_nextCheck {};
     std::vector<Connection> m_connections;
-    std::vector<Connection*> m_idle;
+    std::deque<Connection*> m_idle; ///< The one idle for longest is used next, so that all targets get requests.
     std::deque<Arrival> m_waiting;
     std::size_t m_inFlight = 0;
     int m_epoll = epoll_create1(EPOLL_CLOEXEC);
