--- a/tests/worker_pool_test.cpp
+++ b/tests/worker_pool_test.cpp
@@ -17,6 +17,13 @@
 using testing::StartsWith;
 
 /// One instance with two workers that is primary of every group of the service "ledger".
+/// A second instance with routes of its own, which name the fixture's instance as primary.
+struct SecondInstance {
+    std::uint16_t callerPort = 0;
+    RoutingTable table;
+    std::unique_ptr<WorkerPool> pool;
+};
+
 class WorkerPoolTest : public testing::Test {
 protected:
     WorkerPoolTest()
@@ -64,6 +71,27 @@
         table.publish(snapshot);
     }
 
+    /// Starts the fixture's instance and a second one.
+    std::unique_ptr<SecondInstance> startSecond()
+    {
+        std::unique_ptr<SecondInstance> second = std::make_unique<SecondInstance>();
+        second->callerPort = test::freePorts(1);
+        InstanceSettings other = settings;
+        other.instance = "entry-2";
+        other.callerAddress = "127.0.0.1:" + std::to_string(second->callerPort);
+        other.forwardAddress = "127.0.0.1:" + std::to_string(test::freePorts(2));
+        start();
+        auto routes = std::make_shared<RoutingSnapshot>(*table.current());
+        routes->instances.push_back({"entry-2", 88, "western", other.forwardAddress, 2, true});
+        table.publish(routes);
+        routes = std::make_shared<RoutingSnapshot>(*routes);
+        routes->self = {"entry-2", 88};
+        second->table.publish(routes);
+        second->pool = std::make_unique<WorkerPool>(other, 88, second->table, metrics, WorkerPool::Hooks {});
+        EXPECT_TRUE(second->pool->start());
+        return second;
+    }
+
     void start()
     {
         const bool started = handleError(
@@ -313,25 +341,11 @@
 // Guards against losing requests or answers between two instances.
 TEST_F(WorkerPoolTest, OtherInstanceForwardsToThePrimary)
 {
-    InstanceSettings other = settings;
-    other.instance = "entry-2";
-    const std::uint16_t otherPort = test::freePorts(1);
-    other.callerAddress = "127.0.0.1:" + std::to_string(otherPort);
-    other.forwardAddress = "127.0.0.1:" + std::to_string(test::freePorts(2));
-    start();
-    auto routes = std::make_shared<RoutingSnapshot>(*table.current());
-    routes->instances.push_back({"entry-2", 88, "western", other.forwardAddress, 2, true});
-    table.publish(routes);
-    routes = std::make_shared<RoutingSnapshot>(*routes);
-    routes->self = {"entry-2", 88};
-    RoutingTable otherTable;
-    otherTable.publish(routes);
-    WorkerPool second(other, 88, otherTable, metrics, {});
-    ASSERT_TRUE(second.start());
+    const std::unique_ptr<SecondInstance> second = startSecond();
     const std::string id = RequestId::generate(wallNow() + Milliseconds(100)).text();
     for (int i = 0; i < 20; ++i) {
         // The last request repeats the id of the one before over the other instance.
-        Connection caller(i < 19 ? otherPort : callerPort);
+        Connection caller(i < 19 ? second->callerPort : callerPort);
         std::string headers = "Jasminespread-Key: key-" + std::to_string(std::min(i, 18)) + "\r\n";
         if (i >= 18) {
             headers += "Jasminespread-Request-Id: " + id + "\r\n";
@@ -350,24 +364,10 @@
         std::this_thread::sleep_for(Milliseconds(30));
         return TestBackend::answer("whole");
     };
-    InstanceSettings other = settings;
-    other.instance = "entry-2";
-    const std::uint16_t otherPort = test::freePorts(1);
-    other.callerAddress = "127.0.0.1:" + std::to_string(otherPort);
-    other.forwardAddress = "127.0.0.1:" + std::to_string(test::freePorts(2));
-    start();
-    auto routes = std::make_shared<RoutingSnapshot>(*table.current());
-    routes->instances.push_back({"entry-2", 88, "western", other.forwardAddress, 2, true});
-    table.publish(routes);
-    routes = std::make_shared<RoutingSnapshot>(*routes);
-    routes->self = {"entry-2", 88};
-    RoutingTable otherTable;
-    otherTable.publish(routes);
-    WorkerPool second(other, 88, otherTable, metrics, {});
-    ASSERT_TRUE(second.start());
+    const std::unique_ptr<SecondInstance> second = startSecond();
     std::vector<std::unique_ptr<Connection>> callers;
     for (int i = 0; i < 10; ++i) {
-        callers.push_back(std::make_unique<Connection>(otherPort));
+        callers.push_back(std::make_unique<Connection>(second->callerPort));
         callers.back()->write(
             request("POST", "/v1/ledger/x", "Jasminespread-Key: key-" + std::to_string(i) + "\r\n", "body"));
     }
