--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -166,17 +166,18 @@
 
     void logServerChanges(const std::shared_ptr<const ServerList>& servers) const
     {
-        std::map<ServerLife, ServerState> before;
+        std::map<ServerLife, ListedServerState> before;
         if (m_servers) {
-            for (const BackendServer& server : *m_servers) {
+            for (const ListedServer& server : *m_servers) {
                 before[server.life] = server.state;
             }
         }
-        for (const BackendServer& server : *servers) {
+        for (const ListedServer& server : *servers) {
             const auto it = before.find(server.life);
             if (m_servers && (it == before.end() || it->second != server.state)) {
-                logEvent(LogEvent::ServerListChanged, "server=" + server.life.id + " service=" + server.service
-                        + " state=" + std::string(enumName(serverStateNames, server.state)));
+                logEvent(LogEvent::ServerListChanged,
+                    "server=" + server.life.id + " service=" + server.service
+                        + " state=" + std::string(enumName(listedServerStateNames, server.state)));
             }
             before.erase(server.life);
         }
@@ -197,8 +198,8 @@
     /// @{
     void onRequest(std::uint64_t caller, RawRequest&& raw)
     {
-        std::variant<GatewayRequest, HttpAnswer> decoded = m_ports.decodeRequest(std::move(raw));
-        if (HttpAnswer* answer = std::get_if<HttpAnswer>(&decoded)) {
+        std::variant<GatewayRequest, CallerAnswer> decoded = m_ports.decodeRequest(std::move(raw));
+        if (CallerAnswer* answer = std::get_if<CallerAnswer>(&decoded)) {
             return m_callers.answer(caller, std::move(*answer));
         }
         apply(RequestAsked {caller, std::move(std::get<GatewayRequest>(decoded))});
@@ -220,7 +221,7 @@
 
     void onReadiness(std::uint64_t caller, const RawRequest& request)
     {
-        HttpAnswer answer;
+        CallerAnswer answer;
         answer.status = request.path != readinessPath ? 404 : isReady() ? 200 : 503;
         m_readiness.answer(caller, std::move(answer));
     }
--- a/src/gateway/gateway_event.h
+++ b/src/gateway/gateway_event.h
@@ -1,8 +1,8 @@
 #pragma once
 
-#include "gateway/backend_server.h"
 #include "gateway/gateway_configuration.h"
 #include "gateway/gateway_request.h"
+#include "gateway/listed_server.h"
 #include "gateway/shared_retry_budget.h"
 #include "ranges/key_range.h"
 
@@ -93,7 +93,7 @@
 
 struct SendToServer {
     std::uint64_t dispatch = 0;
-    BackendServer server;
+    ListedServer server;
     std::shared_ptr<const GatewayRequest> request;
     Milliseconds timeLeft {0}; ///< How long the caller still waits.
     MonotonicTime deadline; ///< Same, as a time.
--- a/src/gateway/gateway_ports.h
+++ b/src/gateway/gateway_ports.h
@@ -23,8 +23,8 @@
         std::function<void(bool)> reachable;
     };
 
-    std::function<std::variant<GatewayRequest, HttpAnswer>(RawRequest&&)> decodeRequest;
-    std::function<HttpAnswer(AnswerRequest&&)> encodeAnswer;
+    std::function<std::variant<GatewayRequest, CallerAnswer>(RawRequest&&)> decodeRequest;
+    std::function<CallerAnswer(AnswerRequest&&)> encodeAnswer;
     std::function<BackendRequest(const SendToServer&)> encodeSend;
     std::function<ServerAnswer(BackendResult&&)> decodeServerAnswer;
     std::function<BackendRequest(const GrantRange&, MonotonicTime deadline)> encodeGrant;
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -202,7 +202,7 @@
     for (auto& [id, server] : m_servers) {
         server.present = false;
     }
-    for (const BackendServer& listed : *event.servers) {
+    for (const ListedServer& listed : *event.servers) {
         Server& server = m_servers[listed.life.id];
         if (server.listed.life != listed.life || server.listed.address != listed.address) {
             const bool known = !server.listed.life.id.empty();
@@ -211,18 +211,19 @@
             }
             server.warmAt = m_now + listed.warmUpLeft;
         }
-        if (listed.state == ServerState::Draining && (server.listed.state != listed.state || !server.leavingSince)) {
+        if (listed.state == ListedServerState::Draining
+            && (server.listed.state != listed.state || !server.leavingSince)) {
             server.leavingSince = m_now;
-        } else if (listed.state != ServerState::Draining) {
+        } else if (listed.state != ListedServerState::Draining) {
             server.leavingSince.reset();
         }
         server.listed = listed;
         server.present = true;
     }
     // Servers whose entries are missing serve only where there are no others.
-    for (const ServerState state : {ServerState::Ready, ServerState::Missing}) {
+    for (const ListedServerState state : {ListedServerState::Ready, ListedServerState::Missing}) {
         std::map<std::string, std::vector<std::string>> pools;
-        for (const BackendServer& listed : *event.servers) {
+        for (const ListedServer& listed : *event.servers) {
             if (listed.state == state) {
                 pools[listed.service].push_back(listed.life.id);
             }
--- a/src/gateway/gateway_reducer.h
+++ b/src/gateway/gateway_reducer.h
@@ -41,7 +41,7 @@
 
 private:
     struct Server {
-        BackendServer listed;
+        ListedServer listed;
         ServerObservation seen;
         bool present = false; ///< In the newest list.
         std::optional<MonotonicTime> leavingSince; ///< When it was first listed as leaving.
--- a/src/gateway/backend_server.h
+++ b/src/gateway/listed_server.h
@@ -10,16 +10,16 @@
 
 namespace jasminespread {
 
-enum class ServerState : std::uint8_t {
+enum class ListedServerState : std::uint8_t {
     Ready,
     Draining, ///< It leaves, and gets no new work.
     Missing ///< Its entry is missing right after the store was away, and may come back.
 };
 
-inline constexpr std::array<EnumName<ServerState>, 3> serverStateNames {{
-    {ServerState::Ready, "ready"},
-    {ServerState::Draining, "draining"},
-    {ServerState::Missing, "missing"},
+inline constexpr std::array<EnumName<ListedServerState>, 3> listedServerStateNames {{
+    {ListedServerState::Ready, "ready"},
+    {ListedServerState::Draining, "draining"},
+    {ListedServerState::Missing, "missing"},
 }};
 
 /// One life of a backend server. A restart under the same id is another life, which holds nothing of the earlier one.
@@ -31,19 +31,19 @@
 };
 
 /// A backend server as discovery lists it. The list lags.
-struct BackendServer {
+struct ListedServer {
     ServerLife life;
     std::string service;
     std::string address; ///< IP number and port.
     std::string failureDomain;
     std::string region;
     std::uint32_t slots = 1;
-    ServerState state = ServerState::Ready;
+    ListedServerState state = ListedServerState::Ready;
     Milliseconds warmUpLeft {0}; ///< How much longer it is slow after its start, when it was listed.
 
-    bool operator==(const BackendServer&) const = default;
+    bool operator==(const ListedServer&) const = default;
 };
 
-using ServerList = std::vector<BackendServer>;
+using ServerList = std::vector<ListedServer>;
 
 } // namespace jasminespread
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -9,7 +9,7 @@
     const bool keepMissing = m_listed && now < m_returnEnds;
     m_listed = true;
     std::map<std::string, Entry> entries;
-    for (const BackendServer& server : servers) {
+    for (const ListedServer& server : servers) {
         entries[server.life.id] = Entry {server, std::nullopt};
     }
     if (keepMissing) {
@@ -39,8 +39,8 @@
     auto list = std::make_shared<ServerList>();
     for (const auto& [id, entry] : m_entries) {
         list->push_back(entry.server);
-        if (entry.missingUntil && entry.server.state == ServerState::Ready) {
-            list->back().state = ServerState::Missing;
+        if (entry.missingUntil && entry.server.state == ListedServerState::Ready) {
+            list->back().state = ListedServerState::Missing;
         }
     }
     return list;
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/backend_server.h"
+#include "gateway/listed_server.h"
 
 #include <jasminespread/time.h>
 
@@ -33,7 +33,7 @@
 
 private:
     struct Entry {
-        BackendServer server;
+        ListedServer server;
         std::optional<MonotonicTime> missingUntil; ///< Set while it is not listed.
     };
 
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -312,14 +312,14 @@
         connection.parser.reset();
         connection.closeAfter = true;
         connection.isHead = false;
-        HttpAnswer answer;
+        CallerAnswer answer;
         answer.status = status;
         answer.headers.push_back({"Content-Type", "text/plain"});
         answer.body = std::string(why) + "\n";
         write(connection, std::move(answer));
     }
 
-    void write(Connection& connection, HttpAnswer&& answer)
+    void write(Connection& connection, CallerAnswer&& answer)
     {
         connection.closeAfter = connection.closeAfter || drainIdle.has_value();
         const bool hasBody = !connection.isHead && answer.status != 204 && answer.status != 304;
@@ -471,7 +471,7 @@
     }
 }
 
-void HttpServer::answer(std::uint64_t request, HttpAnswer&& answer)
+void HttpServer::answer(std::uint64_t request, CallerAnswer&& answer)
 {
     const auto it = m_state->connections.find(request);
     if (it != m_state->connections.end() && it->second->phase == Phase::Waiting) {
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -23,7 +23,7 @@
 };
 
 /// An answer as it is written to a caller.
-struct HttpAnswer {
+struct CallerAnswer {
     unsigned status = 200;
     std::vector<HeaderField> headers; ///< Without Content-Length, Connection and other hop-by-hop fields.
     std::string body;
@@ -56,7 +56,7 @@
     /// Stops accepting connections.
     void stopListening();
     /// Answers a request. Unknown requests are ignored.
-    void answer(std::uint64_t request, HttpAnswer&& answer);
+    void answer(std::uint64_t request, CallerAnswer&& answer);
     /// Number of requests whose head began to arrive and that are not fully answered yet.
     [[nodiscard]] std::size_t pending() const noexcept;
 
--- a/src/ranges/key_range.h
+++ b/src/ranges/key_range.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/backend_server.h"
+#include "gateway/listed_server.h"
 
 #include <cstdint>
 #include <optional>
--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -14,6 +14,8 @@
 /// A member that did not report for this long is not counted, and gets no messages.
 constexpr Milliseconds memberSilence = 3000ms;
 constexpr Milliseconds recordReadInterval = 200ms;
+/// Ticks arrive every 50 ms; a longer gap means that the process or its machine did not run.
+constexpr Milliseconds longestGap = 700ms;
 /// A leader reads its record every second; after this long without an answer another instance is to lead.
 constexpr Milliseconds storeLossPatience = 2200ms;
 /// Keys of one report; the ones beyond it are left out of the load.
@@ -32,7 +34,11 @@
 
 RangeEffects RangeAuthority::reduce(TimedRangeEvent event)
 {
+    const bool paused = m_now != MonotonicTime() && event.now - m_now > longestGap;
     m_now = event.now;
+    if (paused) {
+        m_leadership.awake(m_now);
+    }
     std::visit([this](auto& alternative) { handle(std::move(alternative)); }, event.event);
     return std::exchange(m_effects, {});
 }
--- a/src/ranges/range_event.h
+++ b/src/ranges/range_event.h
@@ -1,7 +1,7 @@
 #pragma once
 
-#include "gateway/backend_server.h"
 #include "gateway/gateway_configuration.h"
+#include "gateway/listed_server.h"
 #include "ranges/key_range.h"
 #include "ranges/range_record.h"
 
--- a/src/ranges/range_keeper.cpp
+++ b/src/ranges/range_keeper.cpp
@@ -12,6 +12,8 @@
 /// Grants without an answer, in a row, after which another server gets the range.
 constexpr unsigned highestMisses = 2;
 constexpr Milliseconds retryInterval = 100ms;
+/// Attempts to fence off an earlier leader at a holder; each one without an answer prolongs what it may hold.
+constexpr unsigned highestFencingTries = 2;
 constexpr Milliseconds releaseRetryInterval = 300ms;
 /// A server that did not answer grants is not chosen again for this long.
 constexpr Milliseconds lostTime = 3000ms;
@@ -21,8 +23,10 @@
 /// Neighbouring ranges of one server are joined once they did not move for this long.
 constexpr Milliseconds mergeAfter = 4000ms;
 constexpr Milliseconds writeRetryInterval = 200ms;
+/// Changes of holders in this time go into one write.
+constexpr Milliseconds writeInterval = 30ms;
 
-RangeHolder holderOf(const BackendServer& server) { return {server.life, server.address}; }
+RangeHolder holderOf(const ListedServer& server) { return {server.life, server.address}; }
 
 } // namespace
 
@@ -68,30 +72,30 @@
     }
 }
 
-const BackendServer* RangeKeeper::listed(const ServerLife& life) const
+const ListedServer* RangeKeeper::listed(const ServerLife& life) const
 {
     const auto it = std::find_if(m_servers->begin(), m_servers->end(),
-        [&](const BackendServer& server) { return server.life.id == life.id && server.service == m_service; });
+        [&](const ListedServer& server) { return server.life.id == life.id && server.service == m_service; });
     return it == m_servers->end() ? nullptr : &*it;
 }
 
 bool RangeKeeper::isUsable(const ServerLife& life) const
 {
-    const BackendServer* server = listed(life);
+    const ListedServer* server = listed(life);
     const auto lost = m_lostUntil.find(life);
-    return server != nullptr && server->life == life && server->state != ServerState::Draining
+    return server != nullptr && server->life == life && server->state != ListedServerState::Draining
         && (lost == m_lostUntil.end() || lost->second <= m_now);
 }
 
 bool RangeKeeper::isEligible(const ServerLife& life) const
 {
-    return isUsable(life) && listed(life)->state == ServerState::Ready;
+    return isUsable(life) && listed(life)->state == ListedServerState::Ready;
 }
 
-std::vector<PlacementServer> RangeKeeper::placementServers() const
+std::vector<RangeServer> RangeKeeper::placementServers() const
 {
-    std::vector<PlacementServer> servers;
-    for (const BackendServer& server : *m_servers) {
+    std::vector<RangeServer> servers;
+    for (const ListedServer& server : *m_servers) {
         if (server.service == m_service && isEligible(server.life)) {
             const auto moved = m_movedAt.find(server.life);
             servers.push_back({server.life, static_cast<double>(server.slots),
@@ -101,7 +105,7 @@
     return servers;
 }
 
-std::vector<PlacedRange> RangeKeeper::placedRanges(const std::vector<PlacementServer>& servers) const
+std::vector<PlacedRange> RangeKeeper::placedRanges(const std::vector<RangeServer>& servers) const
 {
     std::map<ServerLife, std::size_t> indexes;
     for (std::size_t i = 0; i < servers.size(); ++i) {
@@ -123,11 +127,11 @@
 
 void RangeKeeper::createRanges()
 {
-    const std::vector<PlacementServer> servers = placementServers();
+    const std::vector<RangeServer> servers = placementServers();
     for (const RangeMove& move : divideKeys(servers)) {
         Owned& owned = m_ranges.emplace_back();
         owned.range = move.range;
-        const BackendServer* server = listed(servers[move.to].life);
+        const ListedServer* server = listed(servers[move.to].life);
         setTarget(owned, holderOf(*server));
     }
 }
@@ -157,13 +161,15 @@
     const auto end = owned.holders.begin() + static_cast<std::ptrdiff_t>(others);
     const auto isEnded = [this, &owned](const Holder& holder) {
         const bool inCall = owned.call != 0 && owned.callTo == holder.who;
-        const BackendServer* server = listed(holder.who.life);
+        const ListedServer* server = listed(holder.who.life);
         // The process that held it ended when another life of the server began.
         const bool restarted
             = server != nullptr && server->life.bornAt > holder.who.life.bornAt && holder.who.life.bornAt != 0;
         return !inCall && (holder.mayHoldUntil <= m_now || restarted);
     };
+    const std::size_t before = owned.holders.size();
     owned.holders.erase(std::remove_if(owned.holders.begin(), end, isEnded), end);
+    m_recordIsWide = m_recordIsWide || owned.holders.size() < before;
 }
 
 void RangeKeeper::stepRange(Owned& owned, bool mayGrant)
@@ -175,7 +181,9 @@
     if (!owned.hasTarget) {
         chooseTarget(owned);
     }
-    if (owned.call != 0 || m_now < owned.nextCallAt || !mayGrant) {
+    // Until this term's first record is stored an earlier leader can still record, and grant to, other holders.
+    const bool termRecorded = m_recordedGeneration > 0;
+    if (owned.call != 0 || m_now < owned.nextCallAt || !mayGrant || !termRecorded) {
         return;
     }
     const bool recorded = owned.neededGeneration <= m_recordedGeneration;
@@ -184,16 +192,30 @@
         // A holder keeps its range until the next one is recorded, unless it has to stop.
         const bool mustStop = !isUsable(owned.holders.front().who.life);
         if (recorded || mustStop) {
-            sendRelease(owned, owned.holders.front());
+            freeFrom(owned, owned.holders.front());
         }
     } else if (owned.hasTarget && recorded) {
-        sendGrant(owned);
+        sendGrant(owned, owned.holders.back());
     }
 }
 
+/// Takes the range from @p holder. The only holder of an earlier term is first granted the range with a fence of this
+/// one, so that a superseded leader, or a late call of it, cannot give it the range again after the release. Where there
+/// are more, the end of the earlier term's holds is awaited.
+void RangeKeeper::freeFrom(Owned& owned, Holder& holder)
+{
+    const bool isOnly = std::none_of(owned.holders.begin(), owned.holders.end(),
+        [&](const Holder& other) { return &other != &holder && other.mayHoldUntil > m_now; });
+    if (holder.earlier && isOnly && holder.fencingTries < highestFencingTries) {
+        ++holder.fencingTries;
+        return sendGrant(owned, holder);
+    }
+    sendRelease(owned, holder);
+}
+
 void RangeKeeper::chooseTarget(Owned& owned)
 {
-    const std::vector<PlacementServer> servers = placementServers();
+    const std::vector<RangeServer> servers = placementServers();
     const std::optional<std::size_t> chosen = leastLoaded(servers, placedRanges(servers), m_load);
     if (chosen) {
         setTarget(owned, holderOf(*listed(servers[*chosen].life)));
@@ -220,9 +242,8 @@
     owned.neededGeneration = ++m_generation;
 }
 
-void RangeKeeper::sendGrant(Owned& owned)
+void RangeKeeper::sendGrant(Owned& owned, Holder& target)
 {
-    Holder& target = owned.holders.back();
     if (target.fence == 0) {
         target.fence = m_numbers.nextFence();
         target.granted = false;
@@ -282,8 +303,10 @@
         target.granted = true;
         target.earlier = false;
         owned.misses = 0;
-        owned.handover.clear();
-        owned.nextCallAt = owned.callSentAt + m_times.renewal;
+        if (isTarget) {
+            owned.handover.clear();
+            owned.nextCallAt = owned.callSentAt + m_times.renewal;
+        }
         return;
     case GrantResult::Fenced:
         target.fence = 0;
@@ -309,7 +332,10 @@
 {
     switch (event.result) {
     case GrantResult::Done:
-        holder.mayHoldUntil = holder.unansweredUntil;
+        if (!holder.earlier) {
+            holder.mayHoldUntil = holder.unansweredUntil;
+        }
+        owned.nextCallAt = m_now + (holder.earlier ? releaseRetryInterval : Milliseconds(0));
         if (!event.handover.empty()) {
             owned.handover = event.handover;
         }
@@ -327,13 +353,13 @@
 
 void RangeKeeper::rebalance()
 {
-    const std::vector<PlacementServer> servers = placementServers();
+    const std::vector<RangeServer> servers = placementServers();
     for (const RangeMove& planned : planMoves(servers, placedRanges(servers), m_load)) {
         move(planned, servers);
     }
 }
 
-void RangeKeeper::move(const RangeMove& planned, const std::vector<PlacementServer>& servers)
+void RangeKeeper::move(const RangeMove& planned, const std::vector<RangeServer>& servers)
 {
     const auto splitBefore = [this](std::uint32_t key) {
         const auto it = std::find_if(m_ranges.begin(), m_ranges.end(),
@@ -411,9 +437,13 @@
         m_effects.emplace_back(ReadRecord {rangesRecordName(m_service)});
         return;
     }
+    if (m_recordIsWide && m_recordedGeneration == m_generation) {
+        ++m_generation; // A later leader is to find as few possible holders as there are.
+    }
     if (m_recordedGeneration == m_generation) {
         return;
     }
+    m_recordIsWide = false;
     m_writingGeneration = m_generation;
     m_writingText = encodeRangesRecord(record());
     m_effects.emplace_back(WriteRecord {rangesRecordName(m_service), m_version, m_writingText});
@@ -426,6 +456,7 @@
     case StoreStatus::Ok:
         m_version = result.version;
         m_recordedGeneration = generation;
+        m_nextWriteAt = m_now + writeInterval;
         return;
     case StoreStatus::Conflict:
     case StoreStatus::Unknown:
--- a/src/ranges/range_keeper.h
+++ b/src/ranges/range_keeper.h
@@ -87,6 +87,7 @@
         MonotonicTime unansweredUntil; ///< A grant without an answer may be carried out late, and ends by then.
         bool granted = false; ///< It answered a grant of `fence`.
         bool earlier = false; ///< It may hold by a grant of an earlier term.
+        unsigned fencingTries = 0; ///< Grants that were to fence off an earlier leader.
     };
 
     struct Owned {
@@ -104,22 +105,23 @@
         MonotonicTime movedAt; ///< Last change of target by choice.
     };
 
-    [[nodiscard]] const BackendServer* listed(const ServerLife& life) const;
+    [[nodiscard]] const ListedServer* listed(const ServerLife& life) const;
     [[nodiscard]] bool isUsable(const ServerLife& life) const; ///< May keep what it has.
     [[nodiscard]] bool isEligible(const ServerLife& life) const; ///< May get more.
-    [[nodiscard]] std::vector<PlacementServer> placementServers() const;
-    [[nodiscard]] std::vector<PlacedRange> placedRanges(const std::vector<PlacementServer>& servers) const;
+    [[nodiscard]] std::vector<RangeServer> placementServers() const;
+    [[nodiscard]] std::vector<PlacedRange> placedRanges(const std::vector<RangeServer>& servers) const;
     void createRanges();
     void stepRange(Owned& owned, bool mayGrant);
     void chooseTarget(Owned& owned);
     void setTarget(Owned& owned, const RangeHolder& target);
-    void sendGrant(Owned& owned);
+    void freeFrom(Owned& owned, Holder& holder);
+    void sendGrant(Owned& owned, Holder& holder);
     void sendRelease(Owned& owned, Holder& holder);
     void dropEnded(Owned& owned);
     void finishGrant(Owned& owned, Holder& target, GrantResult result);
     void finishRelease(Owned& owned, Holder& holder, const RangeCallEnded& event);
     void rebalance();
-    void move(const RangeMove& move, const std::vector<PlacementServer>& servers);
+    void move(const RangeMove& move, const std::vector<RangeServer>& servers);
     void mergeNeighbours();
     void writeRecord();
     [[nodiscard]] RangesRecord record() const;
@@ -141,6 +143,7 @@
     std::uint64_t m_version = 0; ///< Of the stored record.
     std::uint64_t m_generation = 1; ///< Rises when a holder is added.
     std::uint64_t m_recordedGeneration = 0;
+    bool m_recordIsWide = false; ///< It names holders that hold nothing any more.
     std::uint64_t m_writingGeneration = 0; ///< 0: no write in flight.
     std::string m_writingText;
     bool m_mustReadBack = false;
--- a/src/ranges/range_leadership.cpp
+++ b/src/ranges/range_leadership.cpp
@@ -115,6 +115,7 @@
         m_role = Role::Leader;
         m_leader = record;
         m_evidenceAt = std::max(m_evidenceAt, now);
+        m_mustVerify = m_mustVerify && now < m_awakeAt; // A call from before the pause proves nothing.
         return;
     }
     if (m_role == Role::Leader) {
@@ -138,6 +139,7 @@
             m_tookOverAt = event.startedAt;
             m_confirmed = false;
         }
+        m_mustVerify = m_mustVerify && event.startedAt < m_awakeAt;
         m_leader = m_written;
         m_role = Role::Leader;
         m_version = event.result.version;
@@ -178,9 +180,16 @@
 
 void RangeLeadership::verifyNow(MonotonicTime now) { m_nextCallAt = std::min(m_nextCallAt, now); }
 
+void RangeLeadership::awake(MonotonicTime now) noexcept
+{
+    m_mustVerify = true;
+    m_awakeAt = now;
+    verifyNow(now);
+}
+
 bool RangeLeadership::mayGrant(MonotonicTime now) const noexcept
 {
-    return m_role == Role::Leader && now < m_evidenceAt + m_times.extension;
+    return m_role == Role::Leader && !m_mustVerify && now < m_evidenceAt + m_times.extension;
 }
 
 } // namespace jasminespread
--- a/src/ranges/range_leadership.h
+++ b/src/ranges/range_leadership.h
@@ -41,6 +41,8 @@
     /// A heartbeat of a leader arrived.
     void onHeartbeat(std::uint64_t term, const std::string& instance, std::uint64_t incarnation,
         const std::string& address, MonotonicTime now);
+    /// This instance did not run for a while: it grants nothing before its record shows it as leader again.
+    void awake(MonotonicTime now) noexcept;
     /// The leader leaves and named this instance as the next one.
     void succeed(MonotonicTime now);
     /// Something contradicts this instance's leadership: reads the record at once.
@@ -78,11 +80,13 @@
     bool m_heardEver = false;
     MonotonicTime m_evidenceAt; ///< Start of the newest store call that showed this instance as leader.
     MonotonicTime m_tookOverAt;
+    MonotonicTime m_awakeAt;
     MonotonicTime m_nextCallAt;
     bool m_calling = false;
     LeaderRecord m_written; ///< Record of the write in flight.
     bool m_storeAnswers = false;
     bool m_retired = false;
+    bool m_mustVerify = false; ///< Grants nothing before the record was read.
     bool m_confirmed = false; ///< No earlier leader can grant any more.
     unsigned m_deposed = 0; ///< Times this instance lost the lead to another one.
     Milliseconds m_patience {0};
--- a/src/ranges/range_placement.cpp
+++ b/src/ranges/range_placement.cpp
@@ -34,7 +34,7 @@
 };
 
 std::vector<double> loadsOf(
-    const std::vector<PlacementServer>& servers, const std::vector<PlacedRange>& ranges, const WeighedLoad& load)
+    const std::vector<RangeServer>& servers, const std::vector<PlacedRange>& ranges, const WeighedLoad& load)
 {
     std::vector<double> loads(servers.size(), 0);
     for (const PlacedRange& placed : ranges) {
@@ -89,10 +89,10 @@
 
 } // namespace
 
-std::vector<RangeMove> divideKeys(const std::vector<PlacementServer>& servers)
+std::vector<RangeMove> divideKeys(const std::vector<RangeServer>& servers)
 {
     double total = 0;
-    for (const PlacementServer& server : servers) {
+    for (const RangeServer& server : servers) {
         total += server.capacity;
     }
     std::vector<RangeMove> moves;
@@ -111,7 +111,7 @@
 }
 
 std::optional<std::size_t> leastLoaded(
-    const std::vector<PlacementServer>& servers, const std::vector<PlacedRange>& ranges, const KeyLoad& load)
+    const std::vector<RangeServer>& servers, const std::vector<PlacedRange>& ranges, const KeyLoad& load)
 {
     const std::vector<double> loads = loadsOf(servers, ranges, WeighedLoad(load));
     std::optional<std::size_t> best;
@@ -124,7 +124,7 @@
 }
 
 std::vector<RangeMove> planMoves(
-    const std::vector<PlacementServer>& servers, const std::vector<PlacedRange>& ranges, const KeyLoad& load)
+    const std::vector<RangeServer>& servers, const std::vector<PlacedRange>& ranges, const KeyLoad& load)
 {
     const WeighedLoad weighed(load);
     const std::vector<double> loads = loadsOf(servers, ranges, weighed);
--- a/src/ranges/range_placement.h
+++ b/src/ranges/range_placement.h
@@ -1,6 +1,6 @@
 #pragma once
 
-#include "gateway/backend_server.h"
+#include "gateway/listed_server.h"
 #include "ranges/key_load.h"
 #include "ranges/key_range.h"
 
@@ -11,7 +11,7 @@
 namespace jasminespread {
 
 /// A server that may own ranges.
-struct PlacementServer {
+struct RangeServer {
     ServerLife life;
     double capacity = 1; ///< Slots, less where it is slow.
     bool movable = true; ///< Takes part in moves; false shortly after one.
@@ -30,17 +30,17 @@
 };
 
 /// Divides all keys evenly over @p servers by capacity, in their order. Thread-safe.
-[[nodiscard]] std::vector<RangeMove> divideKeys(const std::vector<PlacementServer>& servers);
+[[nodiscard]] std::vector<RangeMove> divideKeys(const std::vector<RangeServer>& servers);
 
 /// Server that has the least work for its capacity, for a range that lost its owner. Nothing when there is none.
 /// Thread-safe.
 [[nodiscard]] std::optional<std::size_t> leastLoaded(
-    const std::vector<PlacementServer>& servers, const std::vector<PlacedRange>& ranges, const KeyLoad& load);
+    const std::vector<RangeServer>& servers, const std::vector<PlacedRange>& ranges, const KeyLoad& load);
 
 /// Chooses moves that even out the load: answers hot keys and servers that were added. Takes parts from the most loaded
 /// servers to the least loaded ones, each server once; nothing while the difference is too small to pay for the time in
 /// which moved keys have no owner. Thread-safe.
 [[nodiscard]] std::vector<RangeMove> planMoves(
-    const std::vector<PlacementServer>& servers, const std::vector<PlacedRange>& ranges, const KeyLoad& load);
+    const std::vector<RangeServer>& servers, const std::vector<PlacedRange>& ranges, const KeyLoad& load);
 
 } // namespace jasminespread
