Spread hot keys over several servers in one round; weigh servers by the speed that all instances saw

Cause: a range that a fixed number of neighbouring keys made hot was halved once a second, and requests for moving keys were refused after half of the objective although moves end soon.

--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -7,8 +7,10 @@
 
 /// Part of the remaining time that an expected latency may take: it is a mean, and work varies.
 constexpr double usablePartOfRemaining = 0.85;
-/// Part of the objective that a request may wait for its key's owner.
-constexpr double patiencePartOfObjective = 0.5;
+/// A move of a key lasts as long as the work that runs on it; waiting for longer means that its owner is lost.
+constexpr Milliseconds longestMove {900};
+/// Time that is kept for the request itself, in multiples of the usual latency.
+constexpr double keptForWork = 1.5;
 /// Callers honour a return time up to a third of the time that they have left.
 constexpr double highestPartOfRemaining = 0.33;
 constexpr double lowestReturnMs = 50;
@@ -22,7 +24,8 @@
 
 Milliseconds ownerPatience(const SelectionNeed& need) noexcept
 {
-    return std::chrono::duration_cast<Milliseconds>(need.objective * patiencePartOfObjective);
+    const Milliseconds kept = std::chrono::duration_cast<Milliseconds>(need.typical * keptForWork);
+    return std::clamp(need.remaining - kept, Milliseconds(0), longestMove);
 }
 
 Milliseconds overloadReturnTime(Milliseconds expected, const SelectionNeed& need, double spread) noexcept
--- a/src/gateway/admission.h
+++ b/src/gateway/admission.h
@@ -15,8 +15,7 @@
 /// overload: what cannot be served is refused at once and takes no slot. Thread-safe.
 [[nodiscard]] bool fitsInTime(Milliseconds expected, const SelectionNeed& need) noexcept;
 
-/// How long a request waits for a key's owner before it is refused. Short against the objective, so that the caller
-/// can still come back. Thread-safe.
+/// How much longer a request waits for its key's owner before it is refused, when it has just arrived. Thread-safe.
 [[nodiscard]] Milliseconds ownerPatience(const SelectionNeed& need) noexcept;
 
 /// When a caller should come back that was refused with this expected latency. @p spread in [0, 1) distributes the
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -372,6 +372,7 @@
             for (auto& [service, counts] : std::exchange(m_keyCounts, {})) {
                 applyRange(KeysCounted {service, {counts.begin(), counts.end()}});
             }
+            applyRange(SpeedsObserved {m_reducer.takeSpeeds()});
         }
         if (m_directory.expire(now)) {
             publishServers();
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -54,6 +54,22 @@
     return std::exchange(m_effects, {});
 }
 
+std::vector<ObservedSpeed> GatewayReducer::takeSpeeds()
+{
+    std::vector<ObservedSpeed> speeds;
+    for (auto& [id, server] : m_servers) {
+        const auto service = m_services.find(server.listed.service);
+        if (service == m_services.end() || !service->second.ranges) {
+            continue;
+        }
+        const ServerObservation::Speed speed = server.seen.takeSpeed();
+        if (speed.answers > 0) {
+            speeds.push_back({id, speed.answers, speed.slowness});
+        }
+    }
+    return speeds;
+}
+
 std::optional<MonotonicTime> GatewayReducer::nextWake() const
 {
     return m_wakes.empty() ? std::nullopt : std::optional(m_wakes.begin()->first);
@@ -302,13 +318,15 @@
     const bool refusedHere = ranges && job.refusedVersion == ranges->version && job.refusedVersion != 0;
     const SelectionNeed need = needOf(job);
     if (!owned || refusedHere) {
-        const Milliseconds waited = std::chrono::duration_cast<Milliseconds>(m_now - job.arrivedAt);
-        if (waited >= ownerPatience(need)) {
+        if (job.waitUntil == MonotonicTime()) {
+            job.waitUntil = m_now + ownerPatience(need);
+        }
+        if (m_now >= job.waitUntil) {
             return refuse(job, "no backend server owns the key at present", ownerReturnTime);
         }
         job.refusedVersion = 0;
         m_waiting.insert(job.number);
-        return setWake(job, m_now + ownerRetry);
+        return setWake(job, std::min(m_now + ownerRetry, job.waitUntil));
     }
     const Milliseconds expected = expectedLatency(candidateOf(server->second), need.typical);
     if (!fitsInTime(expected, need)) {
--- a/src/gateway/gateway_reducer.h
+++ b/src/gateway/gateway_reducer.h
@@ -5,6 +5,7 @@
 #include "gateway/server_observation.h"
 #include "gateway/server_selection.h"
 #include "gateway/weighted_turn.h"
+#include "ranges/range_event.h"
 
 #include <cstdint>
 #include <map>
@@ -34,6 +35,8 @@
     /// Applies one event and returns what the shell must do, in order.
     /// Precondition: event times never go backwards.
     [[nodiscard]] GatewayEffects reduce(TimedGatewayEvent event);
+    /// Speeds of the servers of keyed services since the last call; those without answers are left out.
+    [[nodiscard]] std::vector<ObservedSpeed> takeSpeeds();
     /// Number of requests that are not answered yet.
     [[nodiscard]] std::size_t requestsInFlight() const noexcept { return m_jobs.size(); }
     /// Next time at which a GatewayTick is needed; nothing while no request waits.
@@ -78,6 +81,7 @@
         std::uint32_t unsent = 0; ///< Dispatches that ended without a byte written.
         bool mayHaveRun = false; ///< An earlier dispatch may have run.
         std::optional<ServerAnswer> failure; ///< Newest failure that a server answered.
+        MonotonicTime waitUntil; ///< When it is refused unless its key has an owner by then; not set before it waits.
         std::uint64_t refusedVersion = 0; ///< Version of the ranges under which the owner refused it.
     };
 
--- a/src/gateway/server_observation.cpp
+++ b/src/gateway/server_observation.cpp
@@ -38,10 +38,20 @@
     const double ratio
         = static_cast<double>(latency.count()) / std::max<double>(1, static_cast<double>(typical.count()));
     m_slowness.observe(std::min(ratio, highestRatio), latencyWeight, now);
+    ++m_answers;
+    m_ratios += std::min(ratio, highestRatio);
     m_failures.observe(0, successWeight, now);
     m_unreachableTimes = 0;
 }
 
+ServerObservation::Speed ServerObservation::takeSpeed() noexcept
+{
+    const Speed speed {m_answers, m_answers > 0 ? m_ratios / m_answers : 1};
+    m_answers = 0;
+    m_ratios = 0;
+    return speed;
+}
+
 void ServerObservation::abandoned(Milliseconds age, Milliseconds typical, MonotonicTime now) noexcept
 {
     const double ratio = static_cast<double>(age.count()) / std::max<double>(1, static_cast<double>(typical.count()));
--- a/src/gateway/server_observation.h
+++ b/src/gateway/server_observation.h
@@ -45,6 +45,13 @@
     void unreachable(MonotonicTime now) noexcept;
     void ended() noexcept { --m_inFlight; }
 
+    /// Answers and their mean latency in multiples of the typical one, since the last call.
+    struct Speed {
+        std::uint32_t answers = 0;
+        double slowness = 1;
+    };
+    [[nodiscard]] Speed takeSpeed() noexcept;
+
     [[nodiscard]] std::uint32_t inFlight() const noexcept { return m_inFlight; }
     /// Latency relative to the typical one; 1 is typical.
     [[nodiscard]] double slowness(MonotonicTime now) const noexcept { return m_slowness.at(now); }
@@ -55,6 +62,8 @@
 private:
     DecayingValue m_slowness {1, Milliseconds(4000)};
     DecayingValue m_failures {0, Milliseconds(2500)};
+    std::uint32_t m_answers = 0; ///< Since the last takeSpeed().
+    double m_ratios = 0; ///< Sum over them.
     std::uint32_t m_inFlight = 0;
     std::uint32_t m_unreachableTimes = 0; ///< In a row.
     MonotonicTime m_unreachableUntil;
--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -202,6 +202,28 @@
     }
 }
 
+void RangeAuthority::handle(SpeedsObserved&& event)
+{
+    for (const ObservedSpeed& speed : event.speeds) {
+        if (m_term != 0) {
+            addSpeed(speed);
+            continue;
+        }
+        ObservedSpeed& sum = m_speeds.try_emplace(speed.server, ObservedSpeed {speed.server, 0, 0}).first->second;
+        sum.slowness = (sum.slowness * sum.answers + speed.slowness * speed.answers) / (sum.answers + speed.answers);
+        sum.answers += speed.answers;
+    }
+}
+
+void RangeAuthority::addSpeed(const ObservedSpeed& speed)
+{
+    for (auto& [service, kept] : m_kept) {
+        if (kept.keeper) {
+            kept.keeper->addSpeed(speed);
+        }
+    }
+}
+
 void RangeAuthority::handle(StoreReached&& event) { m_reachesStore = event.reachable; }
 
 void RangeAuthority::handle(RangeStopRequested&&)
@@ -462,6 +484,12 @@
         version.set_term(table->term);
         version.set_version(table->version);
     }
+    for (const auto& [id, speed] : std::exchange(m_speeds, {})) {
+        wire::ServerSpeed& sent = *report.add_speeds();
+        sent.set_id(id);
+        sent.set_answers(speed.answers);
+        sent.set_slowness(static_cast<float>(speed.slowness));
+    }
     for (const auto& [service, counts] : std::exchange(m_counts, {})) {
         wire::KeyCounts& load = *report.add_loads();
         load.set_service(service);
@@ -479,6 +507,9 @@
 
 void RangeAuthority::addLoads(const wire::InstanceReport& report)
 {
+    for (const wire::ServerSpeed& speed : report.speeds()) {
+        addSpeed({speed.id(), speed.answers(), speed.slowness()});
+    }
     for (const wire::KeyCounts& load : report.loads()) {
         const auto kept = m_kept.find(load.service());
         if (kept == m_kept.end() || !kept->second.adopted) {
--- a/src/ranges/range_authority.h
+++ b/src/ranges/range_authority.h
@@ -54,6 +54,7 @@
     void handle(RangeCallEnded&& event);
     void handle(RangePeerMessage&& event);
     void handle(KeysCounted&& event);
+    void handle(SpeedsObserved&& event);
     void handle(StoreReached&& event);
     void handle(RangeStopRequested&& event);
 
@@ -77,6 +78,7 @@
     [[nodiscard]] MonotonicTime earlierHoldEnd() const;
     [[nodiscard]] std::string chooseSuccessor() const;
     void addLoads(const wire::InstanceReport& report);
+    void addSpeed(const ObservedSpeed& speed);
     void adoptTable(std::shared_ptr<const RangeTable> table);
     void log(LogEvent event, std::string details) { m_effects.emplace_back(WriteRangeLog {event, std::move(details)}); }
 
@@ -105,6 +107,7 @@
     std::uint32_t m_instances = 0;
 
     std::map<std::string, std::shared_ptr<const RangeTable>> m_tables; ///< Newest, by service.
+    std::map<std::string, ObservedSpeed> m_speeds; ///< Not reported yet, by server.
     std::map<std::string, std::map<std::uint16_t, std::uint32_t>> m_counts; ///< Not reported yet, by service and key.
 };
 
--- a/src/ranges/range_event.h
+++ b/src/ranges/range_event.h
@@ -81,6 +81,18 @@
     std::vector<std::pair<std::uint16_t, std::uint32_t>> counts;
 };
 
+/// How fast a server answered this instance's requests.
+struct ObservedSpeed {
+    std::string server;
+    std::uint32_t answers = 0;
+    double slowness = 1; ///< Mean latency in multiples of the usual one.
+};
+
+/// Speeds of servers since the last report.
+struct SpeedsObserved {
+    std::vector<ObservedSpeed> speeds;
+};
+
 /// The store began to answer this instance, or stopped.
 struct StoreReached {
     bool reachable = false;
@@ -90,7 +102,7 @@
 struct RangeStopRequested { };
 
 using RangeEvent = std::variant<RangeTick, RangeServersListed, RangeServicesConfigured, RecordRead, RecordWritten,
-    RangeCallEnded, RangePeerMessage, KeysCounted, StoreReached, RangeStopRequested>;
+    RangeCallEnded, RangePeerMessage, KeysCounted, SpeedsObserved, StoreReached, RangeStopRequested>;
 
 /// `now` counts time in which the machine was suspended, so that a hold is never thought to last longer than it does.
 struct TimedRangeEvent {
--- a/src/ranges/range_keeper.cpp
+++ b/src/ranges/range_keeper.cpp
@@ -9,6 +9,11 @@
 
 using namespace std::chrono_literals;
 
+/// Weight of one answer's latency for a server's speed: about the last 25 count.
+constexpr double speedWeight = 0.04;
+/// Bounds of a server's slowness: latency also rises with its load, which must not empty it.
+constexpr double lowestSlowness = 0.6;
+constexpr double highestSlowness = 2.5;
 /// Grants without an answer, in a row, after which another server gets the range.
 constexpr unsigned highestMisses = 2;
 constexpr Milliseconds retryInterval = 100ms;
@@ -98,7 +103,7 @@
     for (const ListedServer& server : *m_servers) {
         if (server.service == m_service && isEligible(server.life)) {
             const auto moved = m_movedAt.find(server.life);
-            servers.push_back({server.life, static_cast<double>(server.slots),
+            servers.push_back({server.life, capacityOf(server),
                 moved == m_movedAt.end() || m_now - moved->second >= moveInterval});
         }
     }
@@ -125,6 +130,19 @@
     return placed;
 }
 
+void RangeKeeper::addSpeed(const ObservedSpeed& speed)
+{
+    double& slowness = m_slowness.try_emplace(speed.server, 1.0).first->second;
+    const double weight = std::min(0.5, speedWeight * speed.answers);
+    slowness += (std::clamp(speed.slowness, lowestSlowness, highestSlowness) - slowness) * weight;
+}
+
+double RangeKeeper::capacityOf(const ListedServer& server) const
+{
+    const auto it = m_slowness.find(server.life.id);
+    return server.slots / (it == m_slowness.end() ? 1.0 : it->second);
+}
+
 void RangeKeeper::createRanges()
 {
     const std::vector<RangeServer> servers = placementServers();
--- a/src/ranges/range_keeper.h
+++ b/src/ranges/range_keeper.h
@@ -59,6 +59,8 @@
     void limitEarlierHolds(MonotonicTime heldUntil);
     void setServers(std::shared_ptr<const ServerList> servers) { m_servers = std::move(servers); }
     void addLoad(std::uint16_t key, double requests) { m_load.add(key, requests); }
+    /// An instance saw a server of any service answer at this speed.
+    void addSpeed(const ObservedSpeed& speed);
     /// Takes every step that is due. Grants and releases are sent only while @p mayGrant.
     void step(MonotonicTime now, bool mayGrant, bool storeAnswers);
     /// True when the call was this keeper's. A Fenced result means that another leader may have a higher term.
@@ -110,6 +112,8 @@
     [[nodiscard]] bool isEligible(const ServerLife& life) const; ///< May get more.
     [[nodiscard]] std::vector<RangeServer> placementServers() const;
     [[nodiscard]] std::vector<PlacedRange> placedRanges(const std::vector<RangeServer>& servers) const;
+    /// Slots, less where the server is slow.
+    [[nodiscard]] double capacityOf(const ListedServer& server) const;
     void createRanges();
     void stepRange(Owned& owned, bool mayGrant);
     void chooseTarget(Owned& owned);
@@ -137,6 +141,7 @@
     std::map<ServerLife, MonotonicTime> m_lostUntil; ///< Servers that did not answer grants.
     std::vector<Owned> m_ranges; ///< In order, without gaps; empty until there are servers.
     KeyLoad m_load;
+    std::map<std::string, double> m_slowness; ///< Of servers, in multiples of the usual latency.
     MonotonicTime m_rebalanceAt;
     std::map<ServerLife, MonotonicTime> m_movedAt; ///< Servers that took part in a move.
 
--- a/src/ranges/range_placement.cpp
+++ b/src/ranges/range_placement.cpp
@@ -12,7 +12,7 @@
 constexpr double leastIdleLoad = 1;
 /// Moves are planned while the most loaded server has at least this much more than the mean, in parts of the mean.
 constexpr double worthwhileExcess = 0.35;
-constexpr std::size_t highestMoves = 4;
+constexpr std::size_t highestMoves = 6;
 /// A part is moved only if it is at most this much larger than wanted; a single key cannot be divided.
 constexpr double highestOvershoot = 1.8;
 
@@ -87,6 +87,20 @@
     return best;
 }
 
+/// Takes a part, which lies at an end of a placed range, out of it.
+void removePart(std::vector<PlacedRange>& ranges, const KeyRange& part)
+{
+    const auto it = std::find_if(ranges.begin(), ranges.end(),
+        [&](const PlacedRange& placed) { return placed.range.contains(part.first); });
+    if (it->range == part) {
+        ranges.erase(it);
+    } else if (it->range.first == part.first) {
+        it->range.first = part.last + 1;
+    } else {
+        it->range.last = part.first - 1;
+    }
+}
+
 } // namespace
 
 std::vector<RangeMove> divideKeys(const std::vector<RangeServer>& servers)
@@ -127,34 +141,45 @@
     const std::vector<RangeServer>& servers, const std::vector<PlacedRange>& ranges, const KeyLoad& load)
 {
     const WeighedLoad weighed(load);
-    const std::vector<double> loads = loadsOf(servers, ranges, weighed);
+    std::vector<PlacedRange> placed = ranges;
+    std::vector<double> loads = loadsOf(servers, ranges, weighed);
+    std::vector<bool> receives(servers.size());
     double total = 0;
     double capacity = 0;
-    std::vector<std::size_t> order;
     for (std::size_t i = 0; i < servers.size(); ++i) {
         total += loads[i];
         capacity += servers[i].capacity;
-        if (servers[i].movable) {
-            order.push_back(i);
-        }
+        receives[i] = servers[i].movable;
     }
-    const auto use = [&](std::size_t i) { return loads[i] / servers[i].capacity; };
-    std::sort(order.begin(), order.end(), [&](std::size_t a, std::size_t b) { return use(a) > use(b); });
     const double mean = total / std::max(1.0, capacity);
+    const auto use = [&](std::size_t i) { return loads[i] / servers[i].capacity; };
     std::vector<RangeMove> moves;
-    for (std::size_t i = 0; i < highestMoves && i + 1 < order.size() - i; ++i) {
-        const std::size_t high = order[i];
-        const std::size_t low = order[order.size() - 1 - i];
-        if (use(high) - mean < worthwhileExcess * mean) {
+    while (moves.size() < highestMoves) {
+        std::optional<std::size_t> high;
+        std::optional<std::size_t> low;
+        for (std::size_t i = 0; i < servers.size(); ++i) {
+            if (servers[i].movable && (!high || use(i) > use(*high))) {
+                high = i;
+            }
+            if (receives[i] && (!low || use(i) < use(*low))) {
+                low = i;
+            }
+        }
+        if (!high || !low || high == low || use(*high) - mean < worthwhileExcess * mean) {
             break;
         }
         // Both ends of the move reach the same use of their capacity.
-        const double wanted = (use(high) - use(low)) * servers[high].capacity * servers[low].capacity
-            / (servers[high].capacity + servers[low].capacity);
-        const std::optional<Part> part = choosePart(ranges, high, wanted, weighed);
-        if (part) {
-            moves.push_back({part->range, low});
+        const double sum = servers[*high].capacity + servers[*low].capacity;
+        const double wanted = (use(*high) - use(*low)) * servers[*high].capacity * servers[*low].capacity / sum;
+        const std::optional<Part> part = choosePart(placed, *high, wanted, weighed);
+        if (!part) {
+            break;
         }
+        moves.push_back({part->range, *low});
+        receives[*low] = false;
+        loads[*high] -= part->load;
+        loads[*low] += part->load;
+        removePart(placed, part->range);
     }
     return moves;
 }
