--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -355,6 +355,7 @@
     }
 
     void executeRange(PublishRanges&& effect) { apply(RangesRouted {std::move(effect.table)}); }
+    void executeRange(PublishLoads&& effect) { apply(LoadsShared {std::move(effect.inFlight)}); }
     void executeRange(PublishInstances&& effect) { apply(InstancesCounted {effect.instances}); }
     void executeRange(WriteRangeLog&& effect) { logEvent(effect.event, effect.details); }
 
--- a/src/gateway/gateway_event.h
+++ b/src/gateway/gateway_event.h
@@ -53,6 +53,11 @@
     std::shared_ptr<const RangeTable> table;
 };
 
+/// Requests of all instances at busy servers, as known a moment ago.
+struct LoadsShared {
+    std::map<std::string, std::uint32_t> inFlight; ///< By server; others are not busy.
+};
+
 /// The number of instances that share the budgets.
 struct InstancesCounted {
     std::uint32_t instances = 1;
@@ -62,7 +67,7 @@
 struct GatewayTick { };
 
 using GatewayEvent = std::variant<RequestAsked, RequestLeft, ServerAnswered, ServerFailed, GatewayConfigured,
-    ServersListed, RangesRouted, InstancesCounted, GatewayTick>;
+    ServersListed, RangesRouted, LoadsShared, InstancesCounted, GatewayTick>;
 /// @}
 
 /// @name Effects of the gateway's reducer
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -58,13 +58,9 @@
 {
     std::vector<ObservedSpeed> speeds;
     for (auto& [id, server] : m_servers) {
-        const auto service = m_services.find(server.listed.service);
-        if (service == m_services.end() || !service->second.ranges) {
-            continue;
-        }
         const ServerObservation::Speed speed = server.seen.takeSpeed();
-        if (speed.answers > 0) {
-            speeds.push_back({id, speed.answers, speed.slowness});
+        if (speed.answers > 0 || server.seen.inFlight() > 0) {
+            speeds.push_back({id, speed.answers, speed.slowness, server.seen.inFlight()});
         }
     }
     return speeds;
@@ -275,6 +271,15 @@
     }
 }
 
+void GatewayReducer::handle(LoadsShared&& event)
+{
+    for (auto& [id, server] : m_servers) {
+        const auto it = event.inFlight.find(id);
+        const std::uint32_t total = it == event.inFlight.end() ? 0 : it->second;
+        server.othersInFlight = total - std::min(total, server.seen.inFlight());
+    }
+}
+
 void GatewayReducer::handle(InstancesCounted&& event)
 {
     m_instances = std::max(1U, event.instances);
@@ -389,6 +394,7 @@
     }
     candidate.slots = server.listed.slots;
     candidate.inFlight = server.seen.inFlight();
+    candidate.othersInFlight = server.othersInFlight;
     const auto service = m_configuration->services.find(server.listed.service);
     const std::uint32_t connections = service == m_configuration->services.end() ? 1 : service->second.maxConnections;
     candidate.highestInFlight = std::max(server.listed.slots, connections / std::max(1U, std::min(m_instances, 8U)));
--- a/src/gateway/gateway_reducer.h
+++ b/src/gateway/gateway_reducer.h
@@ -35,7 +35,7 @@
     /// Applies one event and returns what the shell must do, in order.
     /// Precondition: event times never go backwards.
     [[nodiscard]] GatewayEffects reduce(TimedGatewayEvent event);
-    /// Speeds of the servers of keyed services since the last call; those without answers are left out.
+    /// Speeds of servers since the last call, and requests there; those without either are left out.
     [[nodiscard]] std::vector<ObservedSpeed> takeSpeeds();
     /// Number of requests that are not answered yet.
     [[nodiscard]] std::size_t requestsInFlight() const noexcept { return m_jobs.size(); }
@@ -46,6 +46,7 @@
     struct Server {
         ListedServer listed;
         ServerObservation seen;
+        std::uint32_t othersInFlight = 0; ///< Requests of other instances, as of the last report.
         bool present = false; ///< In the newest list.
         std::optional<MonotonicTime> leavingSince; ///< When it was first listed as leaving.
         MonotonicTime warmAt; ///< End of its slow start.
@@ -92,6 +93,7 @@
     void handle(GatewayConfigured&& event);
     void handle(ServersListed&& event);
     void handle(RangesRouted&& event);
+    void handle(LoadsShared&& event);
     void handle(InstancesCounted&& event);
     void handle(GatewayTick&& event);
 
--- a/src/gateway/server_selection.cpp
+++ b/src/gateway/server_selection.cpp
@@ -8,6 +8,8 @@
 
 /// Part of a server's slots that one instance fills before it expects to queue behind others' requests.
 constexpr double ownPartOfSlots = 0.5;
+/// Servers differ in speed by at most about this much from the usual; what is slower waits in a queue.
+constexpr double highestSpeedRatio = 1.6;
 /// Price of distance in parts of the latency objective. Bytes between regions cost about a third of a request's worth.
 constexpr double sameRegionCost = 0.05;
 constexpr double otherRegionCost = 0.4;
@@ -34,8 +36,12 @@
 Milliseconds expectedLatency(const ServerCandidate& candidate, Milliseconds typical) noexcept
 {
     const double ownSlots = std::max(1.0, candidate.slots * ownPartOfSlots);
-    const double queued = std::max(0.0, candidate.inFlight + 1 - ownSlots) / ownSlots;
-    const double ms = static_cast<double>(typical.count()) * candidate.slowness * (1 + queued);
+    const double ownQueue = std::max(0.0, candidate.inFlight + 1 - ownSlots) / ownSlots;
+    const double slots = std::max(1U, candidate.slots);
+    const double sharedQueue = std::max(0.0, candidate.inFlight + candidate.othersInFlight + 1 - slots) / slots;
+    // Slowness that was seen includes earlier queues; the queue of now is counted on top of the server's speed alone.
+    const double bySpeed = std::min(candidate.slowness, highestSpeedRatio) * (1 + std::max(ownQueue, sharedQueue));
+    const double ms = static_cast<double>(typical.count()) * std::max(candidate.slowness, bySpeed);
     return Milliseconds(static_cast<std::int64_t>(ms));
 }
 
--- a/src/gateway/server_selection.h
+++ b/src/gateway/server_selection.h
@@ -17,6 +17,7 @@
     Distance distance = Distance::SameFailureDomain;
     std::uint32_t slots = 1;
     std::uint32_t inFlight = 0; ///< Requests of this instance.
+    std::uint32_t othersInFlight = 0; ///< Requests of other instances, as known a moment ago.
     std::uint32_t highestInFlight = 1; ///< This instance's share of the server's connections.
     double slowness = 1; ///< Latency relative to the typical one.
     double failureShare = 0; ///< From 0 to 1.
--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -207,7 +207,14 @@
 
 void RangeAuthority::handle(SpeedsObserved&& event)
 {
+    m_inFlight.clear();
     for (const ObservedSpeed& speed : event.speeds) {
+        if (speed.inFlight > 0) {
+            m_inFlight[speed.server] = speed.inFlight;
+        }
+        if (speed.answers == 0) {
+            continue;
+        }
         if (m_term != 0) {
             addSpeed(speed);
             continue;
@@ -252,6 +259,11 @@
         m_instances = message.instances();
         m_effects.emplace_back(PublishInstances {m_instances});
     }
+    std::map<std::string, std::uint32_t> busy;
+    for (const wire::ServerLoad& load : message.loads()) {
+        busy[load.id()] = load.in_flight();
+    }
+    m_effects.emplace_back(PublishLoads {std::move(busy)});
     if (message.successor() == m_self.instance) {
         m_leadership.succeed(m_now);
     }
@@ -266,6 +278,10 @@
     member.heardAt = m_now;
     member.leaving = message.leaving();
     member.reachesStore = message.store_reachable();
+    member.inFlight.clear();
+    for (const wire::ServerSpeed& speed : message.speeds()) {
+        member.inFlight[speed.id()] = speed.in_flight();
+    }
     member.tables.clear();
     for (const wire::RangeTableVersion& table : message.tables()) {
         member.tables[table.service()] = {table.term(), table.version()};
@@ -416,6 +432,8 @@
     // A leader that has lost the store learns of no server that leaves, and can move no range.
     const bool handsOver = m_stopping || m_now - m_leadership.evidenceAt() > storeLossPatience;
     const std::string successor = handsOver ? chooseSuccessor() : std::string();
+    const std::map<std::string, std::uint32_t> busy = busyServers();
+    m_effects.emplace_back(PublishLoads {busy});
     for (const auto& [id, member] : m_members) {
         wire::Envelope envelope;
         wire::RangeLeaderHeartbeat& heartbeat = *envelope.mutable_range_leader_heartbeat();
@@ -424,6 +442,11 @@
         heartbeat.set_instances(m_instances);
         heartbeat.set_leaving(m_stopping);
         heartbeat.set_successor(successor);
+        for (const auto& [server, n] : busy) {
+            wire::ServerLoad& load = *heartbeat.add_loads();
+            load.set_id(server);
+            load.set_in_flight(n);
+        }
         m_effects.emplace_back(SendRangePeer {id, std::move(envelope)});
     }
     for (const auto& [service, counts] : std::exchange(m_counts, {})) {
@@ -437,6 +460,25 @@
     }
 }
 
+/// Servers with at least half of their slots in use. Others need no word: their load delays nobody.
+std::map<std::string, std::uint32_t> RangeAuthority::busyServers() const
+{
+    std::map<std::string, std::uint32_t> total = m_inFlight;
+    for (const auto& [id, member] : m_members) {
+        for (const auto& [server, n] : member.inFlight) {
+            total[server] += n;
+        }
+    }
+    std::map<std::string, std::uint32_t> busy;
+    for (const ListedServer& server : m_servers ? *m_servers : ServerList()) {
+        const auto it = total.find(server.life.id);
+        if (it != total.end() && it->second * 2 >= server.slots) {
+            busy.insert(*it);
+        }
+    }
+    return busy;
+}
+
 std::string RangeAuthority::chooseSuccessor() const
 {
     std::string best;
@@ -488,11 +530,15 @@
         version.set_term(table->term);
         version.set_version(table->version);
     }
+    for (const auto& [id, n] : m_inFlight) {
+        m_speeds.try_emplace(id, ObservedSpeed {id, 0, 1, 0}).first->second.inFlight = n;
+    }
     for (const auto& [id, speed] : std::exchange(m_speeds, {})) {
         wire::ServerSpeed& sent = *report.add_speeds();
         sent.set_id(id);
         sent.set_answers(speed.answers);
         sent.set_slowness(static_cast<float>(speed.slowness));
+        sent.set_in_flight(speed.inFlight);
     }
     for (const auto& [service, counts] : std::exchange(m_counts, {})) {
         wire::KeyCounts& load = *report.add_loads();
@@ -512,7 +558,9 @@
 void RangeAuthority::addLoads(const wire::InstanceReport& report)
 {
     for (const wire::ServerSpeed& speed : report.speeds()) {
-        addSpeed({speed.id(), speed.answers(), speed.slowness()});
+        if (speed.answers() > 0) {
+            addSpeed({speed.id(), speed.answers(), speed.slowness(), speed.in_flight()});
+        }
     }
     for (const wire::KeyCounts& load : report.loads()) {
         const auto kept = m_kept.find(load.service());
--- a/src/ranges/range_authority.h
+++ b/src/ranges/range_authority.h
@@ -35,6 +35,7 @@
         MonotonicTime heardAt;
         bool leaving = false;
         bool reachesStore = false;
+        std::map<std::string, std::uint32_t> inFlight; ///< By server.
         std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> tables; ///< Term and version it has, by service.
     };
 
@@ -78,6 +79,7 @@
     [[nodiscard]] MonotonicTime earlierHoldEnd() const;
     [[nodiscard]] std::string chooseSuccessor() const;
     void addLoads(const wire::InstanceReport& report);
+    [[nodiscard]] std::map<std::string, std::uint32_t> busyServers() const;
     void addSpeed(const ObservedSpeed& speed);
     void adoptTable(std::shared_ptr<const RangeTable> table);
     void log(LogEvent event, std::string details) { m_effects.emplace_back(WriteRangeLog {event, std::move(details)}); }
@@ -107,6 +109,7 @@
     std::uint32_t m_instances = 0;
 
     std::map<std::string, std::shared_ptr<const RangeTable>> m_tables; ///< Newest, by service.
+    std::map<std::string, std::uint32_t> m_inFlight; ///< Of this instance, by server.
     std::map<std::string, ObservedSpeed> m_speeds; ///< Not reported yet, by server.
     std::map<std::string, std::map<std::uint16_t, std::uint32_t>> m_counts; ///< Not reported yet, by service and key.
 };
--- a/src/ranges/range_event.h
+++ b/src/ranges/range_event.h
@@ -12,6 +12,7 @@
 #include <peer.pb.h>
 
 #include <cstdint>
+#include <map>
 #include <memory>
 #include <string>
 #include <variant>
@@ -86,6 +87,7 @@
     std::string server;
     std::uint32_t answers = 0;
     double slowness = 1; ///< Mean latency in multiples of the usual one.
+    std::uint32_t inFlight = 0; ///< Requests of this instance that wait or run there.
 };
 
 /// Speeds of servers since the last report.
@@ -160,6 +162,11 @@
     std::shared_ptr<const RangeTable> table;
 };
 
+/// Requests of all instances at busy servers, as of the last reports.
+struct PublishLoads {
+    std::map<std::string, std::uint32_t> inFlight; ///< By server; others are not busy.
+};
+
 struct PublishInstances {
     std::uint32_t instances = 1;
 };
@@ -170,7 +177,7 @@
 };
 
 using RangeEffect = std::variant<ReadRecord, WriteRecord, GrantRange, ReleaseRange, SendRangePeer, ConnectRangePeers,
-    PublishRanges, PublishInstances, WriteRangeLog>;
+    PublishRanges, PublishLoads, PublishInstances, WriteRangeLog>;
 using RangeEffects = std::vector<RangeEffect>;
 /// @}
 
