--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -7,6 +7,9 @@
 
 /// Part of the remaining time that an expected latency may take: it is a mean, and work varies.
 constexpr double usablePartOfRemaining = 0.85;
+/// A request that would be this much later than its objective is refused at once: while there is too little for all, the
+/// slot serves another one in time.
+constexpr double highestPartOfObjective = 1.5;
 /// A lost owner is replaced after its hold has ended, which takes seconds: a caller waits only for a short interruption.
 constexpr Milliseconds patienceWithLostOwner {300};
 /// Time that is kept for the request itself, in multiples of the usual latency.
@@ -19,7 +22,9 @@
 
 bool fitsInTime(Milliseconds expected, const SelectionNeed& need) noexcept
 {
-    return static_cast<double>(expected.count()) < static_cast<double>(need.remaining.count()) * usablePartOfRemaining;
+    const double ms = static_cast<double>(expected.count());
+    return ms < static_cast<double>(need.remaining.count()) * usablePartOfRemaining
+        && ms < static_cast<double>(need.objective.count()) * highestPartOfObjective;
 }
 
 Milliseconds ownerPatience(const SelectionNeed& need, bool moving) noexcept
