End the wait for an earlier leader that never returns

Change: the extension is 12 s, longer than the outages that the sites play, and a leader takes earlier ones off the list once it has led for that long.

--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -65,6 +65,11 @@
     }
     followLeadership();
     if (m_term != 0) {
+        // Without a word from them earlier leaders have stopped once their extension is over.
+        if (!m_unconfirmed.empty() && m_now >= m_leadership.tookOverAt() + m_leadershipTimes.extension) {
+            m_unconfirmed.clear();
+            confirmEarlier();
+        }
         if (m_now >= m_nextStepAt) {
             stepKeepers();
         }
--- a/src/ranges/range_leadership.h
+++ b/src/ranges/range_leadership.h
@@ -18,7 +18,7 @@
     Milliseconds spread {400}; ///< Instances wait up to this much longer, each its own time.
     Milliseconds verify {1000}; ///< Between the leader's reads of its own record.
     Milliseconds callPause {500}; ///< Between calls to the store while they fail.
-    Milliseconds extension {20'000}; ///< How long a leader goes on without having read its record.
+    Milliseconds extension {12'000}; ///< How long a leader goes on without having read its record.
 };
 
 /// Decides whether this instance is the leader, by conditional writes of one stored record. Two instances can both
