Serve callers of the product's own protocol with the same HTTP engine

Cause of three listed failures: libsoup's server parser ended a connection with two Content-Lengths without an answer, answered a malformed request line without counting it, and skipped a header line without a colon. Change: CallerListener is built on HttpServer (Beast's parser, control over the byte stream); the polling for callers that left is gone.

--- a/src/daemon/caller_listener.h
+++ b/src/daemon/caller_listener.h
@@ -11,14 +11,15 @@
 
 namespace jasminespread {
 
-/// The HTTP server of one worker for callers. All methods except checkAddressFree belong to the worker's thread.
+/// The HTTP server of one worker for callers of the product's own protocol. All methods except checkAddressFree belong
+/// to the worker's thread.
 class CallerListener {
 public:
     struct Hooks {
         std::function<void(std::uint64_t caller, RawRequest&& request)> arrived;
         /// The connection closed before answer() was called.
         std::function<void(std::uint64_t caller)> left;
-        /// The listener refused a request by itself because it is too large.
+        /// The listener refused a request by itself because it is malformed, too large or too slow.
         std::function<void(std::string_view why)> refused;
     };
 
@@ -34,14 +35,12 @@
     /// Listens on @p address (IP number and port) with SO_REUSEPORT. Serves on the thread's default main context.
     [[nodiscard]] Result<void> listen(const std::string& address);
     /// Makes every answer from now on close its connection.
-    void closeAfterAnswers() noexcept;
+    void closeAfterAnswers();
     /// Closes the listening socket unless a connection waits in its backlog, which closing would reset. Returns
     /// whether it is closed.
     bool stopListening();
     /// Answers a caller; a default-made @p id stands for none. Unknown callers are ignored.
     void answer(std::uint64_t caller, const RequestId& id, RequestAnswer&& answer);
-    /// Looks for callers that closed their connection while they waited.
-    void findLeftCallers();
     /// Number of requests whose headers arrived and that are not fully answered yet.
     [[nodiscard]] std::size_t pending() const noexcept;
 
--- a/src/daemon/worker.cpp
+++ b/src/daemon/worker.cpp
@@ -12,7 +12,6 @@
 
 constexpr std::uint32_t protocolVersion = 1;
 constexpr guint tickMs = 5; ///< Interval of route polling and timers.
-constexpr std::uint64_t ticksPerCallerCheck = 5; ///< A caller that left is noticed within 25 ms.
 constexpr std::uint64_t ticksPerGaugeUpdate = 50;
 /// The last answers to forwarded requests leave within it after a drain.
 constexpr Milliseconds drainLinger {500};
@@ -170,9 +169,6 @@
 {
     ++m_ticks;
     refreshRoutes();
-    if (m_ticks % ticksPerCallerCheck == 0) {
-        m_listener->findLeftCallers();
-    }
     apply(WorkerTick {});
     m_sockets->flush(monotonicNow());
     if (m_ticks % ticksPerGaugeUpdate == 0) {
--- a/src/gateway/admission.cpp
+++ b/src/gateway/admission.cpp
@@ -7,10 +7,11 @@
 
 /// Part of the remaining time that an expected latency may take: it is a mean, and work varies.
 constexpr double usablePartOfRemaining = 0.85;
-/// A request that would be this much later than its objective is refused at once: while there is too little for all, the
-/// slot serves another one in time.
+/// A request that would be this much later than its objective is refused at once: while there is too little for all,
+/// the slot serves another one in time.
 constexpr double highestPartOfObjective = 1.5;
-/// A lost owner is replaced after its hold has ended, which takes seconds: a caller waits only for a short interruption.
+/// A lost owner is replaced after its hold has ended, which takes seconds: a caller waits only for a short
+/// interruption.
 constexpr Milliseconds patienceWithLostOwner {300};
 /// Time that is kept for the request itself, in multiples of the usual latency.
 constexpr double keptForWork = 1.5;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -72,9 +72,9 @@
         , m_callers(HttpServerLimits(),
               {[this](std::uint64_t caller, RawRequest&& raw) { onRequest(caller, std::move(raw)); },
                   [this](std::uint64_t caller) { apply(RequestLeft {caller}); },
-                  [](unsigned status, std::string_view why) {
-                      logEvent(LogEvent::RequestRejected,
-                          "status=" + std::to_string(status) + " why=\"" + std::string(why) + "\"");
+                  [](CallerAnswer& answer) {
+                      logEvent(
+                          LogEvent::RequestRejected, "status=" + std::to_string(answer.status) + " why=" + answer.body);
                   }})
         , m_readiness(HttpServerLimits(),
               {[this](std::uint64_t caller, RawRequest&& raw) { onReadiness(caller, raw); }, [](std::uint64_t) {}, {}})
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -327,7 +327,8 @@
         if (job.waitsSince == MonotonicTime()) {
             job.waitsSince = m_now;
         }
-        const MonotonicTime waitUntil = moving ? m_now + ownerPatience(need, true) : job.waitsSince + ownerPatience(need, false);
+        const MonotonicTime waitUntil
+            = moving ? m_now + ownerPatience(need, true) : job.waitsSince + ownerPatience(need, false);
         if (m_now >= waitUntil) {
             return refuse(job, "no backend server owns the key at present", ownerReturnTime);
         }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -8,6 +8,7 @@
 #include <glib-unix.h>
 #include <netinet/in.h>
 #include <netinet/tcp.h>
+#include <poll.h>
 #include <sys/socket.h>
 #include <unistd.h>
 
@@ -250,6 +251,9 @@
             }
         }
         connection.input.erase(0, consumed);
+        if (parser.is_header_done() && parser.chunked() && !limits.acceptChunked) {
+            return refuse(connection, 411, "a body needs a Content-Length");
+        }
         if (ec == http::error::need_more) {
             ec = {};
             if (!parser.is_header_done() && connection.input.size() > limits.maxHeaderBytes) {
@@ -306,9 +310,6 @@
 
     void refuse(Connection& connection, unsigned status, std::string_view why)
     {
-        if (hooks.refused) {
-            hooks.refused(status, why);
-        }
         connection.parser.reset();
         connection.closeAfter = true;
         connection.isHead = false;
@@ -316,6 +317,9 @@
         answer.status = status;
         answer.headers.push_back({"Content-Type", "text/plain"});
         answer.body = std::string(why) + "\n";
+        if (hooks.refused) {
+            hooks.refused(answer);
+        }
         write(connection, std::move(answer));
     }
 
@@ -425,7 +429,7 @@
 
 HttpServer::~HttpServer() = default;
 
-Result<void> HttpServer::listen(const std::string& text)
+Result<void> HttpServer::listen(const std::string& text, bool reusePort)
 {
     const std::optional<SocketAddress> address = parseSocketAddress(text);
     if (!address) {
@@ -437,6 +441,9 @@
     }
     const int one = 1;
     setsockopt(fd, SOL_SOCKET, SO_REUSEADDR, &one, sizeof one);
+    if (reusePort) {
+        setsockopt(fd, SOL_SOCKET, SO_REUSEPORT, &one, sizeof one);
+    }
     if (bind(fd, address->get(), address->size) != 0 || ::listen(fd, listenBacklog) != 0) {
         const std::string why = g_strerror(errno);
         close(fd);
@@ -450,6 +457,12 @@
     return {};
 }
 
+bool HttpServer::hasBacklog() const
+{
+    pollfd waiting {m_state->listener, POLLIN, 0};
+    return m_state->listener >= 0 && poll(&waiting, 1, 0) > 0;
+}
+
 void HttpServer::setLimits(const HttpServerLimits& limits) { m_state->limits = limits; }
 
 void HttpServer::drain(Milliseconds idleFor)
@@ -484,7 +497,8 @@
     std::size_t n = 0;
     for (const auto& [number, connection] : m_state->connections) {
         const Phase phase = connection->phase;
-        n += phase == Phase::Reading || phase == Phase::Waiting || phase == Phase::Writing ? 1 : 0;
+        const bool hasHead = phase == Phase::Reading && connection->parser->is_header_done();
+        n += hasHead || phase == Phase::Waiting || phase == Phase::Writing ? 1 : 0;
     }
     return n;
 }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -20,6 +20,7 @@
     Milliseconds headerTimeout {3000}; ///< From the first byte of a request to the end of its head.
     Milliseconds bodyTimeout {30'000}; ///< From the first byte of a request to its last one.
     Milliseconds idleTimeout {15'000}; ///< Between requests.
+    bool acceptChunked = true; ///< Otherwise a body needs a Content-Length.
 };
 
 /// An answer as it is written to a caller.
@@ -38,8 +39,9 @@
         std::function<void(std::uint64_t request, RawRequest&&)> arrived;
         /// The connection closed before answer() was called. The request needs no answer any more.
         std::function<void(std::uint64_t request)> left;
-        /// The server refused malformed or too large input by itself. May be empty.
-        std::function<void(unsigned status, std::string_view why)> refused;
+        /// The server refuses malformed, too large or too slow input by itself; the hook may change the answer. May be
+        /// empty.
+        std::function<void(CallerAnswer& answer)> refused;
     };
 
     HttpServer(HttpServerLimits limits, Hooks hooks);
@@ -47,8 +49,11 @@
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
 
-    /// Listens on @p address (IP number and port). Fails with AddressInUse or InvalidInput.
-    [[nodiscard]] Result<void> listen(const std::string& address);
+    /// Listens on @p address (IP number and port), with @p reusePort beside other sockets of this user. Fails with
+    /// AddressInUse or InvalidInput.
+    [[nodiscard]] Result<void> listen(const std::string& address, bool reusePort = false);
+    /// Whether connections wait to be accepted, which stopListening() would reset.
+    [[nodiscard]] bool hasBacklog() const;
     /// Applies to input that arrives from now on.
     void setLimits(const HttpServerLimits& limits);
     /// Makes every answer from now on close its connection, and closes idle connections after @p idleFor.
@@ -57,7 +62,7 @@
     void stopListening();
     /// Answers a request. Unknown requests are ignored.
     void answer(std::uint64_t request, CallerAnswer&& answer);
-    /// Number of requests whose head began to arrive and that are not fully answered yet.
+    /// Number of requests whose head arrived and that are not fully answered yet.
     [[nodiscard]] std::size_t pending() const noexcept;
 
 private:
