Test the gateway as a process on a stand-in of the platform

The stand-in has the platform's form: paged lists, watches, conditional writes, 410, 503 and silence; its servers seal answers, check the expected instance and take grants. Six tests: the whole path, outages of the store, lost history, loss of the leader within the users' 4 s, leaving servers, planned stops.

--- /dev/null
+++ b/tests/integration/gateway_test.cpp
@@ -0,0 +1,223 @@
+#include "platform_fake.h"
+#include "process.h"
+
+#include <jasminespread/backend_transports.h>
+
+#include <gtest/gtest.h>
+
+#include <csignal>
+#include <filesystem>
+#include <fstream>
+#include <optional>
+#include <unistd.h>
+
+namespace jasminespread::test {
+namespace {
+
+using namespace std::chrono_literals;
+namespace json = boost::json;
+
+/// Two gateway processes on the platform's store, with one pooled and one keyed service of two servers each.
+class GatewayTest : public testing::Test {
+protected:
+    GatewayTest()
+        : m_net("127.83." + std::to_string(getpid() % 250 + 1) + ".")
+        , m_folder(std::string(BINARY_DIR) + "/integration/gateway-" + std::to_string(getpid()))
+        , m_transport(makeBeastBackendTransport(1 << 20))
+        , m_store(address(1, 8384))
+        , m_deskA("desk-a", address(11, 8080), false)
+        , m_deskB("desk-b", address(12, 8080), false)
+        , m_plannerA("planner-a", address(13, 8080), true)
+        , m_plannerB("planner-b", address(14, 8080), true)
+    {
+        std::filesystem::create_directories(m_folder);
+        m_store.put("config", "main", configuration(5, "/old/"));
+        m_store.put("servers", "desk-a", m_deskA.entry("desk"));
+        m_store.put("servers", "desk-b", m_deskB.entry("desk"));
+        m_store.put("servers", "planner-a", m_plannerA.entry("planner"));
+        m_store.put("servers", "planner-b", m_plannerB.entry("planner"));
+        // Entries of other writers.
+        m_store.put("servers", "broken-1", json::value("text"));
+        m_store.put("servers", "broken-2", json::object {{"service", "desk"}, {"address", 5}});
+        for (unsigned i = 0; i < 2; ++i) {
+            start(i);
+        }
+        EXPECT_TRUE(runUntil(10s, [this] { return isReady(0) && isReady(1); }));
+    }
+
+    [[nodiscard]] std::string address(unsigned host, unsigned port) const
+    {
+        return m_net + std::to_string(host) + ":" + std::to_string(port);
+    }
+
+    static json::value configuration(std::uint64_t version, const std::string& prefix)
+    {
+        const auto route = [](const std::string& path, const char* kind, const char* service) {
+            return json::object {{"host", "a.example"}, {"pathPrefix", path}, {"kind", kind}, {"timeoutMs", 3000},
+                {"targetLatencyMs", 600}, {"priority", 1}, {"service", service}, {"maxAttempts", 2}};
+        };
+        return json::object {{"version", version},
+            {"routes",
+                {{"read", route("/read/", "idempotent", "desk")}, {"order", route("/order/", "non_idempotent", "desk")},
+                    {"plan", route("/plan/", "idempotent", "planner")},
+                    {"change", route(prefix, "idempotent", "desk")}}},
+            {"services",
+                {{"desk", {{"healthPath", "/health"}, {"maxConns", 100}}},
+                    {"planner", {{"healthPath", "/health"}, {"maxConns", 100}, {"sharded", true}, {"warmS", 2.0}}}}},
+            {"limits",
+                {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 1048576}, {"headerTimeoutMs", 3000},
+                    {"idleTimeoutMs", 15000}}}};
+    }
+
+    void start(unsigned index)
+    {
+        const unsigned host = 21 + index;
+        const std::string file = m_folder + "/settings-" + std::to_string(index);
+        std::ofstream(file) << "self.node=edge-" << index
+                            << "\nself.zone=colombo-a\nself.region=western\nself.ip=" << m_net << host
+                            << "\nnetwork.listen.front=" << address(host, 8381)
+                            << "\nnetwork.listen.ready=" << address(host, 8388)
+                            << "\nnetwork.internalPorts=7200,7215\nplatform.platform.address=" << address(1, 8384)
+                            << "\nterms.bounds.budgetSlack=50\nterms.bounds.graceS=6\n";
+        m_gateways[index] = std::make_unique<Process>(
+            std::vector<std::string> {std::string(BINARY_DIR) + "/jasminespread-gateway", "--settings", file},
+            m_folder + "/gateway-" + std::to_string(index) + ".log");
+    }
+
+    /// Sends a request; the result arrives while the main context runs.
+    std::shared_ptr<std::optional<BackendResult>> send(unsigned gateway, const std::string& path,
+        const std::string& id = "", std::optional<unsigned> key = std::nullopt, unsigned port = 8381)
+    {
+        BackendRequest request;
+        request.address = address(21 + gateway, port);
+        request.method = "GET";
+        request.target = path;
+        request.headers = {{"Host", "a.example"}, {"Request-Id", id.empty() ? "r" + std::to_string(++m_requests) : id},
+            {"Deadline-Ms", "3000"}};
+        if (key) {
+            request.headers.push_back({"Shard-Key", std::to_string(*key)});
+        }
+        request.deadline = monotonicNow() + 4s;
+        request.connectTimeout = 500ms;
+        auto result = std::make_shared<std::optional<BackendResult>>();
+        m_transport.send(std::move(request), [result](BackendResult answer) { *result = std::move(answer); });
+        return result;
+    }
+
+    BackendResult call(
+        unsigned gateway, const std::string& path, std::optional<unsigned> key = std::nullopt, unsigned port = 8381)
+    {
+        const auto result = send(gateway, path, "", key, port);
+        (void)runUntil(5s, [&] { return result->has_value(); });
+        return result->value_or(BackendResult());
+    }
+
+    bool isReady(unsigned gateway) { return call(gateway, "/api/readiness", std::nullopt, 8388).status == 200; }
+
+    std::string m_net;
+    std::string m_folder;
+    BackendTransport m_transport;
+    StoreFake m_store;
+    ServerFake m_deskA;
+    ServerFake m_deskB;
+    ServerFake m_plannerA;
+    ServerFake m_plannerB;
+    std::map<unsigned, std::unique_ptr<Process>> m_gateways;
+    unsigned m_requests = 0;
+};
+
+/// The whole path: store, discovery, configuration, grants, both instances, both kinds of services.
+TEST_F(GatewayTest, ServesPooledAndKeyedRequests)
+{
+    for (unsigned gateway = 0; gateway < 2; ++gateway) {
+        const BackendResult pooled = call(gateway, "/read/1?a=b");
+        EXPECT_EQ(pooled.status, 200U);
+        EXPECT_TRUE(findHeader(pooled.headers, "Response-Seal"));
+        for (const unsigned key : {0U, 20'000U, 40'000U, 65'535U}) {
+            const BackendResult keyed = call(gateway, "/plan/1", key);
+            EXPECT_EQ(keyed.status, 200U) << key;
+            const ServerFake& owner = m_plannerA.holds(key) ? m_plannerA : m_plannerB;
+            EXPECT_EQ(keyed.body, "answer of " + owner.id());
+            EXPECT_FALSE(m_plannerA.holds(key) && m_plannerB.holds(key));
+        }
+        EXPECT_EQ(call(gateway, "/nowhere/").status, 404U);
+    }
+}
+
+/// Guards against requests that fail because the store is away: with 503 at once, and without any answer.
+TEST_F(GatewayTest, ServesThroughAnOutageOfTheStore)
+{
+    for (const StoreFake::Mode mode : {StoreFake::Mode::Busy, StoreFake::Mode::Silent}) {
+        m_store.setMode(mode);
+        const MonotonicTime end = monotonicNow() + 4s;
+        while (monotonicNow() < end) {
+            EXPECT_EQ(call(0, "/read/1").status, 200U);
+            EXPECT_EQ(call(1, "/plan/1", 40'000).status, 200U);
+            (void)runUntil(100ms, [] { return false; });
+        }
+        m_store.setMode(StoreFake::Mode::Serving);
+        const std::string prefix = "/new" + std::to_string(static_cast<int>(mode)) + "/";
+        m_store.put("config", "main", configuration(10 + static_cast<std::uint64_t>(mode), prefix));
+        EXPECT_TRUE(runUntil(3s, [&] { return call(0, prefix).status == 200 && call(1, prefix).status == 200; }));
+    }
+}
+
+/// Guards against an instance that stays with an old configuration when the store's history is gone.
+TEST_F(GatewayTest, FollowsTheConfigurationAfterItsHistoryIsGone)
+{
+    m_store.compact();
+    m_store.put("config", "main", configuration(9, "/new/"));
+    EXPECT_TRUE(runUntil(2s, [&] { return call(0, "/new/").status == 200 && call(1, "/new/").status == 200; }));
+    EXPECT_EQ(call(0, "/old/").status, 404U);
+    m_store.put("config", "main", configuration(8, "/old/")); // An older version never comes back into force.
+    EXPECT_FALSE(runUntil(1s, [&] { return call(0, "/old/").status == 200; }));
+}
+
+/// Guards against keys without an owner after the instance that grants them was lost.
+TEST_F(GatewayTest, ServesKeysAfterTheLossOfTheLeader)
+{
+    const json::object leader = json::parse(m_store.spec("jasminespread", "leader")->as_string()).as_object();
+    const unsigned lost = leader.at("instance").as_string() == "edge-0" ? 0 : 1;
+    m_gateways[lost]->kill();
+    const MonotonicTime lostAt = monotonicNow();
+    (void)runUntil(500ms, [] { return false; });
+    EXPECT_TRUE(runUntil(4s, [&] {
+        return call(1 - lost, "/plan/1", 10).status == 200 && call(1 - lost, "/plan/1", 65'000).status == 200
+            && json::parse(m_store.spec("jasminespread", "leader")->as_string()).as_object().at("term").to_number<int>()
+            > 1;
+    }));
+    EXPECT_LE(monotonicNow() - lostAt, 4s); // The users' target after a loss.
+}
+
+/// Guards against work for a server that leaves, and against keys that stay with it.
+TEST_F(GatewayTest, MovesWorkAwayFromLeavingServers)
+{
+    m_store.put("servers", "desk-a", m_deskA.entry("desk", "draining"));
+    m_store.put("servers", "planner-a", m_plannerA.entry("planner", "draining"));
+    EXPECT_TRUE(runUntil(2s, [&] { return m_plannerB.holds(0) && m_plannerB.holds(65'535) && !m_plannerA.holds(0); }));
+    const std::size_t before = m_deskA.ran().size() + m_plannerA.ran().size();
+    for (int i = 0; i < 10; ++i) {
+        EXPECT_EQ(call(i % 2, "/read/1").status, 200U);
+        EXPECT_EQ(call(i % 2, "/plan/1", i * 6000).status, 200U);
+    }
+    EXPECT_EQ(m_deskA.ran().size() + m_plannerA.ran().size(), before);
+}
+
+/// Guards against a request that is cut off by a planned stop, and against a stop that takes longer than its grace.
+TEST_F(GatewayTest, AnswersWhatItReadBeforeItStops)
+{
+    m_deskA.setWork(1500ms);
+    m_deskB.setWork(1500ms);
+    const auto running = send(0, "/order/1", "order-1");
+    (void)runUntil(300ms, [] { return false; });
+    m_gateways[0]->signal(SIGTERM);
+    EXPECT_TRUE(runUntil(1s, [&] { return !isReady(0); }));
+    EXPECT_TRUE(runUntil(3s, [&] { return running->has_value(); }));
+    EXPECT_EQ(running->value().status, 200U);
+    EXPECT_EQ(findHeader(running->value().headers, "Connection"), "close");
+    EXPECT_TRUE(runUntil(6s, [&] { return !m_gateways[0]->running(); }));
+    EXPECT_EQ(call(1, "/read/1").status, 200U);
+}
+
+} // namespace
+} // namespace jasminespread::test
--- /dev/null
+++ b/tests/integration/platform_fake.h
@@ -0,0 +1,114 @@
+#pragma once
+
+#include "http/http_server.h"
+#include "ranges/key_range.h"
+
+#include <jasminespread/time.h>
+
+#include <boost/json.hpp>
+
+#include <cstdint>
+#include <functional>
+#include <list>
+#include <map>
+#include <memory>
+#include <set>
+#include <string>
+#include <vector>
+
+namespace jasminespread::test {
+
+/// Runs the default main context until @p condition holds; false after @p limit.
+[[nodiscard]] bool runUntil(Milliseconds limit, const std::function<bool()>& condition);
+
+/// The platform's object store in the form of its pages, in the test's process and on its default main context.
+class StoreFake {
+public:
+    enum class Mode : std::uint8_t { Serving, Busy, Silent };
+
+    explicit StoreFake(const std::string& address);
+
+    /// Writes an object as the operator or a server does.
+    void put(const std::string& kind, const std::string& name, const boost::json::value& spec);
+    void remove(const std::string& kind, const std::string& name);
+    void setMode(Mode mode);
+    /// Forgets the history: watches from an earlier revision are answered 410.
+    void compact() { m_oldest = m_revision; }
+    [[nodiscard]] const boost::json::value* spec(const std::string& kind, const std::string& name) const;
+    [[nodiscard]] std::uint64_t calls() const { return m_calls; }
+
+private:
+    struct Object {
+        std::uint64_t revision = 0;
+        std::uint64_t created = 0;
+        boost::json::value spec;
+    };
+    struct Change {
+        std::uint64_t revision = 0;
+        std::string kind;
+        std::string name;
+        bool deleted = false;
+        boost::json::value object;
+    };
+    struct Watch {
+        std::uint64_t request = 0;
+        std::string kind;
+        std::uint64_t from = 0;
+        MonotonicTime until;
+    };
+
+    void onRequest(std::uint64_t request, RawRequest&& raw);
+    void list(std::uint64_t request, const std::string& kind, const std::string& after);
+    void read(std::uint64_t request, const std::string& kind, const std::string& name);
+    void write(std::uint64_t request, const std::string& kind, const RawRequest& raw);
+    void answerWatches();
+    void answer(std::uint64_t request, unsigned status, const boost::json::value& body);
+    [[nodiscard]] static boost::json::value encode(const std::string& name, const Object& object);
+    void record(const std::string& kind, const std::string& name, bool deleted);
+
+    std::map<std::string, std::map<std::string, Object>> m_objects; ///< By kind and name.
+    std::vector<Change> m_history;
+    std::list<Watch> m_watches;
+    std::uint64_t m_revision = 100;
+    std::uint64_t m_oldest = 0;
+    std::uint64_t m_calls = 0;
+    Mode m_mode = Mode::Serving;
+    HttpServer m_server;
+};
+
+/// A backend server of the platform: answers requests with its seal, and takes grants of keys.
+class ServerFake {
+public:
+    ServerFake(std::string id, const std::string& address, bool keyed);
+
+    /// Its entry in the store.
+    [[nodiscard]] boost::json::value entry(const std::string& service, const std::string& state = "ready") const;
+    /// Requests wait this long for their answer.
+    void setWork(Milliseconds work) { m_work = work; }
+    [[nodiscard]] const std::vector<std::string>& ran() const { return m_ran; }
+    [[nodiscard]] bool holds(std::uint32_t key) const;
+    [[nodiscard]] const std::string& id() const { return m_id; }
+
+private:
+    struct Hold {
+        KeyRange range;
+        std::uint64_t fence = 0;
+        MonotonicTime until;
+    };
+
+    void onRequest(std::uint64_t request, RawRequest&& raw);
+    void grant(std::uint64_t request, const RawRequest& raw);
+    void release(std::uint64_t request, const RawRequest& raw);
+    void reply(std::uint64_t request, unsigned status, std::vector<HeaderField> headers, const std::string& body = "");
+
+    std::string m_id;
+    std::string m_address;
+    bool m_keyed;
+    Milliseconds m_work {0};
+    std::vector<Hold> m_holds;
+    std::uint64_t m_highestFence = 0;
+    std::vector<std::string> m_ran; ///< Request ids.
+    HttpServer m_server;
+};
+
+} // namespace jasminespread::test
