--- a/src/gateway/listed_server.h
+++ b/src/gateway/listed_server.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdint>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace jasminespread {
@@ -27,7 +28,11 @@
     std::string id;
     std::uint64_t bornAt = 0; ///< Start of the process, in milliseconds of the Unix epoch; 0 when not stated.
 
-    auto operator<=>(const ServerLife&) const = default;
+    bool operator==(const ServerLife&) const = default;
+    [[nodiscard]] bool operator<(const ServerLife& other) const
+    {
+        return std::tie(id, bornAt) < std::tie(other.id, other.bornAt);
+    }
 };
 
 /// A backend server as discovery lists it. The list lags.
--- a/src/ranges/range_keeper.cpp
+++ b/src/ranges/range_keeper.cpp
@@ -103,8 +103,8 @@
     for (const ListedServer& server : *m_servers) {
         if (server.service == m_service && isEligible(server.life)) {
             const auto moved = m_movedAt.find(server.life);
-            servers.push_back({server.life, capacityOf(server),
-                moved == m_movedAt.end() || m_now - moved->second >= moveInterval});
+            servers.push_back(
+                {server.life, capacityOf(server), moved == m_movedAt.end() || m_now - moved->second >= moveInterval});
         }
     }
     return servers;
@@ -218,8 +218,8 @@
 }
 
 /// Takes the range from @p holder. The only holder of an earlier term is first granted the range with a fence of this
-/// one, so that a superseded leader, or a late call of it, cannot give it the range again after the release. Where there
-/// are more, the end of the earlier term's holds is awaited.
+/// one, so that a superseded leader, or a late call of it, cannot give it the range again after the release. Where
+/// there are more, the end of the earlier term's holds is awaited.
 void RangeKeeper::freeFrom(Owned& owned, Holder& holder)
 {
     const bool isOnly = std::none_of(owned.holders.begin(), owned.holders.end(),
@@ -532,7 +532,8 @@
             route.address = owned.holders.front().who.address;
         }
         const auto lost = m_lostUntil.find(owned.holders.empty() ? ServerLife() : owned.holders.front().who.life);
-        route.moving = route.owner.id.empty() && owned.hasTarget && (lost == m_lostUntil.end() || lost->second <= m_now);
+        route.moving
+            = route.owner.id.empty() && owned.hasTarget && (lost == m_lostUntil.end() || lost->second <= m_now);
     }
     if (m_table && m_table->routes == table.routes) {
         return;
--- a/src/ranges/range_placement.cpp
+++ b/src/ranges/range_placement.cpp
@@ -92,8 +92,8 @@
 /// Takes a part, which lies at an end of a placed range, out of it.
 void removePart(std::vector<PlacedRange>& ranges, const KeyRange& part)
 {
-    const auto it = std::find_if(ranges.begin(), ranges.end(),
-        [&](const PlacedRange& placed) { return placed.range.contains(part.first); });
+    const auto it = std::find_if(
+        ranges.begin(), ranges.end(), [&](const PlacedRange& placed) { return placed.range.contains(part.first); });
     if (it->range == part) {
         ranges.erase(it);
     } else if (it->range.first == part.first) {
--- a/src/ranges/range_placement.h
+++ b/src/ranges/range_placement.h
@@ -38,8 +38,8 @@
     const std::vector<RangeServer>& servers, const std::vector<PlacedRange>& ranges, const KeyLoad& load);
 
 /// Chooses moves that even out the load: answers hot keys and servers that were added. Takes parts from the most loaded
-/// servers to the least loaded ones, each of which receives once; nothing while the difference is too small to pay for the time in
-/// which moved keys have no owner. Thread-safe.
+/// servers to the least loaded ones, each of which receives once; nothing while the difference is too small to pay for
+/// the time in which moved keys have no owner. Thread-safe.
 [[nodiscard]] std::vector<RangeMove> planMoves(
     const std::vector<RangeServer>& servers, const std::vector<PlacedRange>& ranges, const KeyLoad& load);
 
