--- a/daemons/jasminespread-gateway.cpp
+++ b/daemons/jasminespread-gateway.cpp
@@ -4,6 +4,8 @@
 
 #include <boost/program_options.hpp>
 
+#include <glib.h>
+
 #include <csignal>
 #include <cstdlib>
 #include <iostream>
@@ -14,6 +16,8 @@
 namespace {
 
 constexpr const char* program = "jasminespread-gateway";
+/// Time for the log's thread to write the last lines of a process that ends.
+constexpr unsigned long logFlushUs = 20'000;
 constexpr const char* settingsVariable = "JASMINESPREAD_NODE_FILE";
 
 /// Exit codes; --help lists them.
@@ -57,7 +61,9 @@
             BOOST_LEAF_AUTO(changed, platform::loadPlatformSettings(path));
             return platform::gatewaySettings(changed);
         }));
-    return Success;
+    // The log's thread does not always end when it is asked to, which kept processes until they were killed.
+    g_usleep(logFlushUs);
+    std::quick_exit(Success);
 }
 
 } // namespace
