--- a/daemons/jasminespread-entry.cpp
+++ b/daemons/jasminespread-entry.cpp
@@ -1,3 +1,5 @@
+#include "base/program_exit.h"
+
 #include <jasminespread/entry_daemon.h>
 #include <jasminespread/instance_settings.h>
 #include <jasminespread/log_event.h>
@@ -14,23 +16,6 @@
 
 constexpr const char* program = "jasminespread-entry";
 
-/// Exit codes; --help lists them.
-enum ExitCode : int { Success = 0, Failure = 1, BadInput = 2, AddressTaken = 3 };
-
-int report(const Error& error)
-{
-    std::cerr << program << ": " << describe(error) << '\n';
-    switch (error.kind) {
-    case ErrorKind::InvalidInput:
-    case ErrorKind::NotFound:
-        return BadInput;
-    case ErrorKind::AddressInUse:
-        return AddressTaken;
-    default:
-        return Failure;
-    }
-}
-
 } // namespace
 
 int main(int argc, char** argv)
@@ -75,5 +60,5 @@
             BOOST_LEAF_CHECK(runEntryDaemon(settings));
             return Success;
         },
-        report);
+        [](const Error& error) { return reportError(program, error); });
 }
--- a/daemons/jasminespread-gateway.cpp
+++ b/daemons/jasminespread-gateway.cpp
@@ -1,5 +1,7 @@
 #include "adapter.h"
 
+#include "base/program_exit.h"
+
 #include <jasminespread/log_event.h>
 
 #include <boost/program_options.hpp>
@@ -20,23 +22,6 @@
 constexpr unsigned long logFlushUs = 20'000;
 constexpr const char* settingsVariable = "JASMINESPREAD_NODE_FILE";
 
-/// Exit codes; --help lists them.
-enum ExitCode : int { Success = 0, Failure = 1, BadInput = 2, AddressTaken = 3 };
-
-int report(const Error& error)
-{
-    std::cerr << program << ": " << describe(error) << '\n';
-    switch (error.kind) {
-    case ErrorKind::InvalidInput:
-    case ErrorKind::NotFound:
-        return BadInput;
-    case ErrorKind::AddressInUse:
-        return AddressTaken;
-    default:
-        return Failure;
-    }
-}
-
 std::string settingsPath(const po::variables_map& values)
 {
     if (values.contains("settings")) {
@@ -100,5 +85,6 @@
     }
     // A peer that closes its connection is reported by the failing write, not by a signal.
     std::signal(SIGPIPE, SIG_IGN);
-    return handleError([&] { return run(path, values); }, report);
+    return handleError(
+        [&] { return run(path, values); }, [](const Error& error) { return reportError(program, error); });
 }
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -24,7 +24,6 @@
 using namespace std::chrono_literals;
 
 constexpr std::string_view recordKind = "jasminespread";
-constexpr std::string_view readinessPath = "/api/readiness";
 /// Interval of ticks of the range authority: a tenth of its shortest time.
 constexpr Milliseconds rangeTickInterval = 50ms;
 /// Keys are counted and handed to the range authority this often.
@@ -222,7 +221,7 @@
     void onReadiness(std::uint64_t caller, const RawRequest& request)
     {
         CallerAnswer answer;
-        answer.status = request.path != readinessPath ? 404 : isReady() ? 200 : 503;
+        answer.status = request.path != m_ports.readinessPath ? 404 : isReady() ? 200 : 503;
         m_readiness.answer(caller, std::move(answer));
     }
     /// @}
--- a/src/gateway/gateway_ports.h
+++ b/src/gateway/gateway_ports.h
@@ -23,6 +23,7 @@
         std::function<void(bool)> reachable;
     };
 
+    std::string readinessPath; ///< Where the balancer asks whether this instance is ready.
     std::function<std::variant<GatewayRequest, CallerAnswer>(RawRequest&&)> decodeRequest;
     std::function<CallerAnswer(AnswerRequest&&)> encodeAnswer;
     std::function<BackendRequest(const SendToServer&)> encodeSend;
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -47,7 +47,6 @@
     std::string body;
     Execution execution = Execution::MayHaveRun;
     bool genuine = true; ///< False: a success without the signs of a backend server's own, complete answer.
-    bool closing = false; ///< The server announced that it closes the connection.
 };
 
 } // namespace jasminespread
--- a/src/ranges/range_leadership.cpp
+++ b/src/ranges/range_leadership.cpp
@@ -169,7 +169,6 @@
         m_role = Role::Follower;
     }
     m_heardAt = now;
-    m_heardEver = true;
 }
 
 void RangeLeadership::succeed(MonotonicTime now)
--- a/src/ranges/range_leadership.h
+++ b/src/ranges/range_leadership.h
@@ -77,7 +77,6 @@
     std::uint64_t m_version = 0; ///< Of the stored record, as far as known.
     bool m_recordKnown = false; ///< The version is the newest one that this instance has reason to expect.
     MonotonicTime m_heardAt; ///< Last sign of the leader.
-    bool m_heardEver = false;
     MonotonicTime m_evidenceAt; ///< Start of the newest store call that showed this instance as leader.
     MonotonicTime m_tookOverAt;
     MonotonicTime m_awakeAt;
