--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -29,10 +29,12 @@
 constexpr double fullOwnerSlowness = 1.4;
 /// Slow start of a server that was just started: latency in multiples of the usual one.
 constexpr double coldSlowness = 2;
-/// A server that is full or broke a request is left out by the same request, never by all.
+/// @name HTTP status of answers that the gateway makes
+/// @{
 constexpr unsigned badGateway = 502;
 constexpr unsigned serviceUnavailable = 503;
 constexpr unsigned gatewayTimeout = 504;
+/// @}
 
 std::string latencyKey(const std::string& route, const std::string& service) { return route + '/' + service; }
 
