--- a/tests/gateway_policies_test.cpp
+++ b/tests/gateway_policies_test.cpp
@@ -154,6 +154,23 @@
     EXPECT_FALSE(fitsInTime(1400ms, need));
 }
 
+/// Load: too little for all. A request that would be much later than its objective gives its slot to another, although
+/// its caller would still wait; the plainer policy, up to the deadline, makes all of them late.
+TEST(AdmissionTest, RefusesWhatWouldBeMuchTooLate)
+{
+    const SelectionNeed patient {200ms, 600ms, 6000ms};
+    EXPECT_TRUE(fitsInTime(800ms, patient));
+    EXPECT_FALSE(fitsInTime(1000ms, patient));
+}
+
+/// Guards against a caller of a lost owner being held: a move is awaited, a loss is not.
+TEST(AdmissionTest, WaitsForAMoveAndNotForALostOwner)
+{
+    EXPECT_GE(ownerPatience(need, true), 1000ms);
+    EXPECT_LE(ownerPatience(need, false), 300ms);
+    EXPECT_EQ(ownerPatience({200ms, 600ms, 100ms}, true), 0ms);
+}
+
 /// Guards against returns beyond what callers honour, and against one wave of them.
 TEST(AdmissionTest, ReturnsAreSpreadAndShort)
 {
