Keep overload refusals of servers within the budget for second sends

Cause: after an overload each worker's limit grew again at once, and each free place was filled with the next queued request although the server had just refused one: in LoadTest.Overload 116 requests/s were refused by the servers, more than the budget for second sends, and 42 protected requests of 840 were lost.

--- a/src/entry/concurrency_limiter.h
+++ b/src/entry/concurrency_limiter.h
@@ -3,6 +3,7 @@
 #include <jasminespread/time.h>
 
 #include <cstdint>
+#include <optional>
 
 namespace jasminespread {
 
@@ -16,12 +17,12 @@
 };
 
 /// Limits the concurrent requests of one worker to one backend server: additive increase on success, multiplicative
-/// decrease on overload, and slow start. Not thread-safe.
+/// decrease on overload with slow growth afterwards, and slow start. Not thread-safe.
 class ConcurrencyLimiter {
 public:
     /// Sets the share of the server's slots that the limit starts at, and the highest limit. Both are at least 1.
     void configure(double share, double highest) noexcept;
-    [[nodiscard]] bool hasSlot() const noexcept { return m_inUse < static_cast<std::uint32_t>(m_limit); }
+    [[nodiscard]] bool hasSlot() const noexcept;
     /// Precondition: hasSlot().
     void acquire() noexcept { ++m_inUse; }
     /// Precondition: a matching acquire().
@@ -32,6 +33,7 @@
 
 private:
     void decrease(double factor, MonotonicTime now) noexcept;
+    [[nodiscard]] double growth(MonotonicTime now) const noexcept;
 
     double m_share = 1;
     double m_highest = 1;
@@ -39,6 +41,8 @@
     double m_slowStartEnd = 0; ///< Below it, each success raises the limit by 1.
     std::uint32_t m_inUse = 0;
     MonotonicTime m_decreasedAt;
+    /// Requests that the server kept when it refused another one. More are not sent before one of them has ended.
+    std::optional<std::uint32_t> m_accepted;
 };
 
 } // namespace jasminespread
