Tell resets and unsent grants apart from silence; renew grants on connections of their own

A hot key had filled its queue; it then resets connections beyond its shrinking cap, and two grants that met a reset within 0.1 s counted as loss. Grants took whatever pooled connection was free, so most renewals needed a new one. Change: the transport keeps pools apart, grants have their own; a reset counts a third of a silence; a grant of which no byte was written does not prolong what a server may hold, so that a lost server's keys are served again earlier.

--- a/include/jasminespread/backend_transport.h
+++ b/include/jasminespread/backend_transport.h
@@ -20,6 +20,8 @@
 /// One request to one backend server.
 struct BackendRequest {
     std::string address; ///< IP number and port.
+    /// Requests of one pool share connections only among themselves. Empty: the pool of all ordinary requests.
+    std::string pool;
     std::string method;
     std::string target; ///< Path and query.
     std::vector<HeaderField> headers; ///< A Host field among them replaces the address in the request's head.
--- a/src/ranges/range_event.h
+++ b/src/ranges/range_event.h
@@ -54,15 +54,17 @@
     Fenced, ///< The server has seen a higher fence.
     OtherServer, ///< Another server has the address: the one that was meant has ended.
     Refused, ///< The call was malformed in the server's eyes.
-    NoAnswer ///< It may have been carried out, or may be later.
+    NoAnswer, ///< It may have been carried out, or may be later.
+    NotSent ///< No byte of it was written: it is not carried out.
 };
 
-inline constexpr std::array<EnumName<GrantResult>, 5> grantResultNames {{
+inline constexpr std::array<EnumName<GrantResult>, 6> grantResultNames {{
     {GrantResult::Done, "done"},
     {GrantResult::Fenced, "fenced"},
     {GrantResult::OtherServer, "other-server"},
     {GrantResult::Refused, "refused"},
     {GrantResult::NoAnswer, "no-answer"},
+    {GrantResult::NotSent, "not-sent"},
 }};
 
 /// Ends a GrantRange or ReleaseRange effect.
@@ -70,6 +72,8 @@
     std::uint64_t call = 0;
     GrantResult result = GrantResult::NoAnswer;
     std::string handover; ///< Of a release.
+    /// Without an answer: the connection was refused or reset, as a server does whose queue is long. False: silence.
+    bool wasReset = false;
 };
 
 struct RangePeerMessage {
--- a/src/ranges/range_keeper.cpp
+++ b/src/ranges/range_keeper.cpp
@@ -14,8 +14,12 @@
 /// Bounds of a server's slowness: latency also rises with its load, which must not empty it.
 constexpr double lowestSlowness = 0.6;
 constexpr double highestSlowness = 2.5;
-/// Grants without an answer, in a row, after which another server gets the range.
-constexpr unsigned highestMisses = 2;
+/// Weights of grants without an answer, in a row, and their sum at which another server gets the range: two met
+/// silence, or six resets. A reset says that the server's host lives; a server with a long queue resets new
+/// connections.
+constexpr unsigned silentMiss = 3;
+constexpr unsigned resetMiss = 1;
+constexpr unsigned highestMisses = 6;
 constexpr Milliseconds retryInterval = 100ms;
 /// Attempts to fence off an earlier leader at a holder; each one without an answer prolongs what it may hold.
 constexpr unsigned highestFencingTries = 2;
@@ -267,6 +271,7 @@
         target.fence = m_numbers.nextFence();
         target.granted = false;
     }
+    owned.heldBeforeCall = target.mayHoldUntil;
     target.mayHoldUntil = std::max(target.mayHoldUntil, m_times.holdEnd(m_now));
     owned.call = m_numbers.nextCall();
     owned.callIsRelease = false;
@@ -306,18 +311,20 @@
     if (owned->callIsRelease) {
         finishRelease(*owned, *holder, event);
     } else {
-        finishGrant(*owned, *holder, event.result);
+        finishGrant(*owned, *holder, event);
     }
     return true;
 }
 
-void RangeKeeper::finishGrant(Owned& owned, Holder& target, GrantResult result)
+void RangeKeeper::finishGrant(Owned& owned, Holder& target, const RangeCallEnded& event)
 {
     const bool isTarget = owned.hasTarget && &target == &owned.holders.back();
-    if (result == GrantResult::NoAnswer) {
+    if (event.result == GrantResult::NoAnswer) {
         target.unansweredUntil = m_times.holdEnd(owned.callSentAt);
+    } else if (event.result == GrantResult::NotSent) {
+        target.mayHoldUntil = std::min(target.mayHoldUntil, owned.heldBeforeCall);
     }
-    switch (result) {
+    switch (event.result) {
     case GrantResult::Done:
         target.granted = true;
         target.earlier = false;
@@ -338,8 +345,10 @@
         return;
     case GrantResult::Refused:
     case GrantResult::NoAnswer:
+    case GrantResult::NotSent:
         owned.nextCallAt = m_now + retryInterval;
-        if (isTarget && ++owned.misses >= highestMisses) {
+        owned.misses += event.wasReset ? resetMiss : silentMiss;
+        if (isTarget && owned.misses >= highestMisses) {
             log(LogEvent::ServerLost, owned, target.who.life.id, "it does not answer grants");
             m_lostUntil[target.who.life] = m_now + lostTime;
         }
@@ -365,6 +374,7 @@
     case GrantResult::Fenced:
     case GrantResult::Refused:
     case GrantResult::NoAnswer:
+    case GrantResult::NotSent:
         owned.nextCallAt = m_now + releaseRetryInterval;
         return;
     }
--- a/src/ranges/range_keeper.h
+++ b/src/ranges/range_keeper.h
@@ -102,8 +102,9 @@
         bool callIsRelease = false;
         RangeHolder callTo;
         MonotonicTime callSentAt;
+        MonotonicTime heldBeforeCall; ///< mayHoldUntil of `callTo` without the grant in flight.
         MonotonicTime nextCallAt;
-        unsigned misses = 0; ///< Grants without an answer, in a row.
+        unsigned misses = 0; ///< Weight of the grants without an answer, in a row.
         MonotonicTime movedAt; ///< Last change of target by choice.
     };
 
@@ -122,7 +123,7 @@
     void sendGrant(Owned& owned, Holder& holder);
     void sendRelease(Owned& owned, Holder& holder);
     void dropEnded(Owned& owned);
-    void finishGrant(Owned& owned, Holder& target, GrantResult result);
+    void finishGrant(Owned& owned, Holder& target, const RangeCallEnded& event);
     void finishRelease(Owned& owned, Holder& holder, const RangeCallEnded& event);
     void rebalance();
     void move(const RangeMove& move, const std::vector<RangeServer>& servers);
--- a/src/transport/beast_backend_transport.cpp
+++ b/src/transport/beast_backend_transport.cpp
@@ -69,7 +69,7 @@
     std::function<bool(unsigned, const std::vector<HeaderField>&)> isAnswer;
     Milliseconds connectTimeout {0};
     bool mayEndWithConnection = false;
-    std::string address;
+    std::string host; ///< Key of its Host.
     MonotonicTime deadline; ///< Of the request, or of opening its connection while that comes first.
     MonotonicTime requestDeadline;
     std::string bytes; ///< The serialized request.
@@ -81,16 +81,16 @@
 
 /// One TCP connection; carries at most one exchange at a time.
 struct Connection {
-    Connection(std::uint64_t connectionNumber, int descriptor, std::string hostAddress)
+    Connection(std::uint64_t connectionNumber, int descriptor, std::string hostKey)
         : number(connectionNumber)
         , fd(descriptor)
-        , address(std::move(hostAddress))
+        , host(std::move(hostKey))
     {
     }
 
     std::uint64_t number;
     FdClose fd;
-    std::string address;
+    std::string host; ///< Key of its Host.
     GSourcePointer source; ///< Destroyed before the descriptor is closed.
     gpointer sourceTag = nullptr;
     GIOCondition condition {};
@@ -102,6 +102,7 @@
     MonotonicTime idleUntil; ///< Not used again after this time.
 };
 
+/// The connections of one pool to one address. Its key is the address, and after a space the pool's name.
 struct Host {
     std::uint32_t limit = defaultConnectionLimit;
     std::uint32_t open = 0;
@@ -109,6 +110,11 @@
     std::deque<BackendTransport::Handle> waiting;
 };
 
+std::string hostKey(const BackendRequest& request)
+{
+    return request.pool.empty() ? request.address : request.address + ' ' + request.pool;
+}
+
 std::string serialize(const BackendRequest& request)
 {
     http::request<http::string_body> message;
@@ -160,15 +166,16 @@
         exchange->isAnswer = std::move(request.isAnswer);
         exchange->connectTimeout = request.connectTimeout;
         exchange->mayEndWithConnection = request.mayEndWithConnection;
-        exchange->address = request.address;
+        exchange->host = hostKey(request);
         exchange->deadline = request.deadline;
         exchange->requestDeadline = request.deadline;
         exchange->isHead = request.method == "HEAD";
         exchange->bytes = serialize(request);
         m_deadlines.emplace(exchange->deadline, handle);
-        m_hosts[request.address].waiting.push_back(handle);
+        const std::string host = exchange->host;
+        m_hosts[host].waiting.push_back(handle);
         m_exchanges.emplace(handle, std::move(exchange));
-        startWaiting(request.address);
+        startWaiting(host);
         armTimer();
         return handle;
     }
@@ -182,11 +189,11 @@
             return;
         }
         const std::uint64_t connection = it->second->connection;
-        const std::string address = it->second->address;
+        const std::string host = it->second->host;
         takeExchange(handle);
         if (connection != 0) {
             closeConnection(connection);
-            startWaiting(address);
+            startWaiting(host);
         }
     }
 
@@ -216,7 +223,7 @@
         m_exchanges.erase(it);
         m_deadlines.erase({exchange->deadline, handle});
         if (exchange->connection == 0) {
-            std::erase(m_hosts[exchange->address].waiting, handle);
+            std::erase(m_hosts[exchange->host].waiting, handle);
         }
         return exchange;
     }
@@ -229,19 +236,19 @@
     }
 
     /// Gives waiting exchanges idle connections, or opens new ones up to the limit.
-    void startWaiting(const std::string& address)
+    void startWaiting(const std::string& key)
     {
-        Host& host = m_hosts[address];
+        Host& host = m_hosts[key];
         while (!host.waiting.empty()) {
             Connection* connection = takeIdle(host);
             if (connection == nullptr) {
                 if (host.open >= host.limit) {
                     return;
                 }
-                connection = openConnection(address, host);
+                connection = openConnection(key, host);
                 if (connection == nullptr) {
                     const BackendTransport::Handle handle = host.waiting.front();
-                    fail(handle, "cannot open a connection to " + address);
+                    fail(handle, "cannot open a connection to " + key);
                     continue;
                 }
             }
@@ -279,9 +286,9 @@
         return nullptr;
     }
 
-    Connection* openConnection(const std::string& text, Host& host)
+    Connection* openConnection(const std::string& key, Host& host)
     {
-        const std::optional<SocketAddress> address = parseSocketAddress(text);
+        const std::optional<SocketAddress> address = parseSocketAddress(key.substr(0, key.find(' ')));
         if (!address) {
             return nullptr;
         }
@@ -289,7 +296,7 @@
         if (fd < 0) {
             return nullptr;
         }
-        auto connection = std::make_unique<Connection>(m_nextNumber++, fd, text);
+        auto connection = std::make_unique<Connection>(m_nextNumber++, fd, key);
         const int one = 1;
         setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
         setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof one);
@@ -317,7 +324,7 @@
     void closeConnection(std::uint64_t number)
     {
         const auto it = m_connections.find(number);
-        Host& host = m_hosts[it->second->address];
+        Host& host = m_hosts[it->second->host];
         --host.open;
         std::erase(host.idle, number);
         it->second->fd.abort = it->second->parser != nullptr; // An exchange was under way.
@@ -493,17 +500,17 @@
         // A server may answer before it has read the whole request; the rest of it must not follow.
         const bool reusable = connection.parser->keep_alive() && connection.input.empty()
             && exchange->written == exchange->bytes.size();
-        const std::string address = exchange->address;
+        const std::string host = exchange->host;
         if (reusable) {
             connection.idleUntil = monotonicNow() + idleLimitOf(connection);
             connection.parser.reset();
             connection.reused = true;
-            m_hosts[address].idle.push_back(connection.number);
+            m_hosts[host].idle.push_back(connection.number);
         } else {
             connection.parser.reset();
             closeConnection(connection.number);
         }
-        startWaiting(address);
+        startWaiting(host);
         exchange->callback(std::move(result));
     }
 
@@ -515,21 +522,21 @@
         if (exchange.written > 0 || !connection.reused) {
             return failAndClose(connection, why);
         }
-        const std::string address = exchange.address;
+        const std::string host = exchange.host;
         exchange.connection = 0;
-        m_hosts[address].waiting.push_front(exchange.handle);
+        m_hosts[host].waiting.push_front(exchange.handle);
         closeConnection(connection.number);
-        startWaiting(address);
+        startWaiting(host);
     }
 
     void failAndClose(Connection& connection, const std::string& why, Cause cause = Cause::Connection)
     {
         const BackendTransport::Handle handle = connection.exchange;
-        const std::string address = connection.address;
+        const std::string host = connection.host;
         m_exchanges.at(handle)->reused = connection.reused;
         fail(handle, why, cause);
         closeConnection(connection.number);
-        startWaiting(address);
+        startWaiting(host);
     }
 
     /// Ends an exchange without an answer. Its callback runs from the main loop.
@@ -596,11 +603,11 @@
         while (!transport.m_deadlines.empty() && transport.m_deadlines.begin()->first <= now) {
             const BackendTransport::Handle handle = transport.m_deadlines.begin()->second;
             const std::uint64_t connection = transport.m_exchanges.at(handle)->connection;
-            const std::string address = transport.m_exchanges.at(handle)->address;
+            const std::string host = transport.m_exchanges.at(handle)->host;
             transport.fail(handle, "the deadline passed", Cause::Deadline);
             if (connection != 0) {
                 transport.closeConnection(connection);
-                transport.startWaiting(address);
+                transport.startWaiting(host);
             }
         }
         while (!transport.m_finished.empty()) {
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -232,7 +232,15 @@
     EXPECT_EQ(decodeGrantAnswer(1, answered(421, {})).result, GrantResult::OtherServer);
     EXPECT_EQ(decodeGrantAnswer(1, answered(400, {})).result, GrantResult::Refused);
     EXPECT_EQ(decodeGrantAnswer(1, answered(500, {})).result, GrantResult::NoAnswer);
-    EXPECT_EQ(decodeGrantAnswer(1, BackendResult()).result, GrantResult::NoAnswer);
+    EXPECT_EQ(decodeGrantAnswer(1, BackendResult()).result, GrantResult::NotSent);
+    BackendResult silent;
+    silent.progress = BackendProgress::Broken;
+    silent.timedOut = true;
+    EXPECT_EQ(decodeGrantAnswer(1, silent).result, GrantResult::NoAnswer);
+    EXPECT_FALSE(decodeGrantAnswer(1, silent).wasReset);
+    silent.timedOut = false;
+    EXPECT_EQ(decodeGrantAnswer(1, silent).result, GrantResult::NoAnswer);
+    EXPECT_TRUE(decodeGrantAnswer(1, silent).wasReset);
 }
 
 } // namespace
--- a/tests/range_authority_test.cpp
+++ b/tests/range_authority_test.cpp
@@ -117,6 +117,68 @@
     EXPECT_LE(granted, heldUntil + 1s);
 }
 
+/// Guards against keys without an owner: a server with a long queue resets new connections, and is not lost.
+TEST_F(RangeKeeperTest, KeepsAServerThatResetsConnections)
+{
+    m_keeper.adopt(std::nullopt, 0, start);
+    list({server("a"), server("b")});
+    RangeEffects effects = stepAndStore();
+    std::map<std::string, KeyRange> owned;
+    std::vector<std::uint64_t> calls;
+    const auto collect = [&] {
+        calls.clear();
+        for (const RangeEffect& effect : effects) {
+            if (const auto* grant = std::get_if<GrantRange>(&effect)) {
+                owned[grant->server.life.id] = grant->range;
+                calls.push_back(grant->call);
+            }
+        }
+    };
+    collect();
+    for (const std::uint64_t call : calls) {
+        (void)m_keeper.callEnded({call, GrantResult::Done, ""}, m_now);
+    }
+    const std::map<std::string, KeyRange> before = owned;
+    for (int i = 0; i < 5; ++i) {
+        do {
+            effects = stepAndStore(50ms);
+        } while (find<GrantRange>(effects) == nullptr);
+        collect();
+        for (const std::uint64_t call : calls) {
+            (void)m_keeper.callEnded({call, GrantResult::NotSent, "", true}, m_now);
+        }
+    }
+    EXPECT_EQ(owned, before);
+}
+
+/// Guards against a long time without an owner: a grant that was not sent does not prolong what a lost server holds.
+TEST_F(RangeKeeperTest, UnsentGrantsDoNotProlongAHold)
+{
+    m_keeper.adopt(std::nullopt, 0, start);
+    list({server("a")});
+    RangeEffects effects = stepAndStore();
+    const MonotonicTime grantedAt = m_now;
+    (void)end(find<GrantRange>(effects)->call, GrantResult::Done);
+    list({server("a"), server("b")});
+    MonotonicTime movedAt;
+    for (int i = 0; i < 200 && movedAt == MonotonicTime(); ++i) {
+        effects = stepAndStore(50ms);
+        for (const RangeEffect& effect : effects) {
+            if (const auto* grant = std::get_if<GrantRange>(&effect)) {
+                if (grant->server == holder("b")) {
+                    movedAt = m_now;
+                } else {
+                    (void)m_keeper.callEnded({grant->call, GrantResult::NotSent, "", true}, m_now);
+                }
+            } else if (const auto* release = std::get_if<ReleaseRange>(&effect)) {
+                (void)m_keeper.callEnded({release->call, GrantResult::NotSent, "", true}, m_now);
+            }
+        }
+    }
+    EXPECT_GE(movedAt, m_times.holdEnd(grantedAt));
+    EXPECT_LE(movedAt, m_times.holdEnd(grantedAt) + 200ms);
+}
+
 /// Guards against a late call of a superseded leader: the holder gets a higher fence before it releases.
 TEST_F(RangeKeeperTest, FencesAnEarlierHolderBeforeItsRelease)
 {
--- a/tests/range_simulation.cpp
+++ b/tests/range_simulation.cpp
@@ -190,8 +190,13 @@
         });
     };
     const auto server = find(effect.server);
-    if (server == m_servers.end() || !server->up || server->cut) {
-        return answer(GrantResult::NoAnswer, 400ms);
+    if (server == m_servers.end() || server->cut) {
+        return answer(random() < 0.5 ? GrantResult::NotSent : GrantResult::NoAnswer, 400ms);
+    }
+    if (!server->up || random() < m_resets) {
+        return after(1ms, [this, name, incarnation, call = effect.call] {
+            deliver(name, incarnation, RangeCallEnded {call, GrantResult::NotSent, "", true});
+        });
     }
     const MonotonicTime arrivesAt = m_now + 2ms;
     if (random() < m_lateGrants) {
--- a/tests/range_simulation.h
+++ b/tests/range_simulation.h
@@ -105,6 +105,7 @@
     bool m_storeDown = false;
     double m_lostAnswers = 0; ///< Share of store writes that are done and not answered.
     double m_lateGrants = 0; ///< Share of grants that are not answered and carried out late.
+    double m_resets = 0.02; ///< Part of the grants whose connection a living server resets.
     std::vector<std::pair<std::string, std::uint64_t>> m_lastFence; ///< Server and fence by key.
     std::vector<std::string> m_violations;
     double m_heldTime = 0;
