--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -172,7 +172,7 @@
         record(job, dispatch.server, "server-failed", "status " + std::to_string(job.failure->status));
         return retry(job, "the backend server failed the request");
     }
-    server.seen.answered(latency, typicalOf(job), dispatch.queueFactor, m_now);
+    server.seen.answered(latency, typicalOf(job), m_now);
     m_latencies.at(latencyKey(job.route->name, job.service)).observe(latency);
     deliver(job, std::move(answer));
 }
@@ -417,9 +417,7 @@
 void GatewayReducer::dispatch(Job& job, Server& server)
 {
     const std::uint64_t number = m_nextNumber++;
-    const double requests = server.seen.inFlight() + server.othersInFlight + 1;
-    job.dispatches.push_back(
-        {number, server.listed.life.id, m_now, std::max(1.0, requests / std::max(1U, server.listed.slots))});
+    job.dispatches.push_back({number, server.listed.life.id, m_now});
     job.tried.insert(server.listed.life.id);
     ++job.sends;
     m_dispatches.emplace(number, job.number);
--- a/src/gateway/gateway_reducer.h
+++ b/src/gateway/gateway_reducer.h
@@ -62,7 +62,6 @@
         std::uint64_t number = 0;
         std::string server;
         MonotonicTime startedAt;
-        double queueFactor = 1; ///< Requests at the server when it was sent, this one included, per slot; at least 1.
     };
 
     struct Job {
--- a/src/gateway/server_observation.cpp
+++ b/src/gateway/server_observation.cpp
@@ -33,14 +33,13 @@
     return m_rest + (m_value - m_rest) * std::exp2(-std::max(0.0, ms) / m_halfLifeMs);
 }
 
-void ServerObservation::answered(
-    Milliseconds latency, Milliseconds typical, double queueFactor, MonotonicTime now) noexcept
+void ServerObservation::answered(Milliseconds latency, Milliseconds typical, MonotonicTime now) noexcept
 {
     const double ratio
         = static_cast<double>(latency.count()) / std::max<double>(1, static_cast<double>(typical.count()));
     m_slowness.observe(std::min(ratio, highestRatio), latencyWeight, now);
     ++m_answers;
-    m_ratios += std::min(ratio / std::max(1.0, queueFactor), highestRatio);
+    m_ratios += std::min(ratio, highestRatio);
     m_failures.observe(0, successWeight, now);
     m_unreachableTimes = 0;
 }
--- a/src/gateway/server_observation.h
+++ b/src/gateway/server_observation.h
@@ -33,9 +33,8 @@
 class ServerObservation {
 public:
     void started() noexcept { ++m_inFlight; }
-    /// A request ended after @p latency; other servers need @p typical for such requests. @p queueFactor is by how much
-    /// the requests ahead of it prolonged it, 1 where a slot was free; it is no part of the server's speed.
-    void answered(Milliseconds latency, Milliseconds typical, double queueFactor, MonotonicTime now) noexcept;
+    /// A request ended after @p latency; other servers need @p typical for such requests.
+    void answered(Milliseconds latency, Milliseconds typical, MonotonicTime now) noexcept;
     /// A request was given up after @p age without an answer.
     void abandoned(Milliseconds age, Milliseconds typical, MonotonicTime now) noexcept;
     /// The server refused a request before it ran.
