--- a/tests/range_authority_test.cpp
+++ b/tests/range_authority_test.cpp
@@ -5,6 +5,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <random>
 
 namespace jasminespread {
 namespace {
@@ -399,6 +400,64 @@
     EXPECT_LT(highest(), 2);
 }
 
+/// Load: one key gets a quarter of the requests from one moment on, more than its server can do. Guards against moves
+/// of that key itself, which cost its callers a second each and only make another server the full one; the other keys
+/// of its server are moved away instead.
+TEST(RangePlacementTest, LeavesAHotKeyAndMovesItsNeighbours)
+{
+    constexpr std::uint32_t hotKey = 44111;
+    constexpr double requestsPerSecond = 160;
+    constexpr std::size_t n = 14;
+    std::mt19937 random(3);
+    std::uniform_int_distribution<std::uint32_t> anyKey(0, highestKey);
+    KeyLoad load;
+    std::vector<RangeServer> all = servers(n);
+    std::vector<MonotonicTime> movedAt(n);
+    std::vector<PlacedRange> ranges;
+    for (const RangeMove& move : divideKeys(all)) {
+        ranges.push_back({move.range, move.to, true});
+    }
+    const auto rangeOf = [&](std::uint32_t key) {
+        return std::find_if(
+            ranges.begin(), ranges.end(), [key](const PlacedRange& range) { return range.range.contains(key); });
+    };
+    const std::size_t hotServer = *rangeOf(hotKey)->server;
+    unsigned hotMoves = 0;
+    for (MonotonicTime now = start; now < start + 9s; now += 300ms) {
+        load.decay(now);
+        for (int i = 0; i < static_cast<int>(requestsPerSecond * 0.3); ++i) {
+            const bool hot = now >= start + 3s && random() % 4 == 0;
+            load.add(static_cast<std::uint16_t>(hot ? hotKey : anyKey(random)), 1);
+        }
+        for (std::size_t i = 0; i < n; ++i) {
+            all[i].movable = now - movedAt[i] >= 1s;
+        }
+        for (const RangeMove& move : planMoves(all, ranges, load)) {
+            const PlacedRange whole = *rangeOf(move.range.first);
+            ranges.erase(rangeOf(move.range.first));
+            hotMoves += move.range.contains(hotKey) ? 1 : 0;
+            movedAt[*whole.server] = now;
+            movedAt[move.to] = now;
+            ranges.push_back({move.range, move.to, true});
+            if (whole.range.first < move.range.first) {
+                ranges.push_back({{whole.range.first, move.range.first - 1}, whole.server, true});
+            }
+            if (whole.range.last > move.range.last) {
+                ranges.push_back({{move.range.last + 1, whole.range.last}, whole.server, true});
+            }
+        }
+    }
+    double neighbours = 0;
+    for (const PlacedRange& range : ranges) {
+        if (range.server == hotServer) {
+            neighbours += load.of(range.range);
+        }
+    }
+    neighbours -= load.ofKey(hotKey);
+    EXPECT_EQ(hotMoves, 0U);
+    EXPECT_LT(neighbours, 0.3 * load.total() / n);
+}
+
 /// Load: an even day. Guards against moves that cost callers time and gain nothing.
 TEST(RangePlacementTest, LeavesAnEvenLoadAlone)
 {
