Pass changes of servers and configuration on from the leader

Cause: every instance watched both feeds of the store. Change: the leader watches closely (0.5 s a watch) and passes changes on; its heartbeat tells the revision of the last change and the age of its view. An instance relies on a view of 1.4 s at most, and watches the store itself otherwise. What it misses it fetches; changes above 4 KB (a whole configuration) are fetched by each instance.

--- a/include/jasminespread/log_event.h
+++ b/include/jasminespread/log_event.h
@@ -48,7 +48,8 @@
     RequestDecided = 504,
     StoreUnavailable = 600,
     StoreAvailable = 601,
-    StoreOutcomeUnknown = 602
+    StoreOutcomeUnknown = 602,
+    FeedSourceChanged = 603
 };
 
 struct LogEventInfo {
@@ -58,7 +59,7 @@
     std::string_view meaning;
 };
 
-inline constexpr std::array<LogEventInfo, 28> logEventCatalogue {{
+inline constexpr std::array<LogEventInfo, 29> logEventCatalogue {{
     {LogEvent::ProcessStarted, LogLevel::Info, "process-started", "The process listens on all its addresses."},
     {LogEvent::ProcessStopping, LogLevel::Info, "process-stopping", "A stop was requested; requests drain."},
     {LogEvent::ProcessStopped, LogLevel::Info, "process-stopped", "The process ends."},
@@ -95,6 +96,8 @@
     {LogEvent::StoreAvailable, LogLevel::Info, "store-available", "The platform's store answers again."},
     {LogEvent::StoreOutcomeUnknown, LogLevel::Warning, "store-outcome-unknown",
         "The answer to a store write was lost; the object is read back."},
+    {LogEvent::FeedSourceChanged, LogLevel::Info, "feed-source-changed",
+        "The instance watches the store itself, or relies on the leader's view."},
 }};
 
 /// Sets up log4cplus. @p level is a name from logLevelNames; an empty @p file logs to standard error.
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -95,7 +95,11 @@
         g_source_set_callback(m_wakeSource.get(), onWake, this, nullptr);
         g_source_attach(m_wakeSource.get(), nullptr);
         m_ports.start({[this](GatewayConfiguration&& configuration) { onConfiguration(std::move(configuration)); },
-            [this](ServerList&& servers) { onServers(servers); }, [this](bool reachable) { onReachable(reachable); }});
+            [this](ServerList&& servers) { onServers(servers); }, [this](bool reachable) { onReachable(reachable); },
+            [this](const std::string& feed, FeedRevision revision, bool byStore) {
+                applyRange(FeedAnswered {feed, revision, byStore});
+            },
+            [this](FeedChange&& change) { applyRange(FeedChanged {std::move(change)}); }});
         logEvent(LogEvent::ProcessStarted,
             "instance=" + m_settings.instance + " incarnation=" + std::to_string(m_incarnation));
         g_main_loop_run(m_loop);
@@ -356,6 +360,13 @@
     void executeRange(PublishRanges&& effect) { apply(RangesRouted {std::move(effect.table)}); }
     void executeRange(PublishLoads&& effect) { apply(LoadsShared {std::move(effect.inFlight)}); }
     void executeRange(PublishInstances&& effect) { apply(InstancesCounted {effect.instances}); }
+    void executeRange(FollowFeeds&& effect)
+    {
+        logEvent(LogEvent::FeedSourceChanged, "source=" + std::string(enumName(feedSourceNames, effect.source)));
+        m_ports.follow(effect.source);
+    }
+    void executeRange(ApplyFeedChange&& effect) { m_ports.apply(effect.change); }
+    void executeRange(FetchFeed&& effect) { m_ports.fetch(effect.feed); }
     void executeRange(WriteRangeLog&& effect) { logEvent(effect.event, effect.details); }
 
     static gboolean onRangeTick(gpointer data)
--- a/src/gateway/gateway_ports.h
+++ b/src/gateway/gateway_ports.h
@@ -21,6 +21,10 @@
         std::function<void(ServerList&&)> listed;
         /// The list of servers began to be answered by the store, or stopped.
         std::function<void(bool)> reachable;
+        /// How new the state of a feed is now, by an answer of the store or by apply().
+        std::function<void(const std::string& feed, FeedRevision revision, bool byStore)> answered;
+        /// A watch brought changes, for instances that do not watch themselves.
+        std::function<void(FeedChange&&)> changed;
     };
 
     std::string readinessPath; ///< Where the balancer asks whether this instance is ready.
@@ -33,6 +37,12 @@
     std::function<RangeCallEnded(std::uint64_t call, const BackendResult&)> decodeGrantAnswer;
     ObjectStore records; ///< Stored records of the product; `list` and `instances` are empty.
     std::function<void(Feed)> start; ///< Called once, before any other hook.
+    /// Says where the feeds are followed from now on; at first it is the store.
+    std::function<void(FeedSource)> follow;
+    /// Applies changes that another instance passed on. Changes that do not fit the known state are left out.
+    std::function<void(const FeedChange&)> apply;
+    /// Asks the store once for the changes of a feed.
+    std::function<void(const std::string& feed)> fetch;
 };
 
 } // namespace jasminespread
--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -21,6 +21,9 @@
 /// Owners in a RangeTableView: a range that is being released, and the first index of a server.
 constexpr std::uint32_t movingOwner = 1;
 constexpr std::uint32_t firstOwner = 2;
+/// A larger change, as of a whole configuration, is fetched by each instance: the store's link is faster than the
+/// leader's.
+constexpr std::size_t highestPassedOnBytes = 4096;
 /// Keys of one report; the ones beyond it are left out of the load.
 constexpr std::size_t highestReportedKeys = 2048;
 
@@ -79,6 +82,19 @@
     } else if (m_now >= m_nextReportAt) {
         sendReport();
     }
+    followFeeds();
+}
+
+void RangeAuthority::followFeeds()
+{
+    const FeedSource source = m_view.source(m_term != 0 && !m_members.empty(), m_now);
+    if (source != m_feedSource) {
+        m_feedSource = source;
+        m_effects.emplace_back(FollowFeeds {source});
+    }
+    for (std::string& feed : m_view.feedsBehind(m_now)) {
+        m_effects.emplace_back(FetchFeed {std::move(feed)});
+    }
 }
 
 void RangeAuthority::handle(RangeServersListed&& event)
@@ -199,6 +215,8 @@
         receive(envelope.instance_report(), envelope.sender());
     } else if (envelope.has_range_table_view()) {
         receive(envelope.range_table_view());
+    } else if (envelope.has_feed_change()) {
+        receive(envelope.feed_change());
     }
 }
 
@@ -241,6 +259,33 @@
 
 void RangeAuthority::handle(StoreReached&& event) { m_reachesStore = event.reachable; }
 
+void RangeAuthority::handle(FeedAnswered&& event)
+{
+    if (event.byStore) {
+        m_view.answered(event.feed, event.revision, m_now);
+    } else {
+        m_view.learned(event.feed, event.revision);
+    }
+}
+
+void RangeAuthority::handle(FeedChanged&& event)
+{
+    if (m_term == 0) {
+        return;
+    }
+    for (const auto& [id, member] : m_members) {
+        wire::Envelope envelope;
+        wire::FeedChange& change = *envelope.mutable_feed_change();
+        change.set_feed(event.change.feed);
+        change.set_base_revision(event.change.baseRevision);
+        change.set_revision(event.change.revision);
+        if (event.change.payload.size() <= highestPassedOnBytes) {
+            change.set_payload(event.change.payload);
+        }
+        m_effects.emplace_back(SendRangePeer {id, std::move(envelope)});
+    }
+}
+
 void RangeAuthority::handle(RangeStopRequested&&)
 {
     m_stopping = true;
@@ -264,6 +309,14 @@
         m_instances = message.instances();
         m_effects.emplace_back(PublishInstances {m_instances});
     }
+    if (message.feeds_size() > 0) {
+        SharedFeeds shared;
+        shared.age = Milliseconds(message.feed_age_ms());
+        for (const wire::FeedState& feed : message.feeds()) {
+            shared.revisions[feed.feed()] = feed.revision();
+        }
+        m_view.heard(shared, m_now);
+    }
     std::map<std::string, std::uint32_t> busy;
     for (const wire::ServerLoad& load : message.loads()) {
         busy[load.id()] = load.in_flight();
@@ -328,6 +381,16 @@
     }
 }
 
+void RangeAuthority::receive(const wire::FeedChange& message)
+{
+    if (message.payload().empty()) {
+        m_effects.emplace_back(FetchFeed {message.feed()});
+    } else {
+        m_effects.emplace_back(
+            ApplyFeedChange {{message.feed(), message.base_revision(), message.revision(), message.payload()}});
+    }
+}
+
 void RangeAuthority::adoptTable(std::shared_ptr<const RangeTable> table)
 {
     std::shared_ptr<const RangeTable>& known = m_tables[table->service];
@@ -439,6 +502,7 @@
     const std::string successor = handsOver ? chooseSuccessor() : std::string();
     const std::map<std::string, std::uint32_t> busy = busyServers();
     m_effects.emplace_back(PublishLoads {busy});
+    const std::optional<SharedFeeds> view = m_view.describe(m_now);
     for (const auto& [id, member] : m_members) {
         wire::Envelope envelope;
         wire::RangeLeaderHeartbeat& heartbeat = *envelope.mutable_range_leader_heartbeat();
@@ -447,6 +511,14 @@
         heartbeat.set_instances(m_instances);
         heartbeat.set_leaving(m_stopping);
         heartbeat.set_successor(successor);
+        if (view) {
+            heartbeat.set_feed_age_ms(static_cast<std::uint32_t>(view->age.count()));
+            for (const auto& [feed, revision] : view->revisions) {
+                wire::FeedState& state = *heartbeat.add_feeds();
+                state.set_feed(feed);
+                state.set_revision(revision);
+            }
+        }
         for (const auto& [server, n] : busy) {
             wire::ServerLoad& load = *heartbeat.add_loads();
             load.set_id(server);
--- a/src/ranges/range_authority.h
+++ b/src/ranges/range_authority.h
@@ -57,11 +57,14 @@
     void handle(KeysCounted&& event);
     void handle(SpeedsObserved&& event);
     void handle(StoreReached&& event);
+    void handle(FeedAnswered&& event);
+    void handle(FeedChanged&& event);
     void handle(RangeStopRequested&& event);
 
     void receive(const wire::RangeLeaderHeartbeat& message, const wire::InstanceReference& sender);
     void receive(const wire::InstanceReport& message, const wire::InstanceReference& sender);
     void receive(const wire::RangeTableView& message);
+    void receive(const wire::FeedChange& message);
 
     void followLeadership();
     void beginTerm();
@@ -74,6 +77,7 @@
     void sendHeartbeats();
     void sendReport();
     void connectPeers();
+    void followFeeds();
     void sendTables(const std::string& to, Member& member);
     void countMembers();
     [[nodiscard]] MonotonicTime earlierHoldEnd() const;
@@ -106,6 +110,8 @@
     MonotonicTime m_nextReportAt;
     MonotonicTime m_nextStepAt;
     std::vector<RangePeer> m_peers;
+    ViewSharing m_view;
+    FeedSource m_feedSource = FeedSource::Store;
     std::uint32_t m_instances = 0;
 
     std::map<std::string, std::shared_ptr<const RangeTable>> m_tables; ///< Newest, by service.
--- a/src/ranges/range_event.h
+++ b/src/ranges/range_event.h
@@ -4,6 +4,7 @@
 #include "gateway/listed_server.h"
 #include "ranges/key_range.h"
 #include "ranges/range_record.h"
+#include "ranges/view_sharing.h"
 
 #include <jasminespread/log_event.h>
 #include <jasminespread/object_store.h>
@@ -104,11 +105,24 @@
     bool reachable = false;
 };
 
+/// The state of a feed is known as of a revision.
+struct FeedAnswered {
+    std::string feed;
+    FeedRevision revision;
+    bool byStore = false; ///< The store said so; false: the leader.
+};
+
+/// The store reported changes of a feed.
+struct FeedChanged {
+    FeedChange change;
+};
+
 /// The process is to stop.
 struct RangeStopRequested { };
 
-using RangeEvent = std::variant<RangeTick, RangeServersListed, RangeServicesConfigured, RecordRead, RecordWritten,
-    RangeCallEnded, RangePeerMessage, KeysCounted, SpeedsObserved, StoreReached, RangeStopRequested>;
+using RangeEvent
+    = std::variant<RangeTick, RangeServersListed, RangeServicesConfigured, RecordRead, RecordWritten, RangeCallEnded,
+        RangePeerMessage, KeysCounted, SpeedsObserved, StoreReached, FeedAnswered, FeedChanged, RangeStopRequested>;
 
 /// `now` counts time in which the machine was suspended, so that a hold is never thought to last longer than it does.
 struct TimedRangeEvent {
@@ -175,13 +189,28 @@
     std::uint32_t instances = 1;
 };
 
+/// Changes where the feeds are followed.
+struct FollowFeeds {
+    FeedSource source = FeedSource::Store;
+};
+
+/// Changes of a feed arrived from the leader.
+struct ApplyFeedChange {
+    FeedChange change;
+};
+
+/// Asks the store for the changes of one feed.
+struct FetchFeed {
+    std::string feed;
+};
+
 struct WriteRangeLog {
     LogEvent event {};
     std::string details;
 };
 
 using RangeEffect = std::variant<ReadRecord, WriteRecord, GrantRange, ReleaseRange, SendRangePeer, ConnectRangePeers,
-    PublishRanges, PublishLoads, PublishInstances, WriteRangeLog>;
+    PublishRanges, PublishLoads, PublishInstances, FollowFeeds, ApplyFeedChange, FetchFeed, WriteRangeLog>;
 using RangeEffects = std::vector<RangeEffect>;
 /// @}
 
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -173,6 +173,24 @@
     EXPECT_FALSE(runUntil(1s, [&] { return call(0, "/old/").status == 200; }));
 }
 
+/// Guards against calls to the store that grow with the instances: one of them watches, and what it learns reaches the
+/// others, also after it was lost.
+TEST_F(GatewayTest, OneInstanceWatchesTheStoreForAll)
+{
+    (void)runUntil(2s, [] { return false; });
+    const std::uint64_t before = m_store.calls();
+    (void)runUntil(4s, [] { return false; });
+    // Two feeds twice a second, and the leader's own record once.
+    EXPECT_LE(m_store.calls() - before, 4U * (2 * 2 + 1) + 4);
+    m_store.put("config", "main", configuration(20, "/shared/"));
+    EXPECT_TRUE(runUntil(2s, [&] { return call(0, "/shared/").status == 200 && call(1, "/shared/").status == 200; }));
+    const json::object leader = json::parse(m_store.spec("jasminespread", "leader")->as_string()).as_object();
+    const unsigned lost = leader.at("instance").as_string() == "edge-0" ? 0 : 1;
+    m_gateways[lost]->kill();
+    m_store.put("config", "main", configuration(21, "/alone/"));
+    EXPECT_TRUE(runUntil(2s, [&] { return call(1 - lost, "/alone/").status == 200; }));
+}
+
 /// Guards against keys without an owner after the instance that grants them was lost.
 TEST_F(GatewayTest, ServesKeysAfterTheLossOfTheLeader)
 {
