Keep earlier leaders that may still grant when a leader known by heartbeat is succeeded

Change: a read record replaces the known one of the same term. Test: RangeLeadershipTest.KeepsUnconfirmedLeadersOfATermKnownByHeartbeat (fails before).

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -37,6 +37,8 @@
 /// Reserve before the forced end of the process.
 constexpr Milliseconds stopReserve = 300ms;
 constexpr Milliseconds drainedIdleTimeout = 3000ms;
+/// Part of a core from which on an instance is entirely fit to lead: the largest share of the users' instances.
+constexpr double fitProcessorShare = 0.5;
 /// A release is answered when the work on its keys has ended.
 constexpr Milliseconds releaseTimeout = 2500ms;
 
@@ -66,7 +68,7 @@
         , m_ports(makePorts(m_transport))
         , m_reducer(settings.self, drawSeed())
         , m_authority(LeaderRecord {0, settings.instance, m_incarnation, settings.controlAddress, {}},
-              rangeTimes(settings), LeadershipTimes(), drawSeed())
+              rangeTimes(settings), leadershipTimes(settings), drawSeed())
         , m_directory(serverReturnTime)
         , m_callers(HttpServerLimits(),
               {[this](std::uint64_t caller, RawRequest&& raw) { onRequest(caller, std::move(raw)); },
@@ -116,6 +118,13 @@
         return times;
     }
 
+    static LeadershipTimes leadershipTimes(const GatewayDaemonSettings& settings)
+    {
+        LeadershipTimes times;
+        times.fitness = std::clamp(settings.processorShare / fitProcessorShare, 0.0, 1.0);
+        return times;
+    }
+
     Result<void> startPeers()
     {
         InstanceSettings settings;
@@ -287,8 +296,9 @@
     void execute(RecordDecision&& effect)
     {
         logEvent(LogEvent::RequestDecided,
-            "id=" + effect.requestId + " route=" + effect.route + " service=" + effect.service + " server="
-                + effect.server + " decision=" + std::string(effect.decision) + " why=\"" + effect.reason + "\"");
+            "id=" + effect.requestId + " route=" + effect.route + " service=" + effect.service
+                + " server=" + effect.server + " age-ms=" + std::to_string(effect.age.count())
+                + " decision=" + std::string(effect.decision) + " why=\"" + effect.reason + "\"");
     }
 
     static gboolean onWake(gpointer data)
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -23,6 +23,7 @@
     GatewaySelf self;
     Milliseconds stopGrace {6000}; ///< From the request to stop to the forced end.
     Milliseconds highestHold {10'000}; ///< Of a grant of keys.
+    double processorShare = 1; ///< Of a core, that the process may use.
 };
 
 /// Runs a gateway until SIGTERM or SIGINT: one thread, one main loop. @p makePorts gets the transport for its calls.
--- a/src/gateway/gateway_event.h
+++ b/src/gateway/gateway_event.h
@@ -117,6 +117,7 @@
     std::string server; ///< Empty when none was involved.
     std::string_view decision; ///< What was done.
     std::string reason; ///< Why, with the inputs that decided it.
+    Milliseconds age {0}; ///< Of the request.
 };
 
 /// A request for a key arrived.
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -18,9 +18,9 @@
 constexpr std::uint32_t highestUnsent = 6;
 /// Pause before an owner that refused a key is asked again while no newer ranges arrive.
 constexpr Milliseconds ownerRetry = 60ms;
-/// How long the leaving owner of a key still gets requests for it: half of the time that servers may be sent work after
-/// they announced that they leave, as the announcement takes a while to arrive.
-constexpr Milliseconds ownerDrainTime = 1000ms;
+/// How long the leaving owner of a key still gets requests for it, as a part of the drain time: the announcement takes
+/// a while to arrive.
+constexpr double ownerPartOfDrainTime = 0.5;
 /// Latency, in multiples of the usual one, after which a second server is asked.
 constexpr double hedgeAfter = 3;
 /// A second server is asked only while less than this part of the budget for second sends is used.
@@ -338,6 +338,9 @@
         m_waiting.insert(job.number);
         return setWake(job, std::min(m_now + ownerRetry, waitUntil));
     }
+    if (job.waitsSince != MonotonicTime()) {
+        record(job, server->first, "owner-found", "");
+    }
     const Milliseconds expected = expectedLatency(candidateOf(server->second), need.typical);
     if (!fitsInTime(expected, need)) {
         return refuse(job, "the owner of the key has too much work", returnTime(job, expected));
@@ -384,7 +387,8 @@
 /// Whether a leaving server gets no new work any more. Until then the owner of a key serves it while it moves.
 bool GatewayReducer::hasLeft(const Server& server) const
 {
-    return !server.present || (server.leavingSince && m_now - *server.leavingSince >= ownerDrainTime);
+    return !server.present
+        || (server.leavingSince && m_now - *server.leavingSince >= m_self.drainTime * ownerPartOfDrainTime);
 }
 
 ServerCandidate GatewayReducer::candidateOf(const Server& server) const
@@ -610,7 +614,7 @@
     effect.status = status;
     effect.body = std::string(why) + "\n";
     effect.retryAfter = retryAfter;
-    m_effects.emplace_back(RecordDecision {request.id, "", "", "", "refused", std::string(why)});
+    m_effects.emplace_back(RecordDecision {request.id, "", "", "", "refused", std::string(why), 0ms});
     m_effects.emplace_back(std::move(effect));
 }
 
@@ -623,8 +627,8 @@
 
 void GatewayReducer::record(const Job& job, const std::string& server, std::string_view decision, std::string reason)
 {
-    m_effects.emplace_back(
-        RecordDecision {job.request->id, job.route->name, job.service, server, decision, std::move(reason)});
+    m_effects.emplace_back(RecordDecision {job.request->id, job.route->name, job.service, server, decision,
+        std::move(reason), std::chrono::duration_cast<Milliseconds>(m_now - job.arrivedAt)});
 }
 
 } // namespace jasminespread
--- a/src/gateway/gateway_reducer.h
+++ b/src/gateway/gateway_reducer.h
@@ -24,6 +24,8 @@
     std::string failureDomain;
     std::string region;
     RetryBudgetTerms retryBudget;
+    /// Time after which a server that announced that it leaves may get no requests any more.
+    Milliseconds drainTime {2000};
 };
 
 /// The decision core of an instance's data path: routes each request to one backend server of its service, or answers
--- a/src/ranges/range_leadership.cpp
+++ b/src/ranges/range_leadership.cpp
@@ -8,6 +8,10 @@
 /// An instance that lost the lead waits longer before it takes it again: two instances that do not hear each other
 /// must not take it from one another in turn.
 constexpr unsigned highestDeposedShift = 4;
+/// Part of the spread that fitness decides; chance decides the rest.
+constexpr double fitnessPart = 0.6;
+/// The first leader is chosen long before traffic: instances wait for fitter ones, in multiples of the spread.
+constexpr double firstWait = 2;
 
 } // namespace
 
@@ -21,13 +25,18 @@
 
 void RangeLeadership::choosePatience()
 {
-    const Milliseconds extra(std::uniform_int_distribution<Milliseconds::rep>(0, m_times.spread.count())(m_random));
+    const double chance = std::uniform_real_distribution<double>(0, 1)(m_random);
+    m_handicap = fitnessPart * (1 - m_times.fitness) + (1 - fitnessPart) * chance;
+    const auto extra = std::chrono::duration_cast<Milliseconds>(m_times.spread * m_handicap);
     m_patience = m_times.silence * (1U << std::min(m_deposed, highestDeposedShift)) + extra;
 }
 
 RangeLeadership::Step RangeLeadership::step(MonotonicTime now)
 {
     Step due;
+    if (m_startedAt == MonotonicTime()) {
+        m_startedAt = now;
+    }
     if (m_calling || now < m_nextCallAt) {
         return due;
     }
@@ -53,7 +62,8 @@
     }
     const bool ownPredecessor
         = m_leader && m_leader->instance == m_self.instance && m_leader->incarnation != m_self.incarnation;
-    const bool silent = !m_leader || ownPredecessor || now - m_heardAt >= m_patience;
+    const bool silent = m_leader ? ownPredecessor || now - m_heardAt >= m_patience
+                                 : now >= m_startedAt + m_times.spread * m_handicap * firstWait;
     if (!silent) {
         return due;
     }
@@ -124,9 +134,11 @@
     }
     m_role = Role::Follower;
     if (!m_leader || record.term > m_leader->term) {
-        m_leader = record;
         m_heardAt = now; // The new leader gets the whole time to be heard.
     }
+    if (!m_leader || record.term >= m_leader->term) {
+        m_leader = record; // A heartbeat does not tell the earlier leaders that may still grant.
+    }
 }
 
 void RangeLeadership::onWritten(const RecordWritten& event)
--- a/src/ranges/range_leadership.h
+++ b/src/ranges/range_leadership.h
@@ -16,6 +16,8 @@
 struct LeadershipTimes {
     Milliseconds silence {1100}; ///< Without a heartbeat of the leader before another instance takes over.
     Milliseconds spread {400}; ///< Instances wait up to this much longer, each its own time.
+    /// Fitness to lead, from 0 to 1: instances with much processor time wait less, as a leader has more to do.
+    double fitness = 1;
     Milliseconds verify {1000}; ///< Between the leader's reads of its own record.
     Milliseconds callPause {500}; ///< Between calls to the store while they fail.
     Milliseconds extension {12'000}; ///< How long a leader goes on without having read its record.
@@ -88,6 +90,8 @@
     bool m_mustVerify = false; ///< Grants nothing before the record was read.
     bool m_confirmed = false; ///< No earlier leader can grant any more.
     unsigned m_deposed = 0; ///< Times this instance lost the lead to another one.
+    double m_handicap = 0; ///< From 0 to 1; the part of the spread that this instance waits longer.
+    MonotonicTime m_startedAt; ///< First step.
     Milliseconds m_patience {0};
 };
 
