Do not adopt the owners of a later term

Reading back after a write checked the term, the first read did not. Change: a record of a later term is not adopted; the leader record is read at once. Test: RangeAuthorityTest.DoesNotAdoptARecordOfALaterTerm (fails before); the failing seeds are kept in RangeRandomTest.

--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -169,6 +169,11 @@
             log(LogEvent::RangeRecordUnreadable, "service=" + service + "; its keys have no owner until it is deleted");
             return;
         }
+        if (parsed->term > m_term) {
+            // Another instance leads already, and may have granted.
+            m_leadership.verifyNow(m_now);
+            return;
+        }
         record = std::move(*parsed);
     }
     kept.keeper->adopt(record, found ? result.object.version : 0, earlierHoldEnd());
--- a/tests/range_authority_test.cpp
+++ b/tests/range_authority_test.cpp
@@ -1,3 +1,4 @@
+#include "ranges/range_authority.h"
 #include "ranges/range_keeper.h"
 #include "ranges/range_leadership.h"
 #include "ranges/range_placement.h"
@@ -387,6 +388,50 @@
     EXPECT_FALSE(m_leadership.mayGrant(m_now));
 }
 
+/// Guards against two owners and falling fences: a leader that learns of its term late, after a still later one has
+/// begun, must not take that one's record for its own and write over it.
+TEST(RangeAuthorityTest, DoesNotAdoptARecordOfALaterTerm)
+{
+    RangeAuthority authority({0, "a", 1, "10.0.0.1:7200", {}}, RangeTimes(), LeadershipTimes(), 1);
+    const auto configuration = std::make_shared<GatewayConfiguration>();
+    configuration->services["planner"] = GatewayService {"planner", "/health", 100, true, 0ms};
+    ListedServer server;
+    server.life = {"s", 1};
+    server.service = "planner";
+    server.slots = 4;
+    (void)authority.reduce({start, RangeServicesConfigured {configuration}});
+    (void)authority.reduce({start, RangeServersListed {std::make_shared<const ServerList>(ServerList {server})}});
+    const std::string later = encodeRangesRecord({9, {{{0, highestKey}, {{{"s", 1}, "10.0.0.9:80"}}}}});
+    unsigned rangesRead = 0;
+    bool leaderReadAgain = false;
+    for (MonotonicTime now = start; now < start + 1500ms; now += 50ms) {
+        std::vector<RangeEvent> events {RangeTick {}};
+        for (std::size_t i = 0; i < events.size(); ++i) {
+            for (const RangeEffect& effect : authority.reduce({now, std::move(events[i])})) {
+                if (const auto* read = std::get_if<ReadRecord>(&effect)) {
+                    const bool isLeader = read->name == leaderRecordName;
+                    leaderReadAgain = leaderReadAgain || (isLeader && rangesRead > 0);
+                    rangesRead += isLeader ? 0 : 1;
+                    StoreReadResult result {StoreStatus::NotFound, {}};
+                    if (!isLeader) {
+                        result = {StoreStatus::Ok, {read->name, 40, later}};
+                    }
+                    if (!leaderReadAgain) {
+                        events.push_back(RecordRead {read->name, now, result});
+                    }
+                } else if (const auto* write = std::get_if<WriteRecord>(&effect)) {
+                    ASSERT_EQ(write->name, leaderRecordName) << "the record of a later term was written over";
+                    events.push_back(RecordWritten {write->name, now, {StoreStatus::Ok, 8}});
+                } else {
+                    EXPECT_FALSE(std::holds_alternative<GrantRange>(effect));
+                }
+            }
+        }
+    }
+    EXPECT_GT(rangesRead, 0U);
+    EXPECT_TRUE(leaderReadAgain);
+}
+
 std::vector<RangeServer> servers(std::size_t n)
 {
     std::vector<RangeServer> made;
--- a/tests/range_random_test.cpp
+++ b/tests/range_random_test.cpp
@@ -24,6 +24,9 @@
 }
 
 INSTANTIATE_TEST_SUITE_P(Seeds, RangeRandomTest, testing::Range<std::uint64_t>(1, 31));
+// Seeds that failed once. 7 and 370: earlier leaders were forgotten when a leader known by heartbeat was succeeded.
+// 173: a leader that learned late of its term wrote over the record of the next one.
+INSTANTIATE_TEST_SUITE_P(FailedBefore, RangeRandomTest, testing::Values(173, 370));
 
 /// Guards against ranges that wait for their renewals although nothing fails.
 TEST(RangeCalmTest, KeysAreHeldWithoutPause)
