Tell instances the changes of the owners of keys

Change: a leader keeps its last 16 tables and tells the changes since the one that an instance has; an instance to which they do not fit says so at once, and gets what it lacks.

--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -1,5 +1,7 @@
 #include "ranges/range_authority.h"
 
+#include "ranges/range_table_changes.h"
+
 #include <algorithm>
 #include <utility>
 
@@ -24,6 +26,10 @@
 /// A larger change, as of a whole configuration, is fetched by each instance: the store's link is faster than the
 /// leader's.
 constexpr std::size_t highestPassedOnBytes = 4096;
+/// A report that was sent before a table arrived names an older one; after this long the table is taken as lost.
+constexpr Milliseconds reportDelay = 500ms;
+/// Earlier tables that are kept, so that an instance that has one of them gets only the changes.
+constexpr std::size_t keptTables = 16;
 /// Keys of one report; the ones beyond it are left out of the load.
 constexpr std::size_t highestReportedKeys = 2048;
 
@@ -345,9 +351,17 @@
     for (const wire::ServerSpeed& speed : message.speeds()) {
         member.inFlight[speed.id()] = speed.in_flight();
     }
-    member.tables.clear();
+    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> reported;
     for (const wire::RangeTableVersion& table : message.tables()) {
-        member.tables[table.service()] = {table.term(), table.version()};
+        reported[table.service()] = {table.term(), table.version()};
+    }
+    for (const auto& [service, kept] : m_kept) {
+        const auto [term, version] = reported[service];
+        Member::Sent& known = member.tables[service];
+        const bool older = std::pair(term, version) < std::pair(known.term, known.version);
+        if (!older || isNew || message.missed_changes() || m_now - known.at >= reportDelay) {
+            known = {term, version, MonotonicTime()};
+        }
     }
     // An earlier leader that knows of this term, as it says, or has started anew grants nothing any more.
     if (m_term != 0 && message.known_term() >= m_term && m_unconfirmed.erase(sender.id()) > 0) {
@@ -371,8 +385,11 @@
     std::uint32_t first = 0;
     for (int i = 0; i < message.last_keys_size() && i < message.owners_size(); ++i) {
         RangeRoute& route = table->routes.emplace_back();
-        route.range = {first, message.last_keys(i)};
+        route.range = {i < message.first_keys_size() ? message.first_keys(i) : first, message.last_keys(i)};
         first = message.last_keys(i) + 1;
+        if (route.range.first > route.range.last || route.range.last > highestKey) {
+            return log(LogEvent::RangeRecordUnreadable, "service=" + message.service() + "; a message of the leader");
+        }
         const std::uint32_t owner = message.owners(i);
         route.moving = owner == movingOwner;
         if (owner >= firstOwner && owner - firstOwner < static_cast<std::uint32_t>(message.servers_size())) {
@@ -381,9 +398,21 @@
             route.address = server.address();
         }
     }
-    if (m_term == 0) {
-        adoptTable(std::move(table));
+    if (m_term != 0) {
+        return;
     }
+    if (message.base_version() != 0) {
+        const auto known = m_tables.find(table->service);
+        const bool fits = known != m_tables.end() && known->second->term == table->term
+            && known->second->version == message.base_version();
+        if (!fits) {
+            m_missedChanges = true;
+            m_nextReportAt = m_now;
+            return;
+        }
+        table->routes = applyRoutes(known->second->routes, table->routes);
+    }
+    adoptTable(std::move(table));
 }
 
 void RangeAuthority::receive(const wire::FeedChange& message)
@@ -491,6 +520,10 @@
     const std::shared_ptr<const RangeTable> table = kept.keeper->table();
     std::shared_ptr<const RangeTable>& known = m_tables[service];
     if (known != table && table) {
+        kept.history.push_back(table);
+        if (kept.history.size() > keptTables) {
+            kept.history.pop_front();
+        }
         known = table;
         for (auto& [id, member] : m_members) {
             sendTables(id, member);
@@ -606,6 +639,7 @@
     report.set_leaving(m_stopping);
     report.set_known_term(leader->term);
     report.set_store_reachable(m_reachesStore);
+    report.set_missed_changes(std::exchange(m_missedChanges, false));
     for (const auto& [service, table] : m_tables) {
         wire::RangeTableVersion& version = *report.add_tables();
         version.set_service(service);
@@ -677,34 +711,49 @@
 {
     for (const auto& [service, kept] : m_kept) {
         const std::shared_ptr<const RangeTable> table = kept.adopted ? kept.keeper->table() : nullptr;
-        if (!table || member.tables[service] == std::pair(table->term, table->version)) {
+        Member::Sent& known = member.tables[service];
+        if (!table || std::pair(known.term, known.version) == std::pair(table->term, table->version)) {
             continue;
         }
-        member.tables[service] = {table->term, table->version};
-        wire::Envelope envelope;
-        wire::RangeTableView& view = *envelope.mutable_range_table_view();
-        view.set_service(service);
-        view.set_term(table->term);
-        view.set_version(table->version);
-        std::map<ServerLife, std::uint32_t> indexes;
-        for (const RangeRoute& route : table->routes) {
-            std::uint32_t owner = route.moving ? movingOwner : 0;
-            if (!route.owner.id.empty()) {
-                const auto [it, added]
-                    = indexes.try_emplace(route.owner, static_cast<std::uint32_t>(indexes.size()) + firstOwner);
-                owner = it->second;
-                if (added) {
-                    wire::ServerReference& server = *view.add_servers();
-                    server.set_id(route.owner.id);
-                    server.set_born_at(route.owner.bornAt);
-                    server.set_address(route.address);
-                }
+        sendTable(to, kept, *table, known);
+        known = {table->term, table->version, m_now};
+    }
+}
+
+/// Sends a table, or its changes where the table that the instance has is still kept.
+void RangeAuthority::sendTable(
+    const std::string& to, const Kept& kept, const RangeTable& table, const Member::Sent& known)
+{
+    const auto base = std::find_if(kept.history.begin(), kept.history.end(),
+        [&known](const auto& earlier) { return earlier->term == known.term && earlier->version == known.version; });
+    const bool isWhole = base == kept.history.end();
+    wire::Envelope envelope;
+    wire::RangeTableView& view = *envelope.mutable_range_table_view();
+    view.set_service(table.service);
+    view.set_term(table.term);
+    view.set_version(table.version);
+    view.set_base_version(isWhole ? 0 : known.version);
+    std::map<ServerLife, std::uint32_t> indexes;
+    for (const RangeRoute& route : isWhole ? table.routes : changedRoutes(**base, table)) {
+        std::uint32_t owner = route.moving ? movingOwner : 0;
+        if (!route.owner.id.empty()) {
+            const auto [it, added]
+                = indexes.try_emplace(route.owner, static_cast<std::uint32_t>(indexes.size()) + firstOwner);
+            owner = it->second;
+            if (added) {
+                wire::ServerReference& server = *view.add_servers();
+                server.set_id(route.owner.id);
+                server.set_born_at(route.owner.bornAt);
+                server.set_address(route.address);
             }
-            view.add_last_keys(route.range.last);
-            view.add_owners(owner);
         }
-        m_effects.emplace_back(SendRangePeer {to, std::move(envelope)});
+        if (!isWhole) {
+            view.add_first_keys(route.range.first);
+        }
+        view.add_last_keys(route.range.last);
+        view.add_owners(owner);
     }
+    m_effects.emplace_back(SendRangePeer {to, std::move(envelope)});
 }
 
 } // namespace jasminespread
--- a/src/ranges/range_authority.h
+++ b/src/ranges/range_authority.h
@@ -5,6 +5,7 @@
 #include "ranges/range_leadership.h"
 
 #include <cstdint>
+#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -36,7 +37,12 @@
         bool leaving = false;
         bool reachesStore = false;
         std::map<std::string, std::uint32_t> inFlight; ///< By server.
-        std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> tables; ///< Term and version it has, by service.
+        struct Sent {
+            std::uint64_t term = 0;
+            std::uint64_t version = 0;
+            MonotonicTime at; ///< When it was sent; not set when the instance reported it.
+        };
+        std::map<std::string, Sent> tables; ///< Newest one that it has, or was sent, by service.
     };
 
     /// A keyed service of which this instance is the leader.
@@ -45,6 +51,8 @@
         bool adopted = false;
         bool reading = false;
         MonotonicTime nextReadAt;
+        std::deque<std::shared_ptr<const RangeTable>>
+            history; ///< Earlier tables of this term, from which changes are told.
     };
 
     void handle(RangeTick&& event);
@@ -79,6 +87,7 @@
     void connectPeers();
     void followFeeds();
     void sendTables(const std::string& to, Member& member);
+    void sendTable(const std::string& to, const Kept& kept, const RangeTable& table, const Member::Sent& known);
     void countMembers();
     [[nodiscard]] MonotonicTime earlierHoldEnd() const;
     [[nodiscard]] std::string chooseSuccessor() const;
@@ -111,6 +120,7 @@
     MonotonicTime m_nextStepAt;
     std::vector<RangePeer> m_peers;
     ViewSharing m_view;
+    bool m_missedChanges = false; ///< Changes of a table did not fit; to be reported.
     FeedSource m_feedSource = FeedSource::Store;
     std::uint32_t m_instances = 0;
 
