Reading the change: owners' messages apart, tables that rise within a term, entries that cannot be read

- What instances are told about owners is a module of its own (range_table_messages) with tests that need no authority; RangeAuthority had it mixed with leadership and loads.
Older tables are not reported as missed any more.
- A fault found in reading: table versions began anew when ranges are adopted again within a term, so that instances kept the older table, or applied changes to the wrong one.
Versions now come from the term's numbers.
Test: RangeKeeperTest.TablesRiseWhenTheRangesAreAdoptedAnew (fails before).

--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -1,7 +1,5 @@
 #include "ranges/range_authority.h"
 
-#include "ranges/range_table_changes.h"
-
 #include <algorithm>
 #include <utility>
 
@@ -20,16 +18,9 @@
 constexpr Milliseconds longestGap = 700ms;
 /// A leader reads its record every second; after this long without an answer another instance is to lead.
 constexpr Milliseconds storeLossPatience = 2200ms;
-/// Owners in a RangeTableView: a range that is being released, and the first index of a server.
-constexpr std::uint32_t movingOwner = 1;
-constexpr std::uint32_t firstOwner = 2;
 /// A larger change, as of a whole configuration, is fetched by each instance: the store's link is faster than the
 /// leader's.
 constexpr std::size_t highestPassedOnBytes = 4096;
-/// A report that was sent before a table arrived names an older one; after this long the table is taken as lost.
-constexpr Milliseconds reportDelay = 500ms;
-/// Earlier tables that are kept, so that an instance that has one of them gets only the changes.
-constexpr std::size_t keptTables = 16;
 /// Keys of one report; the ones beyond it are left out of the load.
 constexpr std::size_t highestReportedKeys = 2048;
 
@@ -351,18 +342,7 @@
     for (const wire::ServerSpeed& speed : message.speeds()) {
         member.inFlight[speed.id()] = speed.in_flight();
     }
-    std::map<std::string, std::pair<std::uint64_t, std::uint64_t>> reported;
-    for (const wire::RangeTableVersion& table : message.tables()) {
-        reported[table.service()] = {table.term(), table.version()};
-    }
-    for (const auto& [service, kept] : m_kept) {
-        const auto [term, version] = reported[service];
-        Member::Sent& known = member.tables[service];
-        const bool older = std::pair(term, version) < std::pair(known.term, known.version);
-        if (!older || isNew || message.missed_changes() || m_now - known.at >= reportDelay) {
-            known = {term, version, MonotonicTime()};
-        }
-    }
+    m_sender.reported(sender.id(), message, isNew, m_now);
     // An earlier leader that knows of this term, as it says, or has started anew grants nothing any more.
     if (m_term != 0 && message.known_term() >= m_term && m_unconfirmed.erase(sender.id()) > 0) {
         confirmEarlier();
@@ -372,47 +352,32 @@
     }
     if (m_term != 0) {
         addLoads(message);
-        sendTables(sender.id(), member);
+        sendTables(sender.id());
     }
 }
 
 void RangeAuthority::receive(const wire::RangeTableView& message)
 {
-    auto table = std::make_shared<RangeTable>();
-    table->service = message.service();
-    table->term = message.term();
-    table->version = message.version();
-    std::uint32_t first = 0;
-    for (int i = 0; i < message.last_keys_size() && i < message.owners_size(); ++i) {
-        RangeRoute& route = table->routes.emplace_back();
-        route.range = {i < message.first_keys_size() ? message.first_keys(i) : first, message.last_keys(i)};
-        first = message.last_keys(i) + 1;
-        if (route.range.first > route.range.last || route.range.last > highestKey) {
-            return log(LogEvent::RangeRecordUnreadable, "service=" + message.service() + "; a message of the leader");
-        }
-        const std::uint32_t owner = message.owners(i);
-        route.moving = owner == movingOwner;
-        if (owner >= firstOwner && owner - firstOwner < static_cast<std::uint32_t>(message.servers_size())) {
-            const wire::ServerReference& server = message.servers(static_cast<int>(owner - firstOwner));
-            route.owner = {server.id(), server.born_at()};
-            route.address = server.address();
-        }
-    }
     if (m_term != 0) {
         return;
     }
-    if (message.base_version() != 0) {
-        const auto known = m_tables.find(table->service);
-        const bool fits = known != m_tables.end() && known->second->term == table->term
-            && known->second->version == message.base_version();
-        if (!fits) {
-            m_missedChanges = true;
-            m_nextReportAt = m_now;
-            return;
-        }
-        table->routes = applyRoutes(known->second->routes, table->routes);
+    const auto known = m_tables.find(message.service());
+    ReceivedTable received = receiveTable(message, known == m_tables.end() ? nullptr : known->second.get());
+    switch (received.arrival) {
+    case TableArrival::Newer:
+        m_tables[message.service()] = received.table;
+        m_effects.emplace_back(PublishRanges {std::move(received.table)});
+        return;
+    case TableArrival::Older:
+        return;
+    case TableArrival::Missed:
+        m_missedChanges = true;
+        m_nextReportAt = m_now;
+        return;
+    case TableArrival::Unreadable:
+        log(LogEvent::RangeRecordUnreadable, "service=" + message.service() + "; a message of the leader");
+        return;
     }
-    adoptTable(std::move(table));
 }
 
 void RangeAuthority::receive(const wire::FeedChange& message)
@@ -425,16 +390,6 @@
     }
 }
 
-void RangeAuthority::adoptTable(std::shared_ptr<const RangeTable> table)
-{
-    std::shared_ptr<const RangeTable>& known = m_tables[table->service];
-    if (known && std::pair(table->term, table->version) <= std::pair(known->term, known->version)) {
-        return;
-    }
-    known = table;
-    m_effects.emplace_back(PublishRanges {std::move(table)});
-}
-
 void RangeAuthority::followLeadership()
 {
     const bool leads = isLeader();
@@ -452,6 +407,7 @@
     m_numbers = RangeNumbers();
     m_numbers.term = m_term;
     m_kept.clear();
+    m_sender = RangeTableSender();
     const std::vector<std::string>& unconfirmed = m_leadership.leader()->unconfirmed;
     m_unconfirmed = {unconfirmed.begin(), unconfirmed.end()};
     m_earlierStoppedAt = m_now;
@@ -518,15 +474,11 @@
     }
     kept.keeper->step(m_now, m_leadership.mayGrant(m_now), m_leadership.storeAnswers());
     const std::shared_ptr<const RangeTable> table = kept.keeper->table();
-    std::shared_ptr<const RangeTable>& known = m_tables[service];
-    if (known != table && table) {
-        kept.history.push_back(table);
-        if (kept.history.size() > keptTables) {
-            kept.history.pop_front();
-        }
-        known = table;
+    if (table && m_tables[service] != table) {
+        m_sender.add(table);
+        m_tables[service] = table;
         for (auto& [id, member] : m_members) {
-            sendTables(id, member);
+            sendTables(id);
         }
     }
 }
@@ -610,8 +562,13 @@
 /// Drops members that are silent, and counts the others and this instance.
 void RangeAuthority::countMembers()
 {
-    const std::size_t erased
-        = std::erase_if(m_members, [this](const auto& entry) { return m_now - entry.second.heardAt > memberSilence; });
+    const std::size_t erased = std::erase_if(m_members, [this](const auto& entry) {
+        const bool silent = m_now - entry.second.heardAt > memberSilence;
+        if (silent) {
+            m_sender.forget(entry.first);
+        }
+        return silent;
+    });
     if (erased > 0) {
         connectPeers();
     }
@@ -707,53 +664,13 @@
     }
 }
 
-void RangeAuthority::sendTables(const std::string& to, Member& member)
+void RangeAuthority::sendTables(const std::string& to)
 {
-    for (const auto& [service, kept] : m_kept) {
-        const std::shared_ptr<const RangeTable> table = kept.adopted ? kept.keeper->table() : nullptr;
-        Member::Sent& known = member.tables[service];
-        if (!table || std::pair(known.term, known.version) == std::pair(table->term, table->version)) {
-            continue;
-        }
-        sendTable(to, kept, *table, known);
-        known = {table->term, table->version, m_now};
-    }
-}
-
-/// Sends a table, or its changes where the table that the instance has is still kept.
-void RangeAuthority::sendTable(
-    const std::string& to, const Kept& kept, const RangeTable& table, const Member::Sent& known)
-{
-    const auto base = std::find_if(kept.history.begin(), kept.history.end(),
-        [&known](const auto& earlier) { return earlier->term == known.term && earlier->version == known.version; });
-    const bool isWhole = base == kept.history.end();
-    wire::Envelope envelope;
-    wire::RangeTableView& view = *envelope.mutable_range_table_view();
-    view.set_service(table.service);
-    view.set_term(table.term);
-    view.set_version(table.version);
-    view.set_base_version(isWhole ? 0 : known.version);
-    std::map<ServerLife, std::uint32_t> indexes;
-    for (const RangeRoute& route : isWhole ? table.routes : changedRoutes(**base, table)) {
-        std::uint32_t owner = route.moving ? movingOwner : 0;
-        if (!route.owner.id.empty()) {
-            const auto [it, added]
-                = indexes.try_emplace(route.owner, static_cast<std::uint32_t>(indexes.size()) + firstOwner);
-            owner = it->second;
-            if (added) {
-                wire::ServerReference& server = *view.add_servers();
-                server.set_id(route.owner.id);
-                server.set_born_at(route.owner.bornAt);
-                server.set_address(route.address);
-            }
-        }
-        if (!isWhole) {
-            view.add_first_keys(route.range.first);
-        }
-        view.add_last_keys(route.range.last);
-        view.add_owners(owner);
+    for (wire::RangeTableView& view : m_sender.due(to, m_now)) {
+        wire::Envelope envelope;
+        *envelope.mutable_range_table_view() = std::move(view);
+        m_effects.emplace_back(SendRangePeer {to, std::move(envelope)});
     }
-    m_effects.emplace_back(SendRangePeer {to, std::move(envelope)});
 }
 
 } // namespace jasminespread
--- a/src/ranges/range_authority.h
+++ b/src/ranges/range_authority.h
@@ -3,9 +3,9 @@
 #include "ranges/range_event.h"
 #include "ranges/range_keeper.h"
 #include "ranges/range_leadership.h"
+#include "ranges/range_table_messages.h"
 
 #include <cstdint>
-#include <deque>
 #include <map>
 #include <memory>
 #include <set>
@@ -37,12 +37,6 @@
         bool leaving = false;
         bool reachesStore = false;
         std::map<std::string, std::uint32_t> inFlight; ///< By server.
-        struct Sent {
-            std::uint64_t term = 0;
-            std::uint64_t version = 0;
-            MonotonicTime at; ///< When it was sent; not set when the instance reported it.
-        };
-        std::map<std::string, Sent> tables; ///< Newest one that it has, or was sent, by service.
     };
 
     /// A keyed service of which this instance is the leader.
@@ -51,8 +45,6 @@
         bool adopted = false;
         bool reading = false;
         MonotonicTime nextReadAt;
-        std::deque<std::shared_ptr<const RangeTable>>
-            history; ///< Earlier tables of this term, from which changes are told.
     };
 
     void handle(RangeTick&& event);
@@ -86,15 +78,13 @@
     void sendReport();
     void connectPeers();
     void followFeeds();
-    void sendTables(const std::string& to, Member& member);
-    void sendTable(const std::string& to, const Kept& kept, const RangeTable& table, const Member::Sent& known);
+    void sendTables(const std::string& to);
     void countMembers();
     [[nodiscard]] MonotonicTime earlierHoldEnd() const;
     [[nodiscard]] std::string chooseSuccessor() const;
     void addLoads(const wire::InstanceReport& report);
     [[nodiscard]] std::map<std::string, std::uint32_t> busyServers() const;
     void addSpeed(const ObservedSpeed& speed);
-    void adoptTable(std::shared_ptr<const RangeTable> table);
     void log(LogEvent event, std::string details) { m_effects.emplace_back(WriteRangeLog {event, std::move(details)}); }
 
     LeaderRecord m_self;
@@ -112,6 +102,7 @@
     std::uint64_t m_term = 0; ///< Of the term that this instance leads; 0: none.
     RangeNumbers m_numbers;
     std::map<std::string, Kept> m_kept;
+    RangeTableSender m_sender; ///< Of the term that this instance leads.
     std::map<std::string, Member> m_members; ///< By instance id; other than this one.
     std::set<std::string> m_unconfirmed; ///< Earlier leaders that may still grant.
     MonotonicTime m_earlierStoppedAt; ///< When the last of them was known to have stopped.
--- a/src/ranges/range_keeper.cpp
+++ b/src/ranges/range_keeper.cpp
@@ -548,7 +548,7 @@
     if (m_table && m_table->routes == table.routes) {
         return;
     }
-    table.version = m_table ? m_table->version + 1 : 1;
+    table.version = m_numbers.nextTable();
     m_table = std::make_shared<const RangeTable>(std::move(table));
     m_effects.emplace_back(PublishRanges {m_table});
 }
--- a/src/ranges/range_keeper.h
+++ b/src/ranges/range_keeper.h
@@ -34,10 +34,13 @@
     std::uint64_t term = 0;
     std::uint64_t fences = 0;
     std::uint64_t calls = 0;
+    std::uint64_t tables = 0;
 
     /// A fence above all earlier ones of this term and of all earlier terms.
     [[nodiscard]] std::uint64_t nextFence() noexcept { return (term << fenceBits) + ++fences; }
     [[nodiscard]] std::uint64_t nextCall() noexcept { return ++calls; }
+    /// Version of a table; rises although the ranges of a service are adopted anew within the term.
+    [[nodiscard]] std::uint64_t nextTable() noexcept { return ++tables; }
 
 private:
     /// Fences of one term; the term stands above them, so that both fit a JSON number.
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -2,6 +2,7 @@
 #include "grant_calls.h"
 #include "ingress_codec.h"
 #include "platform_settings.h"
+#include "store_client.h"
 
 #include <gtest/gtest.h>
 
@@ -243,5 +244,27 @@
     EXPECT_TRUE(decodeGrantAnswer(1, silent).wasReset);
 }
 
+/// Guards against one entry of another writer, whose bytes cannot be read, that hides all other servers.
+TEST(StoreClientTest, AnUnreadableEntryDoesNotHideTheOthers)
+{
+    BackendTransport transport;
+    transport.send = [](const BackendRequest&, const BackendTransport::Callback& callback) {
+        BackendResult result;
+        result.progress = BackendProgress::Answered;
+        result.status = 200;
+        result.body = "{\"items\":[{\"metadata\":{\"name\":\"a\",\"rev\":5},\"spec\":{\"x\":\"\xff\xfe\"}},"
+                      "{\"metadata\":5},{\"metadata\":{\"name\":\"b\",\"rev\":6},\"spec\":{}}],\"atRev\":9}";
+        callback(result);
+        return BackendTransport::Handle(1);
+    };
+    StoreClient store(transport, "10.0.0.1:80");
+    ObjectPage page;
+    store.list("servers", "", [&page](const ObjectPage& found) { page = found; });
+    ASSERT_EQ(page.status, StoreStatus::Ok);
+    ASSERT_EQ(page.objects.size(), 2U);
+    EXPECT_EQ(page.objects[1].name, "b");
+    EXPECT_EQ(page.storeRevision, 9U);
+}
+
 } // namespace
 } // namespace jasminespread::platform
--- a/tests/range_authority_test.cpp
+++ b/tests/range_authority_test.cpp
@@ -181,6 +181,22 @@
     EXPECT_LE(movedAt, m_times.holdEnd(grantedAt) + 200ms);
 }
 
+/// Guards against instances that keep an old table: ranges can be adopted anew within a term, and the tables after that
+/// must count as newer ones.
+TEST_F(RangeKeeperTest, TablesRiseWhenTheRangesAreAdoptedAnew)
+{
+    m_keeper.adopt(std::nullopt, 0, start);
+    list({server("a"), server("b")});
+    (void)stepAndStore();
+    (void)stepAndStore(1s);
+    const std::uint64_t before = m_keeper.table()->version;
+    RangeKeeper again("planner", m_times, m_numbers, m_effects);
+    again.adopt(std::nullopt, 0, start);
+    again.setServers(std::make_shared<const ServerList>(ServerList {server("a")}));
+    again.step(m_now, true, true);
+    EXPECT_GT(again.table()->version, before);
+}
+
 /// Guards against a late call of a superseded leader: the holder gets a higher fence before it releases.
 TEST_F(RangeKeeperTest, FencesAnEarlierHolderBeforeItsRelease)
 {
@@ -441,6 +457,48 @@
     return made;
 }
 
+using PlacedRanges = std::vector<PlacedRange>;
+
+PlacedRanges place(const std::vector<RangeServer>& all)
+{
+    PlacedRanges ranges;
+    for (const RangeMove& move : divideKeys(all)) {
+        ranges.push_back({move.range, move.to, true});
+    }
+    return ranges;
+}
+
+PlacedRanges::iterator rangeOf(PlacedRanges& ranges, std::uint32_t key)
+{
+    return std::find_if(
+        ranges.begin(), ranges.end(), [key](const PlacedRange& range) { return range.range.contains(key); });
+}
+
+/// Moves a part of one range; returns the index of the server that had it.
+std::size_t apply(PlacedRanges& ranges, const RangeMove& move)
+{
+    const PlacedRange whole = *rangeOf(ranges, move.range.first);
+    ranges.erase(rangeOf(ranges, move.range.first));
+    ranges.push_back({move.range, move.to, true});
+    if (whole.range.first < move.range.first) {
+        ranges.push_back({{whole.range.first, move.range.first - 1}, whole.server, true});
+    }
+    if (whole.range.last > move.range.last) {
+        ranges.push_back({{move.range.last + 1, whole.range.last}, whole.server, true});
+    }
+    return *whole.server;
+}
+
+/// Load of the most loaded of @p n servers, in multiples of the mean.
+double highestLoad(const PlacedRanges& ranges, const KeyLoad& load, std::size_t n)
+{
+    std::vector<double> loads(n, 0);
+    for (const PlacedRange& range : ranges) {
+        loads[*range.server] += load.of(range.range);
+    }
+    return *std::max_element(loads.begin(), loads.end()) / (load.total() / static_cast<double>(n));
+}
+
 TEST(RangePlacementTest, DividesAllKeys)
 {
     const std::vector<RangeMove> moves = divideKeys(servers(7));
@@ -465,35 +523,14 @@
         load.add(key, 0.4);
     }
     const std::vector<RangeServer> all = servers(12);
-    std::vector<PlacedRange> ranges;
-    for (const RangeMove& move : divideKeys(all)) {
-        ranges.push_back({move.range, move.to, true});
-    }
-    const auto highest = [&] {
-        std::vector<double> loads(all.size(), 0);
-        for (const PlacedRange& range : ranges) {
-            loads[*range.server] += load.of(range.range);
-        }
-        return *std::max_element(loads.begin(), loads.end()) / (load.total() / static_cast<double>(all.size()));
-    };
-    EXPECT_GT(highest(), 3);
+    PlacedRanges ranges = place(all);
+    EXPECT_GT(highestLoad(ranges, load, all.size()), 3);
     for (int round = 0; round < 6; ++round) {
         for (const RangeMove& move : planMoves(all, ranges, load)) {
-            const auto from = std::find_if(ranges.begin(), ranges.end(),
-                [&](const PlacedRange& range) { return range.range.contains(move.range.first); });
-            const KeyRange whole = from->range;
-            const std::optional<std::size_t> owner = from->server;
-            ranges.erase(from);
-            ranges.push_back({move.range, move.to, true});
-            if (whole.first < move.range.first) {
-                ranges.push_back({{whole.first, move.range.first - 1}, owner, true});
-            }
-            if (whole.last > move.range.last) {
-                ranges.push_back({{move.range.last + 1, whole.last}, owner, true});
-            }
+            apply(ranges, move);
         }
     }
-    EXPECT_LT(highest(), 2);
+    EXPECT_LT(highestLoad(ranges, load, all.size()), 2);
 }
 
 /// Load: a large service at the start of its traffic, with half of the requests for 300 neighbouring keys, which one
@@ -508,32 +545,12 @@
         load.add(key, 1);
     }
     std::vector<RangeServer> all = servers(142);
-    std::vector<PlacedRange> ranges;
-    for (const RangeMove& move : divideKeys(all)) {
-        ranges.push_back({move.range, move.to, true});
-    }
-    const auto highest = [&] {
-        std::vector<double> loads(all.size(), 0);
-        for (const PlacedRange& range : ranges) {
-            loads[*range.server] += load.of(range.range);
-        }
-        return *std::max_element(loads.begin(), loads.end()) / (load.total() / static_cast<double>(all.size()));
-    };
-    EXPECT_GT(highest(), 40);
+    PlacedRanges ranges = place(all);
+    EXPECT_GT(highestLoad(ranges, load, all.size()), 40);
     for (const RangeMove& move : planMoves(all, ranges, load)) {
-        const auto from = std::find_if(ranges.begin(), ranges.end(),
-            [&](const PlacedRange& range) { return range.range.contains(move.range.first); });
-        const PlacedRange whole = *from;
-        ranges.erase(from);
-        ranges.push_back({move.range, move.to, true});
-        if (whole.range.first < move.range.first) {
-            ranges.push_back({{whole.range.first, move.range.first - 1}, whole.server, true});
-        }
-        if (whole.range.last > move.range.last) {
-            ranges.push_back({{move.range.last + 1, whole.range.last}, whole.server, true});
-        }
+        apply(ranges, move);
     }
-    EXPECT_LT(highest(), 10);
+    EXPECT_LT(highestLoad(ranges, load, all.size()), 10);
 }
 
 /// Load: one key gets a quarter of the requests from one moment on, more than its server can do. Guards against moves
@@ -549,15 +566,8 @@
     KeyLoad load;
     std::vector<RangeServer> all = servers(n);
     std::vector<MonotonicTime> movedAt(n);
-    std::vector<PlacedRange> ranges;
-    for (const RangeMove& move : divideKeys(all)) {
-        ranges.push_back({move.range, move.to, true});
-    }
-    const auto rangeOf = [&](std::uint32_t key) {
-        return std::find_if(
-            ranges.begin(), ranges.end(), [key](const PlacedRange& range) { return range.range.contains(key); });
-    };
-    const std::size_t hotServer = *rangeOf(hotKey)->server;
+    PlacedRanges ranges = place(all);
+    const std::size_t hotServer = *rangeOf(ranges, hotKey)->server;
     unsigned hotMoves = 0;
     for (MonotonicTime now = start; now < start + 9s; now += 300ms) {
         load.decay(now);
@@ -569,18 +579,9 @@
             all[i].movable = now - movedAt[i] >= 1s;
         }
         for (const RangeMove& move : planMoves(all, ranges, load)) {
-            const PlacedRange whole = *rangeOf(move.range.first);
-            ranges.erase(rangeOf(move.range.first));
             hotMoves += move.range.contains(hotKey) ? 1 : 0;
-            movedAt[*whole.server] = now;
+            movedAt[apply(ranges, move)] = now;
             movedAt[move.to] = now;
-            ranges.push_back({move.range, move.to, true});
-            if (whole.range.first < move.range.first) {
-                ranges.push_back({{whole.range.first, move.range.first - 1}, whole.server, true});
-            }
-            if (whole.range.last > move.range.last) {
-                ranges.push_back({{move.range.last + 1, whole.range.last}, whole.server, true});
-            }
         }
     }
     double neighbours = 0;
@@ -602,10 +603,7 @@
         load.add(static_cast<std::uint16_t>(key), 0.1);
     }
     const std::vector<RangeServer> all = servers(12);
-    std::vector<PlacedRange> ranges;
-    for (const RangeMove& move : divideKeys(all)) {
-        ranges.push_back({move.range, move.to, true});
-    }
+    PlacedRanges ranges = place(all);
     EXPECT_TRUE(planMoves(all, ranges, load).empty());
 }
 
