--- a/include/jasminespread/log_event.h
+++ b/include/jasminespread/log_event.h
@@ -25,6 +25,7 @@
     ProcessStopping = 101,
     ProcessStopped = 102,
     StartFailed = 103,
+    LoopStalled = 104,
     ConfigurationInForce = 200,
     ConfigurationRejected = 201,
     ConfigurationUnconfirmed = 202,
@@ -46,6 +47,7 @@
     LateAnswerDropped = 502,
     ForwardRejected = 503,
     RequestDecided = 504,
+    SendDelayed = 505,
     StoreUnavailable = 600,
     StoreAvailable = 601,
     StoreOutcomeUnknown = 602,
@@ -59,11 +61,12 @@
     std::string_view meaning;
 };
 
-inline constexpr std::array<LogEventInfo, 29> logEventCatalogue {{
+inline constexpr std::array<LogEventInfo, 31> logEventCatalogue {{
     {LogEvent::ProcessStarted, LogLevel::Info, "process-started", "The process listens on all its addresses."},
     {LogEvent::ProcessStopping, LogLevel::Info, "process-stopping", "A stop was requested; requests drain."},
     {LogEvent::ProcessStopped, LogLevel::Info, "process-stopped", "The process ends."},
     {LogEvent::StartFailed, LogLevel::Error, "start-failed", "The process cannot start."},
+    {LogEvent::LoopStalled, LogLevel::Warning, "loop-stalled", "No input was read for a while; what took the time."},
     {LogEvent::ConfigurationInForce, LogLevel::Info, "configuration-in-force", "A revision came into force."},
     {LogEvent::ConfigurationRejected, LogLevel::Warning, "configuration-rejected", "A revision was refused."},
     {LogEvent::ConfigurationUnconfirmed, LogLevel::Warning, "configuration-unconfirmed",
@@ -92,6 +95,8 @@
     {LogEvent::ForwardRejected, LogLevel::Warning, "forward-rejected",
         "A forwarded request from an unknown address or with unreadable content was dropped."},
     {LogEvent::RequestDecided, LogLevel::Info, "request-decided", "What was done with a request, by whom, and why."},
+    {LogEvent::SendDelayed, LogLevel::Warning, "send-delayed",
+        "A request waited for a connection to its backend server."},
     {LogEvent::StoreUnavailable, LogLevel::Warning, "store-unavailable", "The platform's store stopped answering."},
     {LogEvent::StoreAvailable, LogLevel::Info, "store-available", "The platform's store answers again."},
     {LogEvent::StoreOutcomeUnknown, LogLevel::Warning, "store-outcome-unknown",
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -1,6 +1,7 @@
 #include "gateway/gateway_daemon.h"
 
 #include "base/glib_pointer.h"
+#include "base/loop_monitor.h"
 #include "gateway/server_directory.h"
 #include "peer/peer_transport.h"
 #include "ranges/range_authority.h"
@@ -42,6 +43,10 @@
 /// A release is answered when the work on its keys has ended.
 constexpr Milliseconds releaseTimeout = 2500ms;
 
+/// Turns of the main loop from this length on are logged, and sends that waited this long for a connection.
+constexpr Milliseconds reportedTurn = 100ms;
+constexpr Milliseconds reportedSendDelay = 100ms;
+
 /// Reads a clock that also counts while the machine is suspended.
 MonotonicTime suspendedClockNow()
 {
@@ -64,8 +69,13 @@
         : m_settings(settings)
         , m_reload(std::move(reload))
         , m_incarnation(drawSeed() | 1U)
+        , m_monitor(nullptr, reportedTurn,
+              [](Milliseconds turn, const std::string& steps) {
+                  logEvent(LogEvent::LoopStalled, "turn-ms=" + std::to_string(turn.count()) + " steps=" + steps);
+              })
         , m_transport(makeBeastBackendTransport(settings.maxAnswerBytes))
-        , m_ports(makePorts(m_transport))
+        , m_portsTransport(measured(m_transport))
+        , m_ports(makePorts(m_portsTransport))
         , m_reducer(settings.self, drawSeed())
         , m_authority(LeaderRecord {0, settings.instance, m_incarnation, settings.controlAddress, {}},
               rangeTimes(settings), leadershipTimes(settings), drawSeed())
@@ -125,13 +135,28 @@
         return times;
     }
 
+    /// Charges the callbacks of @p transport to a step of their own.
+    BackendTransport measured(const BackendTransport& transport)
+    {
+        BackendTransport hooks = transport;
+        hooks.send = [this](BackendRequest request, BackendTransport::Callback callback) {
+            return m_transport.send(std::move(request), [this, callback = std::move(callback)](BackendResult result) {
+                const LoopMonitor::Step step(m_monitor, "store-answer");
+                callback(std::move(result));
+            });
+        };
+        return hooks;
+    }
+
     Result<void> startPeers()
     {
         InstanceSettings settings;
         settings.instance = m_settings.instance;
         settings.controlAddress = m_settings.controlAddress;
-        m_peers = std::make_unique<PeerTransport>(settings, m_incarnation, m_metrics,
-            [this](wire::Envelope envelope) { applyRange(RangePeerMessage {std::move(envelope)}); });
+        m_peers = std::make_unique<PeerTransport>(settings, m_incarnation, m_metrics, [this](wire::Envelope envelope) {
+            const LoopMonitor::Step step(m_monitor, "peer-message");
+            applyRange(RangePeerMessage {std::move(envelope)});
+        });
         m_peers->acceptUnlisted();
         return m_peers->start(nullptr);
     }
@@ -210,6 +235,7 @@
     /// @{
     void onRequest(std::uint64_t caller, RawRequest&& raw)
     {
+        const LoopMonitor::Step step(m_monitor, "request");
         std::variant<GatewayRequest, CallerAnswer> decoded = m_ports.decodeRequest(std::move(raw));
         if (CallerAnswer* answer = std::get_if<CallerAnswer>(&decoded)) {
             return m_callers.answer(caller, std::move(*answer));
@@ -270,8 +296,17 @@
     void execute(SendToServer&& effect)
     {
         const std::uint64_t dispatch = effect.dispatch;
+        BackendRequest request = m_ports.encodeSend(effect);
+        request.mayWrite = [id = effect.request->id, startedAt = monotonicNow(), reported = false]() mutable {
+            const Milliseconds waited = std::chrono::duration_cast<Milliseconds>(monotonicNow() - startedAt);
+            if (!std::exchange(reported, true) && waited >= reportedSendDelay) {
+                logEvent(LogEvent::SendDelayed, "id=" + id + " waited-ms=" + std::to_string(waited.count()));
+            }
+            return true;
+        };
         const BackendTransport::Handle handle
-            = m_transport.send(m_ports.encodeSend(effect), [this, dispatch](BackendResult result) {
+            = m_transport.send(std::move(request), [this, dispatch](BackendResult result) {
+                  const LoopMonitor::Step step(m_monitor, "server-answer");
                   m_sends.erase(dispatch);
                   if (result.progress == BackendProgress::Answered) {
                       apply(ServerAnswered {dispatch, m_ports.decodeServerAnswer(std::move(result))});
@@ -305,6 +340,7 @@
     {
         auto& daemon = *static_cast<GatewayDaemon*>(data);
         g_source_set_ready_time(daemon.m_wakeSource.get(), -1);
+        const LoopMonitor::Step step(daemon.m_monitor, "request-timer");
         daemon.apply(GatewayTick {});
         return G_SOURCE_CONTINUE;
     }
@@ -350,8 +386,10 @@
     void sendCall(std::uint64_t call, BackendRequest&& request)
     {
         request.connectTimeout = RangeTimes().callTimeout;
-        m_transport.send(std::move(request),
-            [this, call](const BackendResult& result) { applyRange(m_ports.decodeGrantAnswer(call, result)); });
+        m_transport.send(std::move(request), [this, call](const BackendResult& result) {
+            const LoopMonitor::Step step(m_monitor, "grant-answer");
+            applyRange(m_ports.decodeGrantAnswer(call, result));
+        });
     }
 
     void executeRange(SendRangePeer&& effect) { m_peers->send(effect.to, std::move(effect.envelope)); }
@@ -387,6 +425,7 @@
 
     void tick()
     {
+        const LoopMonitor::Step step(m_monitor, "range-tick");
         const MonotonicTime now = monotonicNow();
         if (now >= m_nextKeyCountAt) {
             m_nextKeyCountAt = now + keyCountInterval;
@@ -460,7 +499,9 @@
     std::uint64_t m_incarnation;
     GMainLoop* m_loop = nullptr;
     MetricsRegistry m_metrics;
+    LoopMonitor m_monitor;
     BackendTransport m_transport;
+    BackendTransport m_portsTransport; ///< The same, for the adapter.
     GatewayPorts m_ports;
     GatewayReducer m_reducer;
     RangeAuthority m_authority;
