Step only the range of an answered grant; tell owners of keys in intervals

Callers saw requests reach a server up to 1.6 s after their deadline (GONE), and an instance that answered 404 for a route 3 s after it was confirmed (CONFIG).

Cause: the leader stepped all ranges after each answer of a grant, with a linear search of the servers for each of them, and told every instance each change of an owner. At 280 ranges and 75 instances one answer took 2 ms of a core, and about 200 are read in one turn of the main loop. On an instance with a tenth of a core the turn took seconds, in which it read neither requests, nor closes of callers, nor its configuration.

Why it works: an answer now costs a look-up and the step of its own range; changes within 50 ms make one table. The full step stays at every 50 ms. Ruled out as the cause of these stalls: requests (below 30 ms of each turn), the store's answers (below 90), messages of instances.

--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -198,12 +198,12 @@
 void RangeAuthority::handle(RangeCallEnded&& event)
 {
     for (auto& [service, kept] : m_kept) {
-        if (kept.adopted && kept.keeper->callEnded(event, m_now)) {
+        if (kept.adopted && kept.keeper->callEnded(event, m_now, m_leadership.mayGrant(m_now))) {
             if (event.result == GrantResult::Fenced) {
                 log(LogEvent::GrantRefused, "service=" + service + " why=\"the server has seen a higher fence\"");
                 m_leadership.verifyNow(m_now);
             }
-            return stepKept(service, kept);
+            return shareTable(service, kept);
         }
     }
 }
@@ -473,6 +473,12 @@
         return;
     }
     kept.keeper->step(m_now, m_leadership.mayGrant(m_now), m_leadership.storeAnswers());
+    shareTable(service, kept);
+}
+
+/// Tells the instances the newest table of a service, where they were not told yet.
+void RangeAuthority::shareTable(const std::string& service, const Kept& kept)
+{
     const std::shared_ptr<const RangeTable> table = kept.keeper->table();
     if (table && m_tables[service] != table) {
         m_sender.add(table);
--- a/src/ranges/range_authority.h
+++ b/src/ranges/range_authority.h
@@ -72,6 +72,7 @@
     void confirmEarlier();
     void stepKeepers();
     void stepKept(const std::string& service, Kept& kept);
+    void shareTable(const std::string& service, const Kept& kept);
     void readBack(Kept& kept, const StoreReadResult& result);
     void adopt(const std::string& service, Kept& kept, const StoreReadResult& result);
     void sendHeartbeats();
--- a/src/ranges/range_keeper.cpp
+++ b/src/ranges/range_keeper.cpp
@@ -34,6 +34,8 @@
 constexpr Milliseconds writeRetryInterval = 200ms;
 /// Changes of holders in this time go into one write.
 constexpr Milliseconds writeInterval = 30ms;
+/// Changes of routes in this time go into one table, which every instance is told.
+constexpr Milliseconds publishInterval = 50ms;
 
 RangeHolder holderOf(const ListedServer& server) { return {server.life, server.address}; }
 
@@ -81,11 +83,21 @@
     }
 }
 
+void RangeKeeper::setServers(std::shared_ptr<const ServerList> servers)
+{
+    m_servers = std::move(servers);
+    m_listed.clear();
+    for (const ListedServer& server : *m_servers) {
+        if (server.service == m_service) {
+            m_listed.emplace(server.life.id, &server);
+        }
+    }
+}
+
 const ListedServer* RangeKeeper::listed(const ServerLife& life) const
 {
-    const auto it = std::find_if(m_servers->begin(), m_servers->end(),
-        [&](const ListedServer& server) { return server.life.id == life.id && server.service == m_service; });
-    return it == m_servers->end() ? nullptr : &*it;
+    const auto it = m_listed.find(life.id);
+    return it == m_listed.end() ? nullptr : it->second;
 }
 
 bool RangeKeeper::isUsable(const ServerLife& life) const
@@ -294,7 +306,7 @@
     m_effects.emplace_back(ReleaseRange {owned.call, holder.who, owned.range, holder.fence});
 }
 
-bool RangeKeeper::callEnded(const RangeCallEnded& event, MonotonicTime now)
+bool RangeKeeper::callEnded(const RangeCallEnded& event, MonotonicTime now, bool mayGrant)
 {
     m_now = now;
     const auto owned
@@ -302,18 +314,28 @@
     if (owned == m_ranges.end()) {
         return false;
     }
-    owned->call = 0;
-    const auto holder = std::find_if(owned->holders.begin(), owned->holders.end(),
-        [&](const Holder& candidate) { return candidate.who == owned->callTo; });
-    if (holder == owned->holders.end()) {
-        return true;
+    endCall(*owned, event);
+    stepRange(*owned, mayGrant);
+    writeRecord();
+    if (now - m_publishedAt >= publishInterval && !isPublished(*owned)) {
+        publish();
     }
-    if (owned->callIsRelease) {
-        finishRelease(*owned, *holder, event);
+    return true;
+}
+
+void RangeKeeper::endCall(Owned& owned, const RangeCallEnded& event)
+{
+    owned.call = 0;
+    const auto holder = std::find_if(owned.holders.begin(), owned.holders.end(),
+        [&](const Holder& candidate) { return candidate.who == owned.callTo; });
+    if (holder == owned.holders.end()) {
+        return;
+    }
+    if (owned.callIsRelease) {
+        finishRelease(owned, *holder, event);
     } else {
-        finishGrant(*owned, *holder, event);
+        finishGrant(owned, *holder, event);
     }
-    return true;
 }
 
 void RangeKeeper::finishGrant(Owned& owned, Holder& target, const RangeCallEnded& event)
@@ -523,32 +545,46 @@
     return Found::Own;
 }
 
+RangeRoute RangeKeeper::routeOf(const Owned& owned) const
+{
+    RangeRoute route;
+    route.range = owned.range;
+    if (owned.hasTarget && owned.holders.size() == 1) {
+        const Holder& target = owned.holders.back();
+        if (target.granted || target.earlier) {
+            route.owner = target.who.life;
+            route.address = target.who.address;
+        }
+    } else if (owned.hasTarget && owned.holders.front().granted && !owned.callIsRelease) {
+        route.owner = owned.holders.front().who.life;
+        route.address = owned.holders.front().who.address;
+    }
+    const auto lost = m_lostUntil.find(owned.holders.empty() ? ServerLife() : owned.holders.front().who.life);
+    route.moving = route.owner.id.empty() && owned.hasTarget && (lost == m_lostUntil.end() || lost->second <= m_now);
+    return route;
+}
+
+/// Whether the published table has the route of @p owned, an element of `m_ranges`.
+bool RangeKeeper::isPublished(const Owned& owned) const
+{
+    const auto index = static_cast<std::size_t>(&owned - m_ranges.data());
+    return m_table && index < m_table->routes.size() && m_table->routes[index] == routeOf(owned);
+}
+
 void RangeKeeper::publish()
 {
+    if (m_table && m_table->routes.size() == m_ranges.size()
+        && std::all_of(m_ranges.begin(), m_ranges.end(), [this](const Owned& owned) { return isPublished(owned); })) {
+        return;
+    }
     RangeTable table;
     table.service = m_service;
     table.term = m_numbers.term;
+    table.version = m_numbers.nextTable();
     for (const Owned& owned : m_ranges) {
-        RangeRoute& route = table.routes.emplace_back();
-        route.range = owned.range;
-        if (owned.hasTarget && owned.holders.size() == 1) {
-            const Holder& target = owned.holders.back();
-            if (target.granted || target.earlier) {
-                route.owner = target.who.life;
-                route.address = target.who.address;
-            }
-        } else if (owned.hasTarget && owned.holders.front().granted && !owned.callIsRelease) {
-            route.owner = owned.holders.front().who.life;
-            route.address = owned.holders.front().who.address;
-        }
-        const auto lost = m_lostUntil.find(owned.holders.empty() ? ServerLife() : owned.holders.front().who.life);
-        route.moving
-            = route.owner.id.empty() && owned.hasTarget && (lost == m_lostUntil.end() || lost->second <= m_now);
+        table.routes.push_back(routeOf(owned));
     }
-    if (m_table && m_table->routes == table.routes) {
-        return;
-    }
-    table.version = m_numbers.nextTable();
+    m_publishedAt = m_now;
     m_table = std::make_shared<const RangeTable>(std::move(table));
     m_effects.emplace_back(PublishRanges {m_table});
 }
--- a/src/ranges/range_keeper.h
+++ b/src/ranges/range_keeper.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <optional>
 #include <string>
+#include <unordered_map>
 #include <vector>
 
 namespace jasminespread {
@@ -60,14 +61,16 @@
     void adopt(const std::optional<RangesRecord>& record, std::uint64_t version, MonotonicTime heldUntil);
     /// Earlier leaders' grants end at @p heldUntil at the latest.
     void limitEarlierHolds(MonotonicTime heldUntil);
-    void setServers(std::shared_ptr<const ServerList> servers) { m_servers = std::move(servers); }
+    void setServers(std::shared_ptr<const ServerList> servers);
     void addLoad(std::uint16_t key, double requests) { m_load.add(key, requests); }
     /// An instance saw a server of any service answer at this speed.
     void addSpeed(const ObservedSpeed& speed);
     /// Takes every step that is due. Grants and releases are sent only while @p mayGrant.
     void step(MonotonicTime now, bool mayGrant, bool storeAnswers);
-    /// True when the call was this keeper's. A Fenced result means that another leader may have a higher term.
-    bool callEnded(const RangeCallEnded& event, MonotonicTime now);
+    /// Takes the next step of the call's range, without a look at the others; grants and releases are sent only while
+    /// @p mayGrant. True when the call was this keeper's. A Fenced result means that another leader may have a higher
+    /// term.
+    bool callEnded(const RangeCallEnded& event, MonotonicTime now, bool mayGrant);
     void written(const StoreWriteResult& result);
     /// Whose record was found when it was read back.
     enum class Found : std::uint8_t {
@@ -133,6 +136,9 @@
     void mergeNeighbours();
     void writeRecord();
     [[nodiscard]] RangesRecord record() const;
+    void endCall(Owned& owned, const RangeCallEnded& event);
+    [[nodiscard]] RangeRoute routeOf(const Owned& owned) const;
+    [[nodiscard]] bool isPublished(const Owned& owned) const;
     void publish();
     void log(LogEvent event, const Owned& owned, const std::string& server, std::string_view why);
 
@@ -142,6 +148,7 @@
     RangeEffects& m_effects;
     MonotonicTime m_now;
     std::shared_ptr<const ServerList> m_servers;
+    std::unordered_map<std::string, const ListedServer*> m_listed; ///< Servers of the service in `m_servers`, by id.
     std::map<ServerLife, MonotonicTime> m_lostUntil; ///< Servers that did not answer grants.
     std::vector<Owned> m_ranges; ///< In order, without gaps; empty until there are servers.
     KeyLoad m_load;
@@ -160,6 +167,7 @@
     MonotonicTime m_nextWriteAt;
 
     std::shared_ptr<const RangeTable> m_table;
+    MonotonicTime m_publishedAt;
 };
 
 } // namespace jasminespread
--- a/tests/range_authority_test.cpp
+++ b/tests/range_authority_test.cpp
@@ -60,7 +60,7 @@
 
     RangeEffects end(std::uint64_t call, GrantResult result, const std::string& handover = "")
     {
-        (void)m_keeper.callEnded({call, result, handover}, m_now);
+        (void)m_keeper.callEnded({call, result, handover}, m_now, true);
         return stepAndStore();
     }
 
@@ -108,10 +108,10 @@
                 if (grant->server == holder("b")) {
                     granted = m_now;
                 } else {
-                    (void)m_keeper.callEnded({grant->call, GrantResult::NoAnswer, ""}, m_now);
+                    (void)m_keeper.callEnded({grant->call, GrantResult::NoAnswer, ""}, m_now, true);
                 }
             } else if (const auto* release = std::get_if<ReleaseRange>(&effect)) {
-                (void)m_keeper.callEnded({release->call, GrantResult::NoAnswer, ""}, m_now);
+                (void)m_keeper.callEnded({release->call, GrantResult::NoAnswer, ""}, m_now, true);
             }
         }
     }
@@ -138,7 +138,7 @@
     };
     collect();
     for (const std::uint64_t call : calls) {
-        (void)m_keeper.callEnded({call, GrantResult::Done, ""}, m_now);
+        (void)m_keeper.callEnded({call, GrantResult::Done, ""}, m_now, true);
     }
     const std::map<std::string, KeyRange> before = owned;
     for (int i = 0; i < 5; ++i) {
@@ -147,7 +147,7 @@
         } while (find<GrantRange>(effects) == nullptr);
         collect();
         for (const std::uint64_t call : calls) {
-            (void)m_keeper.callEnded({call, GrantResult::NotSent, "", true}, m_now);
+            (void)m_keeper.callEnded({call, GrantResult::NotSent, "", true}, m_now, true);
         }
     }
     EXPECT_EQ(owned, before);
@@ -170,10 +170,10 @@
                 if (grant->server == holder("b")) {
                     movedAt = m_now;
                 } else {
-                    (void)m_keeper.callEnded({grant->call, GrantResult::NotSent, "", true}, m_now);
+                    (void)m_keeper.callEnded({grant->call, GrantResult::NotSent, "", true}, m_now, true);
                 }
             } else if (const auto* release = std::get_if<ReleaseRange>(&effect)) {
-                (void)m_keeper.callEnded({release->call, GrantResult::NotSent, "", true}, m_now);
+                (void)m_keeper.callEnded({release->call, GrantResult::NotSent, "", true}, m_now, true);
             }
         }
     }
