Write no request after its deadline

Callers saw requests reach a server after their deadline (GONE); the same path sends grants, whose holds are counted from a send at most the call's time-out after the decision, so that a late one could outlast what its leader knows.

Cause: deadlines end an exchange from a timer only. When another source of the same turn of the main loop takes long, a connection that became ready is written first and the timer runs in the next turn.

Evidence: BackendTransportTest.NothingIsWrittenAfterTheDeadline failed before (a request with a deadline of 50 ms was written after a turn of 100 ms and ran) and passes now. Not shown to be the cause of a broken rule by itself.

Why it works: the clock is read right before the first byte.

--- a/src/transport/beast_backend_transport.cpp
+++ b/src/transport/beast_backend_transport.cpp
@@ -343,6 +343,10 @@
     void write(Connection& connection)
     {
         Exchange& exchange = *m_exchanges.at(connection.exchange);
+        // The timer may not have run yet: other sources of the same turn can take long.
+        if (exchange.written == 0 && monotonicNow() >= exchange.requestDeadline) {
+            return failAndClose(connection, "the deadline passed", Cause::Deadline);
+        }
         if (!connection.parser) {
             resetParser(connection);
         }
--- a/tests/backend_transport_test.cpp
+++ b/tests/backend_transport_test.cpp
@@ -172,6 +172,35 @@
     EXPECT_EQ(exchange(makeRequest(backend.address())).body, "own");
 }
 
+// Guards against a request that is written after its deadline because other work kept the main loop busy.
+TEST_F(BackendTransportTest, NothingIsWrittenAfterTheDeadline)
+{
+    std::atomic<int> requests = 0;
+    TestBackend backend([&](const std::string&) {
+        ++requests;
+        return TestBackend::answer("x");
+    });
+    GSource* busy = g_timeout_source_new(0);
+    g_source_set_callback(
+        busy,
+        [](gpointer) -> gboolean {
+            g_usleep(100'000);
+            return G_SOURCE_REMOVE;
+        },
+        nullptr, nullptr);
+    g_source_attach(busy, context);
+    BackendRequest request = makeRequest(backend.address());
+    request.deadline = monotonicNow() + Milliseconds(50);
+    std::optional<BackendResult> received;
+    transport.send(std::move(request), [&](BackendResult result) { received = std::move(result); });
+    EXPECT_TRUE(runUntil([&] { return received.has_value(); }));
+    g_source_unref(busy);
+    EXPECT_EQ(received.value_or(BackendResult {}).progress, BackendProgress::NotSent);
+    EXPECT_TRUE(received.value_or(BackendResult {}).timedOut);
+    EXPECT_EQ(exchange(makeRequest(backend.address())).progress, BackendProgress::Answered);
+    EXPECT_EQ(requests, 1);
+}
+
 // Guards against exceeding the connection budget, and against requests that never get a connection.
 TEST_F(BackendTransportTest, ConnectionLimitQueuesRequests)
 {
