Send nothing for callers that left while their request lay unread

Callers saw work go on after they had left (GONE).

Cause: a request and the close behind it are read in two turns of the main loop. When the process was busy or paused both lay in the socket; the request was read and sent on at once, on a kept connection, and the close was noticed one turn later.

Why it works: right before the first byte of a request is written, the deadline and the caller's socket are checked, however long the send waited for a connection. A send that is withheld ends its request: it counts neither as an attempt nor against the server.

--- a/include/jasminespread/backend_transport.h
+++ b/include/jasminespread/backend_transport.h
@@ -34,6 +34,9 @@
     /// Tells whether a complete answer belongs to this request; any other one is dropped and the next one is awaited.
     /// Empty: every answer does.
     std::function<bool(unsigned status, const std::vector<HeaderField>& headers)> isAnswer;
+    /// Called right before the first byte is written, which may be long after send(). When it returns false, nothing is
+    /// written and the request ends as NotSent. Empty: always allowed.
+    std::function<bool()> mayBegin;
     /// Called right before each write. When it returns false, nothing more is written and the request ends as NotSent
     /// or Broken. Empty: always allowed.
     std::function<bool()> mayWrite;
@@ -55,7 +58,7 @@
 struct BackendResult {
     BackendProgress progress = BackendProgress::NotSent;
     bool timedOut = false;
-    bool withheld = false; ///< BackendRequest::mayWrite returned false.
+    bool withheld = false; ///< BackendRequest::mayBegin or mayWrite returned false.
     bool connectionReused = false; ///< The request went out on a connection that had carried another one before.
     unsigned status = 0;
     std::vector<HeaderField> headers;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -297,13 +297,8 @@
     {
         const std::uint64_t dispatch = effect.dispatch;
         BackendRequest request = m_ports.encodeSend(effect);
-        request.mayWrite = [id = effect.request->id, startedAt = monotonicNow(), reported = false]() mutable {
-            const Milliseconds waited = std::chrono::duration_cast<Milliseconds>(monotonicNow() - startedAt);
-            if (!std::exchange(reported, true) && waited >= reportedSendDelay) {
-                logEvent(LogEvent::SendDelayed, "id=" + id + " waited-ms=" + std::to_string(waited.count()));
-            }
-            return true;
-        };
+        request.mayBegin = [this, caller = effect.caller, id = effect.request->id, deadline = effect.deadline,
+                               startedAt = monotonicNow()] { return mayBegin(caller, id, startedAt, deadline); };
         const BackendTransport::Handle handle
             = m_transport.send(std::move(request), [this, dispatch](BackendResult result) {
                   const LoopMonitor::Step step(m_monitor, "server-answer");
@@ -311,12 +306,33 @@
                   if (result.progress == BackendProgress::Answered) {
                       apply(ServerAnswered {dispatch, m_ports.decodeServerAnswer(std::move(result))});
                   } else {
-                      apply(ServerFailed {dispatch, result.progress == BackendProgress::Broken, result.failure});
+                      apply(ServerFailed {dispatch, howFailed(result), result.failure});
                   }
               });
         m_sends.emplace(dispatch, handle);
     }
 
+    /// Whether a request may still go to its server: it may have waited for a connection, or the close of its caller
+    /// may lie unread behind it.
+    [[nodiscard]] bool mayBegin(
+        std::uint64_t caller, const std::string& id, MonotonicTime startedAt, MonotonicTime deadline) const
+    {
+        const MonotonicTime now = monotonicNow();
+        const Milliseconds waited = std::chrono::duration_cast<Milliseconds>(now - startedAt);
+        if (waited >= reportedSendDelay) {
+            logEvent(LogEvent::SendDelayed, "id=" + id + " waited-ms=" + std::to_string(waited.count()));
+        }
+        return now < deadline && !m_callers.hasLeft(caller);
+    }
+
+    static FailedSend howFailed(const BackendResult& result)
+    {
+        if (result.progress == BackendProgress::Broken) {
+            return FailedSend::MayHaveRun;
+        }
+        return result.withheld ? FailedSend::Withheld : FailedSend::NotSent;
+    }
+
     void execute(CancelSend&& effect)
     {
         const auto it = m_sends.find(effect.dispatch);
--- a/src/gateway/gateway_event.h
+++ b/src/gateway/gateway_event.h
@@ -33,10 +33,23 @@
     ServerAnswer answer;
 };
 
+/// How a send ended without an answer.
+enum class FailedSend : std::uint8_t {
+    MayHaveRun, ///< At least one byte of the request was written.
+    NotSent, ///< The server could not be reached.
+    Withheld ///< Nothing was written, because the caller had left or its time was over.
+};
+
+inline constexpr std::array<EnumName<FailedSend>, 3> failedSendNames {{
+    {FailedSend::MayHaveRun, "server-broke-off"},
+    {FailedSend::NotSent, "server-unreachable"},
+    {FailedSend::Withheld, "withheld"},
+}};
+
 /// Ends a SendToServer effect without an answer.
 struct ServerFailed {
     std::uint64_t dispatch = 0;
-    bool sent = false; ///< At least one byte of the request was written.
+    FailedSend how = FailedSend::NotSent;
     std::string why;
 };
 
@@ -98,10 +111,11 @@
 
 struct SendToServer {
     std::uint64_t dispatch = 0;
+    std::uint64_t caller = 0; ///< Nothing is written once it has left.
     ListedServer server;
     std::shared_ptr<const GatewayRequest> request;
     Milliseconds timeLeft {0}; ///< How long the caller still waits.
-    MonotonicTime deadline; ///< Same, as a time.
+    MonotonicTime deadline; ///< Same, as a time. Nothing is written after it.
 };
 
 /// Ends a dispatch and closes its connection, so that the server stops its work.
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -127,9 +127,7 @@
     if (mustEnd) {
         return; // A record that is being written is not cut off halfway; its answer is dropped.
     }
-    record(job, "", "caller-left", "");
-    cancelDispatches(job);
-    removeJob(job);
+    abandon(job);
 }
 
 void GatewayReducer::handle(ServerAnswered&& event)
@@ -185,15 +183,24 @@
     }
     Job& job = *found;
     Server& server = m_servers.at(dispatch.server);
-    if (event.sent) {
+    record(job, dispatch.server, enumName(failedSendNames, event.how), event.why);
+    switch (event.how) {
+    case FailedSend::MayHaveRun:
         server.seen.failed(m_now);
         job.mayHaveRun = true;
-    } else {
+        break;
+    case FailedSend::NotSent:
         server.seen.unreachable(m_now);
         --job.sends;
         ++job.unsent;
+        break;
+    case FailedSend::Withheld:
+        --job.sends;
+        if (job.dispatches.empty()) {
+            return m_now >= job.deadline ? expire(job) : abandon(job);
+        }
+        return; // Another server is still at work on it.
     }
-    record(job, dispatch.server, event.sent ? "server-broke-off" : "server-unreachable", event.why);
     retry(job, "the connection to the backend server broke");
 }
 
@@ -433,7 +440,7 @@
         job.hedgeAt = m_now + wait;
         setWake(job, job.hedgeAt);
     }
-    m_effects.emplace_back(SendToServer {number, server.listed, job.request, remaining(job), job.deadline});
+    m_effects.emplace_back(SendToServer {number, job.caller, server.listed, job.request, remaining(job), job.deadline});
 }
 
 /// Asks a second server beside a slow one, when the budget allows and the answer can still be of use.
@@ -502,6 +509,14 @@
     refuse(job, why, returnTime(job, typicalOf(job)));
 }
 
+/// Ends a job whose caller left.
+void GatewayReducer::abandon(Job& job)
+{
+    record(job, "", "caller-left", "");
+    cancelDispatches(job);
+    removeJob(job);
+}
+
 void GatewayReducer::expire(Job& job)
 {
     for (const Dispatch& dispatch : job.dispatches) {
--- a/src/gateway/gateway_reducer.h
+++ b/src/gateway/gateway_reducer.h
@@ -107,6 +107,7 @@
     void dispatch(Job& job, Server& server);
     void hedge(Job& job);
     void retry(Job& job, std::string_view why);
+    void abandon(Job& job);
     void expire(Job& job);
     void deliver(Job& job, ServerAnswer&& answer);
     void refuse(Job& job, std::string_view why, Milliseconds retryAfter);
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -484,6 +484,17 @@
     }
 }
 
+bool HttpServer::hasLeft(std::uint64_t request) const
+{
+    const auto it = m_state->connections.find(request);
+    if (it == m_state->connections.end()) {
+        return false;
+    }
+    char byte = 0;
+    const ssize_t n = recv(it->second->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
+}
+
 void HttpServer::answer(std::uint64_t request, CallerAnswer&& answer)
 {
     const auto it = m_state->connections.find(request);
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -60,6 +60,9 @@
     void drain(Milliseconds idleFor);
     /// Stops accepting connections.
     void stopListening();
+    /// Whether the caller of a request that was not answered has closed its connection, noticed or not yet. False for
+    /// unknown requests.
+    [[nodiscard]] bool hasLeft(std::uint64_t request) const;
     /// Answers a request. Unknown requests are ignored.
     void answer(std::uint64_t request, CallerAnswer&& answer);
     /// Number of requests whose head arrived and that are not fully answered yet.
--- a/src/transport/beast_backend_transport.cpp
+++ b/src/transport/beast_backend_transport.cpp
@@ -65,6 +65,7 @@
 struct Exchange {
     BackendTransport::Handle handle = 0;
     BackendTransport::Callback callback;
+    std::function<bool()> mayBegin;
     std::function<bool()> mayWrite;
     std::function<bool(unsigned, const std::vector<HeaderField>&)> isAnswer;
     Milliseconds connectTimeout {0};
@@ -162,6 +163,7 @@
         auto exchange = std::make_unique<Exchange>();
         exchange->handle = handle;
         exchange->callback = std::move(callback);
+        exchange->mayBegin = std::move(request.mayBegin);
         exchange->mayWrite = std::move(request.mayWrite);
         exchange->isAnswer = std::move(request.isAnswer);
         exchange->connectTimeout = request.connectTimeout;
@@ -347,6 +349,9 @@
         if (exchange.written == 0 && monotonicNow() >= exchange.requestDeadline) {
             return failAndClose(connection, "the deadline passed", Cause::Deadline);
         }
+        if (exchange.written == 0 && exchange.mayBegin && !exchange.mayBegin()) {
+            return failAndClose(connection, "nobody waits for the answer any more", Cause::Withheld);
+        }
         if (!connection.parser) {
             resetParser(connection);
         }
--- a/src/transport/soup_backend_transport.cpp
+++ b/src/transport/soup_backend_transport.cpp
@@ -39,6 +39,7 @@
         exchange->owner = this;
         exchange->handle = handle;
         exchange->callback = std::move(callback);
+        exchange->mayBegin = std::move(request.mayBegin);
         exchange->mayWrite = std::move(request.mayWrite);
         exchange->cancellable.reset(g_cancellable_new());
         const std::string url = "http://" + request.address + request.target;
@@ -98,6 +99,7 @@
         SoupTransport* owner = nullptr;
         BackendTransport::Handle handle = 0;
         BackendTransport::Callback callback;
+        std::function<bool()> mayBegin;
         std::function<bool()> mayWrite;
         GObjectPointer<SoupMessage> message;
         GObjectPointer<GCancellable> cancellable;
@@ -110,7 +112,8 @@
     static void onStarting(SoupMessage*, gpointer data)
     {
         Exchange& exchange = *static_cast<Exchange*>(data);
-        if (exchange.mayWrite && !exchange.mayWrite() && !exchange.started) {
+        const bool allowed = (!exchange.mayBegin || exchange.mayBegin()) && (!exchange.mayWrite || exchange.mayWrite());
+        if (!allowed && !exchange.started) {
             exchange.withheld = true;
             g_cancellable_cancel(exchange.cancellable.get());
             return;
--- a/tests/gateway_reducer_test.cpp
+++ b/tests/gateway_reducer_test.cpp
@@ -130,7 +130,8 @@
 TEST_F(GatewayReducerTest, DoesNotRepeatAnOrderThatMayHaveRun)
 {
     const GatewayEffects sent = ask(1, "/order/x");
-    const GatewayEffects effects = apply(ServerFailed {find<SendToServer>(sent)->dispatch, true, "reset"});
+    const GatewayEffects effects
+        = apply(ServerFailed {find<SendToServer>(sent)->dispatch, FailedSend::MayHaveRun, "reset"});
     EXPECT_EQ(find<SendToServer>(effects), nullptr);
     ASSERT_NE(find<AnswerRequest>(effects), nullptr);
     EXPECT_EQ(find<AnswerRequest>(effects)->status, 502U);
@@ -140,7 +141,8 @@
 TEST_F(GatewayReducerTest, SendsAnOrderElsewhereWhenItDidNotRun)
 {
     const GatewayEffects sent = ask(1, "/order/x");
-    const GatewayEffects unsent = apply(ServerFailed {find<SendToServer>(sent)->dispatch, false, "refused"});
+    const GatewayEffects unsent
+        = apply(ServerFailed {find<SendToServer>(sent)->dispatch, FailedSend::NotSent, "refused"});
     ASSERT_NE(find<SendToServer>(unsent), nullptr);
     EXPECT_EQ(find<SendToServer>(unsent)->server.life.id, "far");
     const GatewayEffects done = apply(ServerAnswered {find<SendToServer>(unsent)->dispatch, answer(200)});
@@ -151,7 +153,8 @@
 TEST_F(GatewayReducerTest, DoesNotPromiseNotRunAfterABreak)
 {
     const GatewayEffects first = ask(1, "/read/x");
-    const GatewayEffects second = apply(ServerFailed {find<SendToServer>(first)->dispatch, true, "reset"});
+    const GatewayEffects second
+        = apply(ServerFailed {find<SendToServer>(first)->dispatch, FailedSend::MayHaveRun, "reset"});
     ASSERT_NE(find<SendToServer>(second), nullptr);
     const GatewayEffects refused
         = apply(ServerAnswered {find<SendToServer>(second)->dispatch, answer(503, Execution::NotRun)});
@@ -205,6 +208,22 @@
     EXPECT_EQ(m_reducer.requestsInFlight(), 0U);
 }
 
+/// Guards against a send that was withheld being tried again, or counted against its server.
+TEST_F(GatewayReducerTest, EndsTheRequestOfAWithheldSend)
+{
+    const GatewayEffects left
+        = apply(ServerFailed {find<SendToServer>(ask(1, "/read/x"))->dispatch, FailedSend::Withheld, ""});
+    EXPECT_EQ(find<SendToServer>(left), nullptr);
+    EXPECT_EQ(m_reducer.requestsInFlight(), 0U);
+    const GatewayEffects sent = ask(2, "/read/x");
+    m_now += 800ms;
+    const GatewayEffects late = apply(ServerFailed {find<SendToServer>(sent)->dispatch, FailedSend::Withheld, ""});
+    ASSERT_NE(find<AnswerRequest>(late), nullptr);
+    EXPECT_EQ(find<AnswerRequest>(late)->status, 503U);
+    m_now += 1ms;
+    EXPECT_EQ(find<SendToServer>(ask(3, "/read/x"))->server.life, find<SendToServer>(sent)->server.life);
+}
+
 /// Guards against a caller without an answer at its deadline.
 TEST_F(GatewayReducerTest, AnswersAtTheDeadline)
 {
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -1,6 +1,8 @@
 #include "platform_fake.h"
 #include "process.h"
 
+#include "base/socket_address.h"
+
 #include <jasminespread/backend_transports.h>
 
 #include <gtest/gtest.h>
@@ -9,6 +11,7 @@
 #include <filesystem>
 #include <fstream>
 #include <optional>
+#include <sys/socket.h>
 #include <unistd.h>
 
 namespace jasminespread::test {
@@ -112,6 +115,18 @@
         return result->value_or(BackendResult());
     }
 
+    /// Sends a request on a connection of its own, which is closed right behind it.
+    void sendAndLeave(unsigned gateway, const std::string& path, const std::string& id) const
+    {
+        const std::optional<SocketAddress> to = parseSocketAddress(address(21 + gateway, 8381));
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        ASSERT_EQ(connect(fd, to->get(), to->size), 0);
+        const std::string text
+            = "GET " + path + " HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id + "\r\nDeadline-Ms: 3000\r\n\r\n";
+        EXPECT_EQ(::send(fd, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
+        close(fd);
+    }
+
     bool isReady(unsigned gateway) { return call(gateway, "/api/readiness", std::nullopt, 8388).status == 200; }
 
     std::string m_net;
@@ -221,6 +236,26 @@
     EXPECT_EQ(m_deskA.ran().size() + m_plannerA.ran().size(), before);
 }
 
+/// Guards against work for a caller whose close lay unread behind its request.
+TEST_F(GatewayTest, SendsNothingForCallersThatLeftBeforeTheyWereRead)
+{
+    for (int i = 0; i < 6; ++i) {
+        EXPECT_EQ(call(0, "/read/1").status, 200U);
+    }
+    m_gateways[0]->signal(SIGSTOP);
+    for (int i = 0; i < 8; ++i) {
+        sendAndLeave(0, "/read/1", "left-" + std::to_string(i));
+    }
+    (void)runUntil(100ms, [] { return false; });
+    m_gateways[0]->signal(SIGCONT);
+    EXPECT_EQ(call(0, "/read/1").status, 200U);
+    for (const ServerFake* desk : {&m_deskA, &m_deskB}) {
+        for (const std::string& id : desk->ran()) {
+            EXPECT_FALSE(id.starts_with("left-")) << id;
+        }
+    }
+}
+
 /// Guards against a request that is cut off by a planned stop, and against a stop that takes longer than its grace.
 TEST_F(GatewayTest, AnswersWhatItReadBeforeItStops)
 {
