Let the fittest instance succeed a leader; an unfit leader hands over

Cause: a leader that stops or has lost the store named the instance that it had heard last. On the grown sites 58 of 76 instances have a tenth of a core and a link of 10 Mbit/s, too little for 470 grants a second and messages to 75 instances. Nothing took the lead from them again.

Why it works: reports tell the share of a processor; among the instances heard lately the fittest is named. A leader less than half as fit hands over, which takes no key from its owner; it does not while earlier leaders are unconfirmed, so that the time until silent holders have ended does not grow.

--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -1,6 +1,7 @@
 #include "ranges/range_authority.h"
 
 #include <algorithm>
+#include <tuple>
 #include <utility>
 
 namespace jasminespread {
@@ -18,6 +19,12 @@
 constexpr Milliseconds longestGap = 700ms;
 /// A leader reads its record every second; after this long without an answer another instance is to lead.
 constexpr Milliseconds storeLossPatience = 2200ms;
+/// A leader hands over to an instance that is this many times as fit, once it has led long enough for the others to
+/// report to it.
+constexpr double muchFitter = 2;
+constexpr Milliseconds fitnessPatience = 1000ms;
+/// Reports older than two of their intervals do not count while there are newer ones.
+constexpr Milliseconds freshReport = 2 * reportInterval;
 /// A larger change, as of a whole configuration, is fetched by each instance: the store's link is faster than the
 /// leader's.
 constexpr std::size_t highestPassedOnBytes = 4096;
@@ -338,6 +345,7 @@
     member.heardAt = m_now;
     member.leaving = message.leaving();
     member.reachesStore = message.store_reachable();
+    member.fitness = message.fitness();
     member.inFlight.clear();
     for (const wire::ServerSpeed& speed : message.speeds()) {
         member.inFlight[speed.id()] = speed.in_flight();
@@ -493,9 +501,7 @@
 {
     m_nextHeartbeatAt = m_now + heartbeatInterval;
     countMembers();
-    // A leader that has lost the store learns of no server that leaves, and can move no range.
-    const bool handsOver = m_stopping || m_now - m_leadership.evidenceAt() > storeLossPatience;
-    const std::string successor = handsOver ? chooseSuccessor() : std::string();
+    const std::string next = successor();
     const std::map<std::string, std::uint32_t> busy = busyServers();
     m_effects.emplace_back(PublishLoads {busy});
     const std::optional<SharedFeeds> view = m_view.describe(m_now);
@@ -506,7 +512,7 @@
         heartbeat.set_address(m_self.address);
         heartbeat.set_instances(m_instances);
         heartbeat.set_leaving(m_stopping);
-        heartbeat.set_successor(successor);
+        heartbeat.set_successor(next);
         if (view) {
             heartbeat.set_feed_age_ms(static_cast<std::uint32_t>(view->age.count()));
             for (const auto& [feed, revision] : view->revisions) {
@@ -552,14 +558,31 @@
     return busy;
 }
 
-std::string RangeAuthority::chooseSuccessor() const
+/// The instance that is to lead from now on; empty: this one stays.
+std::string RangeAuthority::successor() const
 {
-    std::string best;
-    MonotonicTime heardAt;
-    for (const auto& [id, member] : m_members) {
-        if (!member.leaving && member.reachesStore && member.heardAt > heardAt) {
-            best = id;
-            heardAt = member.heardAt;
+    const auto fittest = fittestMember();
+    if (fittest == m_members.end()) {
+        return {};
+    }
+    // A leader that has lost the store learns of no server that leaves, and can move no range.
+    const bool mustStop = m_stopping || m_now - m_leadership.evidenceAt() > storeLossPatience;
+    // The chain of leaders that may still grant is not made longer by choice.
+    const bool isUnfit = fittest->second.fitness >= m_leadershipTimes.fitness * muchFitter && m_unconfirmed.empty()
+        && m_now - m_leadership.tookOverAt() >= fitnessPatience;
+    return mustStop || isUnfit ? fittest->first : std::string();
+}
+
+std::map<std::string, RangeAuthority::Member>::const_iterator RangeAuthority::fittestMember() const
+{
+    const auto worth = [this](const Member& member) {
+        return std::tuple(m_now - member.heardAt <= freshReport, member.fitness, member.heardAt);
+    };
+    auto best = m_members.end();
+    for (auto it = m_members.begin(); it != m_members.end(); ++it) {
+        const bool eligible = !it->second.leaving && it->second.reachesStore;
+        if (eligible && (best == m_members.end() || worth(it->second) > worth(best->second))) {
+            best = it;
         }
     }
     return best;
@@ -602,6 +625,7 @@
     report.set_leaving(m_stopping);
     report.set_known_term(leader->term);
     report.set_store_reachable(m_reachesStore);
+    report.set_fitness(static_cast<float>(m_leadershipTimes.fitness));
     report.set_missed_changes(std::exchange(m_missedChanges, false));
     for (const auto& [service, table] : m_tables) {
         wire::RangeTableVersion& version = *report.add_tables();
--- a/src/ranges/range_authority.h
+++ b/src/ranges/range_authority.h
@@ -36,6 +36,7 @@
         MonotonicTime heardAt;
         bool leaving = false;
         bool reachesStore = false;
+        double fitness = 0; ///< To lead, from 0 to 1.
         std::map<std::string, std::uint32_t> inFlight; ///< By server.
     };
 
@@ -82,7 +83,8 @@
     void sendTables(const std::string& to);
     void countMembers();
     [[nodiscard]] MonotonicTime earlierHoldEnd() const;
-    [[nodiscard]] std::string chooseSuccessor() const;
+    [[nodiscard]] std::string successor() const;
+    [[nodiscard]] std::map<std::string, Member>::const_iterator fittestMember() const;
     void addLoads(const wire::InstanceReport& report);
     [[nodiscard]] std::map<std::string, std::uint32_t> busyServers() const;
     void addSpeed(const ObservedSpeed& speed);
--- /dev/null
+++ b/tests/support/leading_authority.h
@@ -0,0 +1,116 @@
+#pragma once
+
+#include "ranges/range_authority.h"
+#include "ranges/range_keeper.h"
+
+#include <chrono>
+#include <cstdint>
+#include <map>
+#include <memory>
+#include <string>
+#include <utility>
+#include <vector>
+
+namespace jasminespread::test {
+
+/// A range authority against a store that answers at once and servers that accept every grant; it leads after run().
+class LeadingAuthority {
+public:
+    explicit LeadingAuthority(double fitness = 1)
+        : m_authority(LeaderRecord {0, "edge-1", 7, "10.0.0.1:7200", {}}, RangeTimes(), timesOf(fitness), 1)
+    {
+        auto configuration = std::make_shared<GatewayConfiguration>();
+        configuration->services[service] = {service, "/health", 100, true, std::chrono::milliseconds(0)};
+        reduce(RangeServicesConfigured {std::move(configuration)});
+    }
+
+    /// Lists the first @p count servers.
+    void listServers(std::size_t count)
+    {
+        auto servers = std::make_shared<ServerList>();
+        for (std::size_t i = 0; i < count; ++i) {
+            ListedServer& server = servers->emplace_back();
+            server.life = {"i-" + std::to_string(1000000 + i), 1};
+            server.service = service;
+            server.address = "10.7." + std::to_string(i) + ".14:8382";
+            server.slots = 4;
+        }
+        reduce(RangeServersListed {std::move(servers)});
+    }
+
+    /// Instance edge-@p index reports to the leader.
+    void report(std::size_t index, double fitness = 1)
+    {
+        wire::Envelope envelope;
+        envelope.mutable_sender()->set_id("edge-" + std::to_string(index));
+        envelope.mutable_sender()->set_incarnation(index);
+        wire::InstanceReport& report = *envelope.mutable_instance_report();
+        report.set_address("10.0.0." + std::to_string(index) + ":7200");
+        report.set_store_reachable(true);
+        report.set_fitness(static_cast<float>(fitness));
+        reduce(RangePeerMessage {std::move(envelope)});
+    }
+
+    /// Applies one event, answers what it asks of the store, and keeps the grants and messages that it sends.
+    void reduce(RangeEvent&& event)
+    {
+        for (RangeEffect& effect : m_authority.reduce({now, std::move(event)})) {
+            if (auto* read = std::get_if<ReadRecord>(&effect)) {
+                reduce(RecordRead {read->name, now, readRecord(read->name)});
+            } else if (auto* write = std::get_if<WriteRecord>(&effect)) {
+                m_records[write->name] = {write->name, ++m_version, write->value};
+                reduce(RecordWritten {write->name, now, {StoreStatus::Ok, m_version}});
+            } else if (auto* grant = std::get_if<GrantRange>(&effect)) {
+                grants.push_back(grant->call);
+            } else if (auto* sent = std::get_if<SendRangePeer>(&effect)) {
+                messages.push_back(std::move(sent->envelope));
+            }
+        }
+    }
+
+    /// Lets time pass in ticks; grants are answered at each of them.
+    void run(Milliseconds length)
+    {
+        for (const MonotonicTime end = now + length; now < end; now += Milliseconds(50)) {
+            reduce(RangeTick {});
+            answerGrants();
+        }
+    }
+
+    void answerGrants()
+    {
+        for (const std::uint64_t call : std::exchange(grants, {})) {
+            reduce(RangeCallEnded {call, GrantResult::Done, "", false});
+            ++answers;
+        }
+    }
+
+    static inline const std::string service = "archive";
+    MonotonicTime now {std::chrono::hours(1)};
+    std::vector<std::uint64_t> grants; ///< Calls without an answer.
+    std::vector<wire::Envelope> messages; ///< To other instances.
+    std::size_t answers = 0;
+
+private:
+    static LeadershipTimes timesOf(double fitness)
+    {
+        LeadershipTimes times;
+        times.fitness = fitness;
+        return times;
+    }
+
+    [[nodiscard]] StoreReadResult readRecord(const std::string& name) const
+    {
+        const auto it = m_records.find(name);
+        if (it == m_records.end()) {
+            return {StoreStatus::NotFound, {}};
+        }
+        return {StoreStatus::Ok, it->second};
+    }
+
+    RangeAuthority m_authority;
+    std::map<std::string, StoredObject> m_records;
+    std::uint64_t m_version = 0;
+};
+
+} // namespace jasminespread::test
