Count the way of a heartbeat into the age of the leader's view

Cause: an instance relies on the leader's view while that is at most 1.4 s old, and took the age that a heartbeat names as of its arrival. A heartbeat that waited on a full link, or unread in a busy process, made the view look newer than it is, and the instance did not ask the store.

Why it works: heartbeats name the leader's time; the fastest of a term gives the difference of both clocks, and what another one took longer is added to the age. A leader of another term starts anew; one without the field (an older version) looks older with each heartbeat and leaves the instance with the store.

--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -321,6 +321,8 @@
     if (message.feeds_size() > 0) {
         SharedFeeds shared;
         shared.age = Milliseconds(message.feed_age_ms());
+        shared.term = message.term();
+        shared.saidAt = MonotonicTime(Milliseconds(message.sent_at_ms()));
         for (const wire::FeedState& feed : message.feeds()) {
             shared.revisions[feed.feed()] = feed.revision();
         }
@@ -509,6 +511,8 @@
         wire::Envelope envelope;
         wire::RangeLeaderHeartbeat& heartbeat = *envelope.mutable_range_leader_heartbeat();
         heartbeat.set_term(m_term);
+        heartbeat.set_sent_at_ms(
+            static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(m_now.time_since_epoch()).count()));
         heartbeat.set_address(m_self.address);
         heartbeat.set_instances(m_instances);
         heartbeat.set_leaving(m_stopping);
--- a/src/ranges/view_sharing.cpp
+++ b/src/ranges/view_sharing.cpp
@@ -32,7 +32,12 @@
 
 void ViewSharing::heard(const SharedFeeds& shared, MonotonicTime now)
 {
-    m_viewAt = std::max(m_viewAt.value_or(MonotonicTime()), now - shared.age);
+    const MonotonicTime::duration transit = now - shared.saidAt;
+    m_leastTransit = shared.term == m_term ? std::min(m_leastTransit, transit) : transit;
+    m_term = shared.term;
+    // A heartbeat that waited on a full link, or unread, tells of an older view.
+    const MonotonicTime::duration waited = transit - m_leastTransit;
+    m_viewAt = std::max(m_viewAt.value_or(MonotonicTime()), now - shared.age - waited);
     for (const auto& [name, revision] : shared.revisions) {
         Feed& known = m_feeds[name];
         known.announced = std::max(known.announced, revision);
--- a/src/ranges/view_sharing.h
+++ b/src/ranges/view_sharing.h
@@ -43,6 +43,8 @@
 struct SharedFeeds {
     std::map<std::string, std::uint64_t> revisions; ///< Of the last change, by feed.
     Milliseconds age {0}; ///< Time since the store last answered for the feed that was answered longest ago.
+    std::uint64_t term = 0; ///< Of the leader.
+    MonotonicTime saidAt; ///< By the leader's clock.
 };
 
 /// Decides whether an instance watches the store itself or relies on the leader, so that calls to the store grow with
@@ -74,6 +76,9 @@
 
     std::map<std::string, Feed> m_feeds;
     std::optional<MonotonicTime> m_viewAt; ///< Time as of which the leader's view was complete.
+    std::uint64_t m_term = 0; ///< Of the leader that was heard last.
+    /// Shortest time on the way of a heartbeat of this term, with the constant difference of both clocks.
+    MonotonicTime::duration m_leastTransit {};
 };
 
 } // namespace jasminespread
--- a/tests/view_sharing_test.cpp
+++ b/tests/view_sharing_test.cpp
@@ -17,7 +17,7 @@
 {
     ViewSharing view;
     EXPECT_EQ(view.source(false, start), FeedSource::Store);
-    view.heard({{{"servers", 7}}, 300ms}, start);
+    view.heard({{{"servers", 7}}, 300ms, 1, start}, start);
     EXPECT_EQ(view.source(false, start), FeedSource::Leader);
     EXPECT_EQ(view.source(true, start), FeedSource::StoreForOthers);
 }
@@ -27,16 +27,34 @@
 TEST(ViewSharingTest, WatchesTheStoreWhenTheLeadersViewIsOld)
 {
     ViewSharing view;
-    view.heard({{{"servers", 7}}, 300ms}, start);
+    view.heard({{{"servers", 7}}, 300ms, 1, start}, start);
     EXPECT_EQ(view.source(false, start + 1s), FeedSource::Leader);
     EXPECT_EQ(view.source(false, start + 1200ms), FeedSource::Store);
     // It is heard, but its view gets older.
     for (Milliseconds age = 300ms; age < 2s; age += 300ms) {
-        view.heard({{{"servers", 7}}, age}, start + age);
+        view.heard({{{"servers", 7}}, age, 1, start + age}, start + age);
     }
     EXPECT_EQ(view.source(false, start + 1900ms), FeedSource::Store);
 }
 
+/// Guards against an instance that relies on a leader whose heartbeats arrive late, one after the other.
+TEST(ViewSharingTest, HeartbeatsThatWaitedTellOfAnOldView)
+{
+    constexpr Milliseconds clockDifference = 40min;
+    ViewSharing view;
+    view.heard({{{"servers", 7}}, 100ms, 3, start + clockDifference}, start + 12ms);
+    for (Milliseconds later = 300ms; later <= 3s; later += 300ms) {
+        // The link gets fuller: each heartbeat is on its way for longer than the one before.
+        const MonotonicTime arrival = start + later + later / 2;
+        view.heard({{{"servers", 7}}, 100ms, 3, start + clockDifference + later}, arrival);
+        const bool isOld = later / 2 - 12ms + 100ms > 1400ms;
+        EXPECT_EQ(view.source(false, arrival), isOld ? FeedSource::Store : FeedSource::Leader) << later.count();
+    }
+    // A leader of a later term has a clock of its own.
+    view.heard({{{"servers", 7}}, 100ms, 4, start}, start + 5s);
+    EXPECT_EQ(view.source(false, start + 5s), FeedSource::Leader);
+}
+
 /// Guards against a leader that has one feed only and lets others stop watching both.
 TEST(ViewSharingTest, TellsTheAgeOfTheOldestFeed)
 {
@@ -57,9 +75,9 @@
 {
     ViewSharing view;
     view.answered("servers", {7, 5}, start);
-    view.heard({{{"servers", 7}}, 0ms}, start);
+    view.heard({{{"servers", 7}}, 0ms, 1, start}, start);
     EXPECT_THAT(view.feedsBehind(start + 1s), IsEmpty());
-    view.heard({{{"servers", 8}}, 0ms}, start + 1s);
+    view.heard({{{"servers", 8}}, 0ms, 1, start + 1s}, start + 1s);
     EXPECT_THAT(view.feedsBehind(start + 1s), IsEmpty()) << "the change itself may be under way";
     EXPECT_THAT(view.feedsBehind(start + 1200ms), ElementsAre("servers"));
     EXPECT_THAT(view.feedsBehind(start + 1300ms), IsEmpty());
