--- a/src/transport/beast_backend_transport.cpp
+++ b/src/transport/beast_backend_transport.cpp
@@ -345,13 +345,13 @@
     void write(Connection& connection)
     {
         Exchange& exchange = *m_exchanges.at(connection.exchange);
+        if (exchange.written == 0 && exchange.mayBegin && !exchange.mayBegin()) {
+            return failAndClose(connection, "nobody waits for the answer any more", Cause::Withheld);
+        }
         // The timer may not have run yet: other sources of the same turn can take long.
         if (exchange.written == 0 && monotonicNow() >= exchange.requestDeadline) {
             return failAndClose(connection, "the deadline passed", Cause::Deadline);
         }
-        if (exchange.written == 0 && exchange.mayBegin && !exchange.mayBegin()) {
-            return failAndClose(connection, "nobody waits for the answer any more", Cause::Withheld);
-        }
         if (!connection.parser) {
             resetParser(connection);
         }
