Withhold grants that are late by the time of their decision

Cause: the end of a hold counts from the decision to grant, the time-out of the call from its execution, on a clock that stops while the machine is suspended. After a step with hundreds of effects, a stall or a suspension a grant could be written later than its leader reckons.

Why it works: right before the first byte the time since the decision is read from the clock that the holds use.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -359,7 +359,9 @@
     /// @{
     void applyRange(RangeEvent&& event)
     {
-        for (RangeEffect& effect : m_authority.reduce({suspendedClockNow(), std::move(event)})) {
+        const MonotonicTime decidedAt = suspendedClockNow();
+        for (RangeEffect& effect : m_authority.reduce({decidedAt, std::move(event)})) {
+            m_rangesDecidedAt = decidedAt;
             std::visit([this](auto& alternative) { executeRange(std::move(alternative)); }, effect);
         }
     }
@@ -395,6 +397,9 @@
     void sendCall(std::uint64_t call, BackendRequest&& request)
     {
         request.connectTimeout = RangeTimes().callTimeout;
+        // Holds count from the decision, on a clock that does not stop while the machine is suspended.
+        request.mayBegin
+            = [until = m_rangesDecidedAt + RangeTimes().callTimeout] { return suspendedClockNow() < until; };
         m_transport.send(std::move(request), [this, call](const BackendResult& result) {
             const LoopMonitor::Step step(m_monitor, "grant-answer");
             applyRange(m_ports.decodeGrantAnswer(call, result));
@@ -516,6 +521,7 @@
     HttpServer m_callers;
     HttpServer m_readiness;
     std::unique_ptr<PeerTransport> m_peers;
+    MonotonicTime m_rangesDecidedAt; ///< When the effects of ranges under way were decided, by suspendedClockNow().
     std::shared_ptr<const GatewayConfiguration> m_configuration;
     std::shared_ptr<const ServerList> m_servers; ///< As published.
     std::deque<GatewayEvent> m_events; ///< Events that arose while effects were executed.
--- a/src/ranges/range_event.h
+++ b/src/ranges/range_event.h
@@ -56,16 +56,18 @@
     OtherServer, ///< Another server has the address: the one that was meant has ended.
     Refused, ///< The call was malformed in the server's eyes.
     NoAnswer, ///< It may have been carried out, or may be later.
-    NotSent ///< No byte of it was written: it is not carried out.
+    NotSent, ///< No byte of it was written: it is not carried out.
+    Withheld ///< The same, because this instance was too late with it.
 };
 
-inline constexpr std::array<EnumName<GrantResult>, 6> grantResultNames {{
+inline constexpr std::array<EnumName<GrantResult>, 7> grantResultNames {{
     {GrantResult::Done, "done"},
     {GrantResult::Fenced, "fenced"},
     {GrantResult::OtherServer, "other-server"},
     {GrantResult::Refused, "refused"},
     {GrantResult::NoAnswer, "no-answer"},
     {GrantResult::NotSent, "not-sent"},
+    {GrantResult::Withheld, "withheld"},
 }};
 
 /// Ends a GrantRange or ReleaseRange effect.
--- a/src/ranges/range_keeper.cpp
+++ b/src/ranges/range_keeper.cpp
@@ -348,7 +348,7 @@
     const bool isTarget = owned.hasTarget && &target == &owned.holders.back();
     if (event.result == GrantResult::NoAnswer) {
         target.unansweredUntil = m_times.holdEnd(owned.callSentAt);
-    } else if (event.result == GrantResult::NotSent) {
+    } else if (event.result == GrantResult::NotSent || event.result == GrantResult::Withheld) {
         target.mayHoldUntil = std::min(target.mayHoldUntil, owned.heldBeforeCall);
     }
     switch (event.result) {
@@ -380,6 +380,9 @@
             m_lostUntil[target.who.life] = m_now + lostTime;
         }
         return;
+    case GrantResult::Withheld:
+        owned.nextCallAt = m_now + retryInterval; // It says nothing about the server.
+        return;
     }
 }
 
@@ -402,6 +405,7 @@
     case GrantResult::Refused:
     case GrantResult::NoAnswer:
     case GrantResult::NotSent:
+    case GrantResult::Withheld:
         owned.nextCallAt = m_now + releaseRetryInterval;
         return;
     }
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -234,6 +234,9 @@
     EXPECT_EQ(decodeGrantAnswer(1, answered(400, {})).result, GrantResult::Refused);
     EXPECT_EQ(decodeGrantAnswer(1, answered(500, {})).result, GrantResult::NoAnswer);
     EXPECT_EQ(decodeGrantAnswer(1, BackendResult()).result, GrantResult::NotSent);
+    BackendResult withheld;
+    withheld.withheld = true;
+    EXPECT_EQ(decodeGrantAnswer(1, withheld).result, GrantResult::Withheld);
     BackendResult silent;
     silent.progress = BackendProgress::Broken;
     silent.timedOut = true;
--- a/tests/range_authority_test.cpp
+++ b/tests/range_authority_test.cpp
@@ -119,6 +119,21 @@
     EXPECT_LE(granted, heldUntil + 1s);
 }
 
+/// Guards against a server that is taken as lost because its leader was too late with the grants.
+TEST_F(RangeKeeperTest, KeepsAServerWhoseGrantsWereWithheld)
+{
+    m_keeper.adopt(std::nullopt, 0, start);
+    list({server("a")});
+    RangeEffects effects = stepAndStore();
+    for (int i = 0; i < 8; ++i) {
+        ASSERT_NE(find<GrantRange>(effects), nullptr) << i;
+        EXPECT_EQ(find<GrantRange>(effects)->server, holder("a"));
+        (void)m_keeper.callEnded({find<GrantRange>(effects)->call, GrantResult::Withheld, ""}, m_now, true);
+        effects = stepAndStore(100ms);
+        EXPECT_EQ(find<WriteRangeLog>(effects), nullptr) << i;
+    }
+}
+
 /// Guards against keys without an owner: a server with a long queue resets new connections, and is not lost.
 TEST_F(RangeKeeperTest, KeepsAServerThatResetsConnections)
 {
