Count the time that an answer of the store lay unread into the age of the view

The leader's view was as old as the moment at which it read the store's answer, although that may have lain unread for a whole turn of its main loop.

Why it works: what is read in a turn arrived after the poll of the turn before, or when the last poll ended where that one had to wait.

--- a/src/base/loop_monitor.cpp
+++ b/src/base/loop_monitor.cpp
@@ -6,6 +6,9 @@
 namespace jasminespread {
 namespace {
 
+/// A poll that took longer had no input when it began.
+constexpr Milliseconds waited {1};
+
 // GLib's poll function has no user data.
 thread_local LoopMonitor* activeMonitor = nullptr;
 
@@ -16,6 +19,7 @@
     , m_reportedTurn(reportedTurn)
     , m_report(std::move(report))
     , m_turnAt(monotonicNow())
+    , m_unreadSince(m_turnAt)
 {
     activeMonitor = this;
     g_main_context_set_poll_func(m_context, poll);
@@ -30,9 +34,13 @@
 gint LoopMonitor::poll(GPollFD* descriptors, guint count, gint timeout)
 {
     LoopMonitor& monitor = *activeMonitor;
-    monitor.endTurn(monotonicNow());
+    const MonotonicTime polledAt = monotonicNow();
+    monitor.endTurn(polledAt);
     const gint n = g_poll(descriptors, count, timeout);
-    monitor.m_turnAt = monotonicNow();
+    const MonotonicTime now = monotonicNow();
+    // A poll that waited ends with the first input; before another one, input may have lain for the whole last turn.
+    monitor.m_unreadSince = now - polledAt > waited ? now : monitor.m_turnAt;
+    monitor.m_turnAt = now;
     return n;
 }
 
--- a/src/base/loop_monitor.h
+++ b/src/base/loop_monitor.h
@@ -24,6 +24,9 @@
     LoopMonitor(const LoopMonitor&) = delete;
     LoopMonitor& operator=(const LoopMonitor&) = delete;
 
+    /// What is read in this turn arrived after this time.
+    [[nodiscard]] MonotonicTime unreadSince() const noexcept { return m_unreadSince; }
+
     /// Charges the time of its life to a named step of the turn; a step within another one is charged to the outer one.
     class Step {
     public:
@@ -54,6 +57,7 @@
     Milliseconds m_reportedTurn;
     Report m_report;
     MonotonicTime m_turnAt; ///< When the last poll returned.
+    MonotonicTime m_unreadSince;
     std::vector<Charge> m_charges;
     bool m_inStep = false;
 };
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -107,7 +107,8 @@
         m_ports.start({[this](GatewayConfiguration&& configuration) { onConfiguration(std::move(configuration)); },
             [this](ServerList&& servers) { onServers(servers); }, [this](bool reachable) { onReachable(reachable); },
             [this](const std::string& feed, FeedRevision revision, bool byStore) {
-                applyRange(FeedAnswered {feed, revision, byStore});
+                const auto unread = std::chrono::ceil<Milliseconds>(monotonicNow() - m_monitor.unreadSince());
+                applyRange(FeedAnswered {feed, revision, byStore, unread});
             },
             [this](FeedChange&& change) { applyRange(FeedChanged {std::move(change)}); }});
         logEvent(LogEvent::ProcessStarted,
--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -271,7 +271,7 @@
 void RangeAuthority::handle(FeedAnswered&& event)
 {
     if (event.byStore) {
-        m_view.answered(event.feed, event.revision, m_now);
+        m_view.answered(event.feed, event.revision, m_now - event.unread);
     } else {
         m_view.learned(event.feed, event.revision);
     }
--- a/src/ranges/range_event.h
+++ b/src/ranges/range_event.h
@@ -112,6 +112,7 @@
     std::string feed;
     FeedRevision revision;
     bool byStore = false; ///< The store said so; false: the leader.
+    Milliseconds unread {0}; ///< The answer may have lain unread for so long.
 };
 
 /// The store reported changes of a feed.
