Hand the lead only to an instance that tells a higher fitness

An instance without a known share of a processor counts as 0 fit; twice 0 is not more, so that a lead among such instances went round once a second. RangeSuccessionTest.AnInstanceThatIsNoFitterDoesNotTakeTheLead failed before the condition (edge-2 was named) and passes. Not seen on the users' sites, whose settings name the share.

--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -571,10 +571,11 @@
     }
     // A leader that has lost the store learns of no server that leaves, and can move no range.
     const bool mustStop = m_stopping || m_now - m_leadership.evidenceAt() > storeLossPatience;
+    const double own = m_leadershipTimes.fitness;
+    const bool isUnfit = fittest->second.fitness > own && fittest->second.fitness >= own * muchFitter;
     // The chain of leaders that may still grant is not made longer by choice.
-    const bool isUnfit = fittest->second.fitness >= m_leadershipTimes.fitness * muchFitter && m_unconfirmed.empty()
-        && m_now - m_leadership.tookOverAt() >= fitnessPatience;
-    return mustStop || isUnfit ? fittest->first : std::string();
+    const bool mayChoose = m_unconfirmed.empty() && m_now - m_leadership.tookOverAt() >= fitnessPatience;
+    return mustStop || (isUnfit && mayChoose) ? fittest->first : std::string();
 }
 
 std::map<std::string, RangeAuthority::Member>::const_iterator RangeAuthority::fittestMember() const
--- a/tests/range_succession_test.cpp
+++ b/tests/range_succession_test.cpp
@@ -52,5 +52,16 @@
     }
 }
 
+/// Guards against a lead that goes round instances none of which tells any fitness.
+TEST(RangeSuccessionTest, AnInstanceThatIsNoFitterDoesNotTakeTheLead)
+{
+    LeadingAuthority leader(0);
+    leader.run(10s);
+    leader.messages.clear();
+    leader.report(2, 0);
+    leader.run(1s);
+    EXPECT_EQ(successorsOf(leader), std::set<std::string> {""});
+}
+
 } // namespace
 } // namespace jasminespread
