--- a/src/base/deadline_timer.cpp
+++ b/src/base/deadline_timer.cpp
@@ -7,7 +7,7 @@
 namespace {
 
 /// A call that is later than this lets input first.
-constexpr Milliseconds punctual {5};
+constexpr Milliseconds allowedDelay {5};
 
 gboolean dispatch(GSource*, GSourceFunc callback, gpointer data) { return callback(data); }
 
@@ -48,7 +48,7 @@
 gboolean DeadlineTimer::onDue(gpointer data)
 {
     DeadlineTimer& timer = *static_cast<DeadlineTimer*>(data);
-    const bool late = timer.m_at && monotonicNow() - *timer.m_at > punctual;
+    const bool late = timer.m_at && monotonicNow() - *timer.m_at > allowedDelay;
     if (late && !std::exchange(timer.m_yielded, true)) {
         return G_SOURCE_CONTINUE; // Still due in the next turn.
     }
--- a/src/base/loop_monitor.cpp
+++ b/src/base/loop_monitor.cpp
@@ -6,8 +6,8 @@
 namespace jasminespread {
 namespace {
 
-/// A poll that took longer had no input when it began.
-constexpr Milliseconds waited {1};
+/// A poll that takes longer had no input when it began.
+constexpr Milliseconds longestPollWithInput {1};
 
 // GLib's poll function has no user data.
 thread_local LoopMonitor* activeMonitor = nullptr;
@@ -39,7 +39,7 @@
     const gint n = g_poll(descriptors, count, timeout);
     const MonotonicTime now = monotonicNow();
     // A poll that waited ends with the first input; before another one, input may have lain for the whole last turn.
-    monitor.m_unreadSince = now - polledAt > waited ? now : monitor.m_turnAt;
+    monitor.m_unreadSince = now - polledAt > longestPollWithInput ? now : monitor.m_turnAt;
     monitor.m_turnAt = now;
     return n;
 }
--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -322,7 +322,7 @@
         SharedFeeds shared;
         shared.age = Milliseconds(message.feed_age_ms());
         shared.term = message.term();
-        shared.saidAt = MonotonicTime(Milliseconds(message.sent_at_ms()));
+        shared.sentAt = MonotonicTime(Milliseconds(message.sent_at_ms()));
         for (const wire::FeedState& feed : message.feeds()) {
             shared.revisions[feed.feed()] = feed.revision();
         }
--- a/src/ranges/view_sharing.cpp
+++ b/src/ranges/view_sharing.cpp
@@ -32,7 +32,7 @@
 
 void ViewSharing::heard(const SharedFeeds& shared, MonotonicTime now)
 {
-    const MonotonicTime::duration transit = now - shared.saidAt;
+    const MonotonicTime::duration transit = now - shared.sentAt;
     m_leastTransit = shared.term == m_term ? std::min(m_leastTransit, transit) : transit;
     m_term = shared.term;
     // A heartbeat that waited on a full link, or unread, tells of an older view.
--- a/src/ranges/view_sharing.h
+++ b/src/ranges/view_sharing.h
@@ -44,7 +44,7 @@
     std::map<std::string, std::uint64_t> revisions; ///< Of the last change, by feed.
     Milliseconds age {0}; ///< Time since the store last answered for the feed that was answered longest ago.
     std::uint64_t term = 0; ///< Of the leader.
-    MonotonicTime saidAt; ///< By the leader's clock.
+    MonotonicTime sentAt; ///< By the leader's clock.
 };
 
 /// Decides whether an instance watches the store itself or relies on the leader, so that calls to the store grow with
