One odd entry of another writer no longer hides the other entries

A page whose entries were all unreadable ended the list, after= was not encoded, and an entry that became unreadable left its earlier version in use.

Change: base/json_slices splits a text into unparsed members; entries, their metadata and their specs are parsed one by one, for lists, watches and forwarded changes. An unreadable spec is null and replaces the earlier version. Numbers and names have bounds. A forwarded change that the known state includes is ignored, so that it cannot bring back a server that left. The instance list of the entry daemon skips unreadable rows; its old check, that such a row makes the whole list unavailable, was the reported fault, and is replaced by one that the other rows stay in use and the odd one does not.

Ruled out: parsing with a larger depth, which still fails on numbers and bytes, and nests the destructors.

--- a/include/jasminespread/log_event.h
+++ b/include/jasminespread/log_event.h
@@ -51,7 +51,8 @@
     StoreUnavailable = 600,
     StoreAvailable = 601,
     StoreOutcomeUnknown = 602,
-    FeedSourceChanged = 603
+    FeedSourceChanged = 603,
+    StoreObjectUnreadable = 604
 };
 
 struct LogEventInfo {
@@ -61,7 +62,7 @@
     std::string_view meaning;
 };
 
-inline constexpr std::array<LogEventInfo, 31> logEventCatalogue {{
+inline constexpr std::array<LogEventInfo, 32> logEventCatalogue {{
     {LogEvent::ProcessStarted, LogLevel::Info, "process-started", "The process listens on all its addresses."},
     {LogEvent::ProcessStopping, LogLevel::Info, "process-stopping",
         "A stop was requested; requests in flight are drained."},
@@ -108,6 +109,8 @@
         "The answer to a store write was lost; the object is read back."},
     {LogEvent::FeedSourceChanged, LogLevel::Info, "feed-source-changed",
         "The instance now watches the store itself, or now relies on the leader's view."},
+    {LogEvent::StoreObjectUnreadable, LogLevel::Warning, "store-object-unreadable",
+        "An object of another writer cannot be parsed; the other objects are used."},
 }};
 
 /// Sets up log4cplus. @p level is a name from logLevelNames; an empty @p file logs to standard error.
--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -1,6 +1,7 @@
 #include "ranges/range_authority.h"
 
 #include <algorithm>
+#include <cmath>
 #include <tuple>
 #include <utility>
 
@@ -30,6 +31,8 @@
 constexpr std::size_t maxForwardedBytes = 4096;
 /// Highest number of keys in one report; the load of further keys is not reported.
 constexpr std::size_t maxReportedKeys = 2048;
+/// Bound of another instance's clock, about 100 years, so that differences of two clocks stay in range.
+constexpr std::uint64_t maxClockMs = 3'000'000'000'000;
 
 } // namespace
 
@@ -326,7 +329,7 @@
         FeedSummary feedSummary;
         feedSummary.age = Milliseconds(message.feed_age_ms());
         feedSummary.term = message.term();
-        feedSummary.sentAt = MonotonicTime(Milliseconds(message.sent_at_ms()));
+        feedSummary.sentAt = MonotonicTime(Milliseconds(std::min(message.sent_at_ms(), maxClockMs)));
         for (const wire::FeedState& feed : message.feeds()) {
             feedSummary.revisions[feed.feed()] = feed.revision();
         }
@@ -351,7 +354,7 @@
     member.lastReportAt = m_now;
     member.leaving = message.leaving();
     member.storeReachable = message.store_reachable();
-    member.fitness = message.fitness();
+    member.fitness = std::isfinite(message.fitness()) ? std::clamp<double>(message.fitness(), 0, 1) : 0;
     member.inFlight.clear();
     for (const wire::ServerSpeed& speed : message.speeds()) {
         member.inFlight[speed.id()] = speed.in_flight();
@@ -674,7 +677,7 @@
 void RangeAuthority::addReportedLoads(const wire::InstanceReport& report)
 {
     for (const wire::ServerSpeed& speed : report.speeds()) {
-        if (speed.answers() > 0) {
+        if (speed.answers() > 0 && std::isfinite(speed.slowness())) {
             addSpeed({speed.id(), speed.answers(), speed.slowness(), speed.in_flight()});
         }
     }
--- a/src/store/http_object_store.cpp
+++ b/src/store/http_object_store.cpp
@@ -1,5 +1,9 @@
 #include <jasminespread/http_object_store.h>
 
+#include "base/json_slices.h"
+
+#include <jasminespread/log_event.h>
+
 #include <boost/json.hpp>
 #include <libsoup/soup.h>
 
@@ -24,7 +28,8 @@
 struct HttpAnswer {
     bool started = false; ///< The request may have reached the platform.
     unsigned status = 0; ///< 0: no complete answer arrived.
-    boost::json::value body;
+    std::string text; ///< Body as received.
+    boost::json::value body; ///< Null when the text cannot be parsed.
 };
 
 using AnswerHandler = std::function<void(const HttpAnswer&)>;
@@ -90,8 +95,9 @@
         answer.status = soup_message_get_status(call->message.get());
         gsize size = 0;
         const char* text = static_cast<const char*>(g_bytes_get_data(bytes, &size));
+        answer.text.assign(text == nullptr ? "" : text, text == nullptr ? 0 : size);
         boost::system::error_code ec;
-        answer.body = boost::json::parse(std::string_view(text, text == nullptr ? 0 : size), ec);
+        answer.body = boost::json::parse(answer.text, ec);
         g_bytes_unref(bytes);
     }
     call->handler(answer);
@@ -268,19 +274,25 @@
     return entry;
 }
 
+/// Rows that cannot be read are left out: they must not hide the other instances.
 InstanceListResult instancesResult(const HttpAnswer& answer)
 {
     InstanceListResult result;
-    const boost::json::array* rows = arrayField(answer.body, "instances");
-    if (answer.status != SOUP_STATUS_OK || rows == nullptr) {
+    const std::optional<std::vector<JsonSlice>> fields = splitJson(answer.text);
+    const std::optional<std::string_view> array = fields ? findSlice(*fields, "instances") : std::nullopt;
+    const std::optional<std::vector<JsonSlice>> rows = array ? splitJson(*array) : std::nullopt;
+    if (answer.status != SOUP_STATUS_OK || !rows) {
         return result;
     }
-    for (const boost::json::value& row : *rows) {
-        std::optional<InstanceEntry> entry = instanceEntry(row);
-        if (!entry) {
-            return {};
+    for (const JsonSlice& row : *rows) {
+        boost::system::error_code ec;
+        const boost::json::value parsed = boost::json::parse(std::string_view(row.text), ec);
+        std::optional<InstanceEntry> entry = ec ? std::nullopt : instanceEntry(parsed);
+        if (entry) {
+            result.entries.push_back(std::move(*entry));
+        } else {
+            logEvent(LogEvent::StoreObjectUnreadable, "a row of the instance list");
         }
-        result.entries.push_back(std::move(*entry));
     }
     result.status = StoreStatus::Ok;
     return result;
--- /dev/null
+++ b/tests/object_feed_test.cpp
@@ -0,0 +1,110 @@
+#include "object_feed.h"
+
+#include <gtest/gtest.h>
+
+#include <deque>
+
+namespace jasminespread::platform {
+namespace {
+
+std::string entry(const std::string& name, std::uint64_t revision, const std::string& spec = "{}")
+{
+    return R"({"metadata":{"name":")" + name + R"(","rev":)" + std::to_string(revision) + R"(},"spec":)" + spec + "}";
+}
+
+/// A feed whose calls to the store are answered by the test.
+class ObjectFeedTest : public testing::Test {
+protected:
+    ObjectFeedTest()
+        : m_store(m_transport, "10.0.0.1:80")
+        , m_feed(m_store, "servers", Milliseconds(0),
+              {[this](const std::map<std::string, PlatformObject>& objects) { m_objects = objects; }, [](bool) {},
+                  [this](FeedRevision revision, bool) { m_revision = revision; }, [](FeedChange&&) {}})
+    {
+        m_transport.send = [this](const BackendRequest& request, BackendTransport::Callback callback) {
+            m_targets.push_back(request.target);
+            m_callback = std::move(callback);
+            return BackendTransport::Handle(1);
+        };
+        m_feed.setSource(FeedSource::Leader);
+        m_feed.start();
+    }
+
+    void answer(const std::string& body)
+    {
+        BackendResult result;
+        result.progress = BackendProgress::Answered;
+        result.status = 200;
+        result.body = body;
+        const BackendTransport::Callback callback = std::exchange(m_callback, nullptr);
+        callback(std::move(result));
+    }
+
+    [[nodiscard]] std::string names() const
+    {
+        std::string text;
+        for (const auto& [name, object] : m_objects) {
+            text += name + '@' + std::to_string(object.revision) + ' ';
+        }
+        return text;
+    }
+
+    /// A change of one object that another instance passes on, which covers the revisions from @p base to @p revision.
+    static FeedChange forwarded(
+        const std::string& name, std::uint64_t objectRevision, bool deleted, std::uint64_t base, std::uint64_t revision)
+    {
+        PlatformObject object {name, objectRevision, boost::json::object()};
+        return {"servers", base, revision, encodeChanges({{object, deleted}})};
+    }
+
+    BackendTransport m_transport;
+    std::deque<std::string> m_targets;
+    BackendTransport::Callback m_callback;
+    std::map<std::string, PlatformObject> m_objects;
+    FeedRevision m_revision;
+    StoreClient m_store;
+    ObjectFeed m_feed;
+};
+
+/// Guards against a server that left being used again: a change that another instance passes on late adds it although
+/// the known state is newer.
+TEST_F(ObjectFeedTest, ForwardedChangesOlderThanTheKnownStateAreIgnored)
+{
+    answer(R"({"items":[)" + entry("a", 6) + "," + entry("c", 18) + R"(],"hasMore":false,"atRev":20})");
+    m_feed.apply(forwarded("b", 12, false, 10, 22)); // Removed at 15, which is not among the changes.
+    EXPECT_EQ(names(), "a@6 c@18 ");
+    m_feed.apply(forwarded("c", 14, true, 10, 24)); // Listed again at 18.
+    m_feed.apply(forwarded("a", 4, false, 3, 25));
+    EXPECT_EQ(names(), "a@6 c@18 ");
+    m_feed.apply(forwarded("a", 26, true, 20, 26));
+    m_feed.apply(forwarded("d", 27, false, 26, 27));
+    EXPECT_EQ(names(), "c@18 d@27 ");
+    EXPECT_EQ(m_revision.asOf, 27U);
+}
+
+/// Guards against a page that ends the list, or starts it again for ever, because of entries of other writers.
+TEST_F(ObjectFeedTest, FollowsAListWithUnreadableEntries)
+{
+    const std::string deep = std::string(64, '[') + std::string(64, ']');
+    answer(R"({"items":[)" + entry("a b&c", 6, deep) + R"(],"hasMore":true,"atRev":20})");
+    EXPECT_EQ(m_targets.back(), "/api/objects/servers?after=a%20b%26c");
+    answer(R"({"items":[)" + entry("d", 7, "1e99999999999") + "," + entry("e", 8) + R"(],"hasMore":false,"atRev":20})");
+    EXPECT_EQ(names(), "a b&c@6 d@7 e@8 ");
+    EXPECT_TRUE(m_objects.at("d").spec.is_null());
+    EXPECT_TRUE(m_objects.at("e").spec.is_object());
+}
+
+/// Guards against a server staying in use whose entry was replaced by one that cannot be read.
+TEST_F(ObjectFeedTest, AnUnreadableChangeReplacesTheEarlierEntry)
+{
+    answer(R"({"items":[)" + entry("a", 6) + "," + entry("b", 7) + R"(],"hasMore":false,"atRev":20})");
+    m_feed.fetch();
+    const std::string deep = std::string(64, '[') + std::string(64, ']');
+    answer(R"({"events":[{"object":)" + entry("a", 21, deep) + R"(,"deleted":false},{"object":)" + entry("c", 22)
+        + R"(,"deleted":false}],"atRev":22})");
+    EXPECT_EQ(names(), "a@21 b@7 c@22 ");
+    EXPECT_TRUE(m_objects.at("a").spec.is_null());
+}
+
+} // namespace
+} // namespace jasminespread::platform
