A second copy of a refusal no longer answers the repeated request

Cause: a request that the owner of its key refused was sent again with the same id, possibly on the same kept connection; a copy of the first refusal carries that id and said 'not run' for the send that ran. A copy without an id matched any request.

Change: a request that goes to a server for the second time, or has no id, opens a new connection; an answer without an id counts only on a connection that carried no other request. The entry daemon does the same with refusals, and servers repeat the id in them (docs/protocol-backend.md).

Ruled out: failing the send at an answer without an id, which loses the proper answer behind it.

--- a/include/jasminespread/backend_transport.h
+++ b/include/jasminespread/backend_transport.h
@@ -29,11 +29,15 @@
     MonotonicTime deadline;
     /// Time limit for opening a connection; a request that exceeds it ends as NotSent. 0: limited by the deadline only.
     Milliseconds connectTimeout {0};
+    /// Opens a new connection for this request. A copy of an earlier answer that arrives late on a kept connection can
+    /// then not be taken for the answer to this request.
+    bool needsNewConnection = false;
     /// Accepts an answer whose body ends with the connection; otherwise such an answer is Broken.
     bool acceptsCloseDelimitedAnswer = false;
-    /// Returns whether a complete answer belongs to this request. Any other answer is dropped and the next one awaited.
-    /// Empty: every answer belongs to it.
-    std::function<bool(unsigned status, const std::vector<HeaderField>& headers)> isMatchingAnswer;
+    /// Returns whether a complete answer belongs to this request; @p connectionReused tells whether its connection had
+    /// carried another request before. Any other answer is dropped and the next one awaited. Empty: every answer
+    /// belongs to it.
+    std::function<bool(const std::vector<HeaderField>& headers, bool connectionReused)> isMatchingAnswer;
     /// Called right before the first byte is written, which may be long after send(). When it returns false, nothing is
     /// written and the request ends as NotSent. Empty: always allowed.
     std::function<bool()> mayBegin;
--- a/src/entry/caller_request.h
+++ b/src/entry/caller_request.h
@@ -21,6 +21,7 @@
     std::string query; ///< Without "?"; empty when there is none.
     std::vector<HeaderField> headers;
     std::string body;
+    std::optional<MonotonicTime> arrivedAt; ///< When its last byte arrived; absent: unknown.
 };
 
 /// A validated caller request.
--- a/src/entry/request_reducer.cpp
+++ b/src/entry/request_reducer.cpp
@@ -38,6 +38,17 @@
     return instance.forwardAddress.substr(0, colon + 1) + std::to_string(port + worker);
 }
 
+/// Whether a backend server's answer belongs to the request @p id. Servers that do not repeat the id are trusted,
+/// except with a refusal on a connection that carried another request: it would promise that the request did not run.
+bool isAnswerTo(const std::string& id, const std::vector<HeaderField>& headers, bool connectionReused)
+{
+    if (const std::optional<std::string_view> answered = findHeader(headers, "Jasminespread-Request-Id")) {
+        return *answered == id;
+    }
+    const std::string_view refused = enumName(outcomeNames, Outcome::NotRun);
+    return !connectionReused || findHeader(headers, "Jasminespread-Outcome") != refused;
+}
+
 } // namespace
 
 RequestReducer::RequestReducer(const InstanceSettings& settings, std::uint32_t workerIndex, std::uint64_t seed)
@@ -279,8 +290,8 @@
     job.route = routeVersionOf(route);
     scheduleWakeup(job, job.deadline);
     m_jobsByAttempt.emplace(job.attemptId, job.number);
-    if (!job.dispatchedBefore) {
-        job.dispatchedBefore = true;
+    const bool repeated = std::exchange(job.dispatchedBefore, true);
+    if (!repeated) {
         retryBudgetFor(job.request.service).addFirstAttempt();
     }
 
@@ -303,6 +314,10 @@
     request.headers.push_back({"Jasminespread-Key", job.request.key});
     request.body = job.request.body;
     request.deadline = job.deadline;
+    // A second copy of the answer to the earlier dispatch would carry the same id.
+    request.needsNewConnection = repeated;
+    request.isMatchingAnswer = [id = job.request.id.text()](const std::vector<HeaderField>& headers,
+                                   bool connectionReused) { return isAnswerTo(id, headers, connectionReused); };
     if (asPrimary) {
         request.mayWrite = [authority = route.group->authorityUntil] {
             return monotonicNow().time_since_epoch().count() < authority->load(std::memory_order_acquire);
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -100,8 +100,8 @@
     job.route = route;
     job.service = service;
     job.keyed = keyed;
-    job.arrivedAt = m_now;
-    job.deadline = m_now + std::min(request.timeLeft.value_or(route->timeout), route->timeout);
+    job.arrivedAt = std::min(request.arrivedAt.value_or(m_now), m_now);
+    job.deadline = job.arrivedAt + std::min(request.timeLeft.value_or(route->timeout), route->timeout);
     job.wakeAt = job.deadline;
     job.request = std::make_shared<const GatewayRequest>(std::move(request));
     m_jobsByCaller[event.caller] = number;
@@ -438,7 +438,7 @@
 {
     const std::uint64_t number = m_nextNumber++;
     job.dispatches.push_back({number, server.listed.identity.id, m_now});
-    job.triedServers.insert(server.listed.identity.id);
+    const bool repeated = !job.triedServers.insert(server.listed.identity.id).second;
     ++job.sendCount;
     m_jobsByDispatch.emplace(number, job.number);
     server.observation.recordStart();
@@ -450,7 +450,7 @@
         setWake(job, job.hedgeAt);
     }
     m_effects.emplace_back(
-        SendToServer {number, job.caller, server.listed, job.request, remainingTime(job), job.deadline});
+        SendToServer {number, job.caller, server.listed, job.request, remainingTime(job), job.deadline, repeated});
 }
 
 /// Sends a hedge request to a second server when the first one is slow, the retry budget allows it and the second
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -25,6 +25,7 @@
     std::string body;
     std::optional<Milliseconds> timeLeft; ///< How long the caller still waits; absent when not stated.
     std::optional<std::uint16_t> key; ///< Absent when the request carries no key.
+    std::optional<MonotonicTime> arrivedAt; ///< When its last byte arrived; absent: when the reducer gets it.
 };
 
 /// What a backend server's answer says about whether the request was executed.
--- a/src/transport/beast_backend_transport.cpp
+++ b/src/transport/beast_backend_transport.cpp
@@ -69,9 +69,10 @@
     BackendTransport::Callback callback;
     std::function<bool()> mayBegin;
     std::function<bool()> mayWrite;
-    std::function<bool(unsigned, const std::vector<HeaderField>&)> isMatchingAnswer;
+    std::function<bool(const std::vector<HeaderField>&, bool connectionReused)> isMatchingAnswer;
     Milliseconds connectTimeout {0};
     bool acceptsCloseDelimitedAnswer = false;
+    bool needsNewConnection = false;
     std::string poolKey; ///< Key of its ConnectionPool.
     MonotonicTime deadline; ///< The earlier of requestDeadline and the limit on opening its connection.
     MonotonicTime requestDeadline;
@@ -170,6 +171,7 @@
         exchange->isMatchingAnswer = std::move(request.isMatchingAnswer);
         exchange->connectTimeout = request.connectTimeout;
         exchange->acceptsCloseDelimitedAnswer = request.acceptsCloseDelimitedAnswer;
+        exchange->needsNewConnection = request.needsNewConnection;
         exchange->poolKey = poolKeyOf(request);
         exchange->deadline = request.deadline;
         exchange->requestDeadline = request.deadline;
@@ -245,9 +247,13 @@
     {
         ConnectionPool& connectionPool = m_pools[key];
         while (!connectionPool.waitingExchanges.empty()) {
-            Connection* connection = takeIdleConnection(connectionPool);
+            const bool needsNew = m_exchanges.at(connectionPool.waitingExchanges.front())->needsNewConnection;
+            Connection* connection = needsNew ? nullptr : takeIdleConnection(connectionPool);
             if (connection == nullptr) {
-                if (connectionPool.openCount >= connectionPool.connectionLimit) {
+                const bool full = connectionPool.openCount >= connectionPool.connectionLimit;
+                if (full && needsNew && !connectionPool.idleConnections.empty()) {
+                    closeConnection(connectionPool.idleConnections.front());
+                } else if (full) {
                     return;
                 }
                 connection = openConnection(key, connectionPool);
@@ -468,7 +474,7 @@
             return false;
         }
         const Exchange& exchange = *m_exchanges.at(connection.exchange);
-        return !exchange.isMatchingAnswer || exchange.isMatchingAnswer(status, headersOf(connection));
+        return !exchange.isMatchingAnswer || exchange.isMatchingAnswer(headersOf(connection), connection.reused);
     }
 
     static std::vector<HeaderField> headersOf(const Connection& connection)
--- a/standins/backend-standin.cpp
+++ b/standins/backend-standin.cpp
@@ -177,7 +177,7 @@
         ++m_counters.refused;
         const std::string id = exchange->header("Jasminespread-Request-Id").value_or("");
         exchange->answer(status, json::serialize(json::object {{"reason", reason}, {"requestId", id}}),
-            {{"Jasminespread-Outcome", "not-run"}, {"Jasminespread-Reason", reason},
+            {{"Jasminespread-Outcome", "not-run"}, {"Jasminespread-Reason", reason}, {"Jasminespread-Request-Id", id},
                 {"Jasminespread-Server", m_options.id}});
     }
 
--- a/tests/backend_transport_test.cpp
+++ b/tests/backend_transport_test.cpp
@@ -271,5 +271,59 @@
     close(listener);
 }
 
+// Guards against reporting that a request did not run which does: the server refuses a request, gets it once more, and
+// writes a second copy of the refusal while it runs it.
+TEST_F(BackendTransportTest, ACopyOfARefusalDoesNotAnswerTheRepeatedRequest)
+{
+    int received = 0;
+    TestBackend backend([&received](const std::string&) -> std::string {
+        const std::string headers = "Request-Id: 7\r\n";
+        const std::string refusal = TestBackend::answer("", headers + "Not-Executed: 1\r\n", 503);
+        return ++received == 1 ? refusal : refusal + TestBackend::answer("done", headers);
+    });
+    const auto send = [&](bool repeated) {
+        BackendRequest request = makeRequest(backend.address(), "POST");
+        request.needsNewConnection = repeated;
+        return exchange(std::move(request));
+    };
+    EXPECT_EQ(send(false).status, 503U);
+    // On the kept connection the copy would come first.
+    EXPECT_EQ(send(true).status, 503U);
+    EXPECT_EQ(backend.connections(), 2);
+}
+
+// Guards against a request that needs a new connection waiting for ever while idle ones take up the limit.
+TEST_F(BackendTransportTest, ANewConnectionReplacesAnIdleOneAtTheLimit)
+{
+    TestBackend backend([](const std::string&) { return TestBackend::answer("x"); });
+    transport.setConnectionLimit(backend.address(), 1);
+    EXPECT_EQ(exchange(makeRequest(backend.address())).status, 200U);
+    BackendRequest request = makeRequest(backend.address());
+    request.needsNewConnection = true;
+    const BackendResult result = exchange(std::move(request));
+    EXPECT_EQ(result.status, 200U);
+    EXPECT_FALSE(result.connectionReused);
+    EXPECT_EQ(backend.connections(), 2);
+}
+
+// Guards against handing a late second copy of an answer to the next request on the connection.
+TEST_F(BackendTransportTest, ALateCopyOfAnAnswerIsDropped)
+{
+    int received = 0;
+    TestBackend backend([&received](const std::string&) -> std::string {
+        const std::string first = TestBackend::answer("first", "Request-Id: 1\r\n");
+        return ++received == 1 ? first : first + TestBackend::answer("second", "Request-Id: 2\r\n");
+    });
+    for (const std::string id : {"1", "2"}) {
+        BackendRequest request = makeRequest(backend.address());
+        request.isMatchingAnswer = [id](const std::vector<HeaderField>& headers, bool) {
+            return std::any_of(headers.begin(), headers.end(),
+                [&id](const HeaderField& field) { return field.name == "Request-Id" && field.value == id; });
+        };
+        EXPECT_EQ(exchange(std::move(request)).body, id == "1" ? "first" : "second");
+    }
+    EXPECT_EQ(backend.connections(), 1);
+}
+
 } // namespace
 } // namespace jasminespread
--- a/tests/gateway_reducer_test.cpp
+++ b/tests/gateway_reducer_test.cpp
@@ -352,5 +352,36 @@
     EXPECT_NE(find<SendToServer>(sendRequest(1, "/plan/x", 42)), nullptr);
 }
 
+/// Guards against a second copy of the first refusal answering the request while the owner runs it: both carry its id.
+TEST_F(KeyedGatewayTest, ARequestThatTheOwnerRefusedIsRepeatedOnANewConnection)
+{
+    const GatewayEffects first = sendRequest(1, "/plan/x", 42);
+    EXPECT_FALSE(find<SendToServer>(first)->repeated);
+    const GatewayEffects second
+        = apply(ServerAnswered {find<SendToServer>(first)->dispatch, answer(503, Execution::NotRun)});
+    ASSERT_NE(find<SendToServer>(second), nullptr);
+    EXPECT_EQ(find<SendToServer>(second)->server.identity.id, "owner");
+    EXPECT_TRUE(find<SendToServer>(second)->repeated);
+}
+
+/// Guards against giving a server more time than is left for a request that waited behind others of its connection.
+TEST_F(GatewayReducerTest, TheTimeOfARequestCountsFromItsArrival)
+{
+    GatewayRequest request;
+    request.id = "r1";
+    request.host = "a.example";
+    request.path = "/order/x";
+    request.timeLeft = 800ms;
+    request.arrivedAt = m_now - 500ms;
+    const GatewayEffects sent = apply(RequestReceived {1, request});
+    ASSERT_NE(find<SendToServer>(sent), nullptr);
+    EXPECT_EQ(find<SendToServer>(sent)->timeLeft, 300ms);
+    request.arrivedAt = m_now - 900ms;
+    const GatewayEffects refused = apply(RequestReceived {2, request});
+    EXPECT_EQ(find<SendToServer>(refused), nullptr);
+    ASSERT_NE(find<AnswerRequest>(refused), nullptr);
+    EXPECT_EQ(find<AnswerRequest>(refused)->origin, AnswerOrigin::Refusal);
+}
+
 } // namespace
 } // namespace jasminespread
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -121,6 +121,59 @@
     EXPECT_FALSE(decodeServer("i-1", json::value(nullptr), regions));
 }
 
+/// Guards against numbers of other writers that do not fit: 2^32 slots would be read as none, and a sum of points in
+/// time with a duration could exceed its type.
+TEST(PlatformServerTest, NumbersOutOfRangeNameNoServer)
+{
+    const json::object valid = json::parse(serverText).as_object();
+    const auto decodes = [&valid](const char* field, const char* value) {
+        json::object fields = valid;
+        fields[field] = json::parse(value);
+        return decodeServer("i-1", fields, regions).has_value();
+    };
+    for (const char* slots : {"4294967296", "0", "-1", "1e999", "6.5", "99999999999999999999999"}) {
+        EXPECT_FALSE(decodes("slots", slots)) << slots;
+    }
+    for (const char* address : {R"("10.0.0.1:65536")", R"("10.0.0.1:0")", R"("10.0.0.1:-1")",
+             R"("10.0.0.1:99999999999")", R"("10.0.0.1")", R"("10.0.0.1:")", R"("10.0.0.999:80")", R"("host:80")"}) {
+        EXPECT_FALSE(decodes("address", address)) << address;
+    }
+    for (const char* startedAt : {"1e999", "18446744073709551615", "99999999999999999999999", "\"now\""}) {
+        EXPECT_FALSE(decodes("born", startedAt)) << startedAt;
+    }
+    json::object fields = valid;
+    fields["warmupLeftMs"] = 9'000'000'000'000'000'000;
+    EXPECT_LE(decodeServer("i-1", fields, regions).value().warmUpLeft, 24h);
+}
+
+/// Guards against names that end a header field or a log line.
+TEST(PlatformServerTest, IgnoresNamesThatCannotBeSent)
+{
+    const json::value fields = json::parse(serverText);
+    for (const std::string& id :
+        {std::string("i-1\r\nX: 1"), std::string("i 1"), std::string("\xff"), std::string(), std::string(256, 'i')}) {
+        EXPECT_FALSE(decodeServer(id, fields, regions)) << id;
+    }
+}
+
+/// Guards against undefined conversions, whose results differ between processors.
+TEST(PlatformConfigurationTest, DurationsAndWeightsHaveBounds)
+{
+    const auto decodeWith = [](const char* route, const char* field, const char* value) {
+        json::value changed = configuration();
+        changed.as_object()["routes"].as_object()[route].as_object()[field] = json::parse(value);
+        return decodeConfiguration(changed);
+    };
+    for (const char* value : {"1e999", "1e300", "99999999999999999999999"}) {
+        const Result<GatewayConfiguration> decoded = decodeWith("r-1", "timeoutMs", value);
+        ASSERT_TRUE(decoded) << value;
+        EXPECT_EQ(decoded->routes[0].timeout, 24h);
+    }
+    EXPECT_FALSE(decodeWith("r-1", "timeoutMs", "-1"));
+    EXPECT_FALSE(decodeWith("r-2", "trafficSplit", R"([{"service":"a","weight":1e999}])"));
+    EXPECT_FALSE(decodeWith("r-2", "trafficSplit", R"([{"service":"a","weight":-1}])"));
+}
+
 RawRequest rawRequest()
 {
     RawRequest raw;
@@ -173,9 +226,27 @@
     EXPECT_EQ(findHeader(encoded.headers, "Expect-Instance"), "i-7");
     EXPECT_EQ(findHeader(encoded.headers, "Deadline-Ms"), "900");
     EXPECT_EQ(findHeader(encoded.headers, "Host"), "a.example");
-    EXPECT_TRUE(encoded.isMatchingAnswer(200, {{"Request-Id", "9c41"}}));
-    EXPECT_TRUE(encoded.isMatchingAnswer(503, {}));
-    EXPECT_FALSE(encoded.isMatchingAnswer(200, {{"Request-Id", "other"}}));
+    EXPECT_TRUE(encoded.isMatchingAnswer({{"Request-Id", "9c41"}}, true));
+    EXPECT_FALSE(encoded.isMatchingAnswer({{"Request-Id", "other"}}, false));
+    EXPECT_FALSE(encoded.needsNewConnection);
+}
+
+/// Guards against a second copy of an earlier refusal being taken for the refusal of a request that runs. Without an id
+/// it can be told apart only on a connection that carried no other request.
+TEST(PlatformIngressTest, AnswersWithoutTheIdOfTheRequestMayBeCopies)
+{
+    std::variant<GatewayRequest, CallerAnswer> decoded = decodeRequest(rawRequest());
+    SendToServer send;
+    send.request = std::make_shared<const GatewayRequest>(std::get<GatewayRequest>(decoded));
+    const BackendRequest encoded = encodeSend(send);
+    EXPECT_TRUE(encoded.isMatchingAnswer({}, false));
+    EXPECT_FALSE(encoded.isMatchingAnswer({}, true));
+    send.repeated = true;
+    EXPECT_TRUE(encodeSend(send).needsNewConnection);
+    send.repeated = false;
+    std::get<GatewayRequest>(decoded).id.clear();
+    send.request = std::make_shared<const GatewayRequest>(std::get<GatewayRequest>(decoded));
+    EXPECT_TRUE(encodeSend(send).needsNewConnection);
 }
 
 BackendResult answeredWith(unsigned status, std::vector<HeaderField> headers)
@@ -247,6 +318,42 @@
     EXPECT_TRUE(decodeGrantAnswer(1, unanswered).wasReset);
 }
 
+/// Guards against one deeply nested entry, or one with a number that is too large, hiding all other servers.
+TEST(StoreClientTest, AnEntryThatCannotBeParsedDoesNotHideTheOthers)
+{
+    const std::string deep = std::string(100'000, '[') + std::string(100'000, ']');
+    for (const std::string& odd : {deep, std::string("1e99999999999"), std::string("\"\x01\""), std::string("nul")}) {
+        BackendTransport transport;
+        transport.send = [&odd](const BackendRequest& request, const BackendTransport::Callback& callback) {
+            const std::string objects[] {R"({"metadata":{"name":"a","rev":5},"spec":)" + odd + "}",
+                R"({"metadata":{"name":"b","rev":6},"spec":{"x":1}})"};
+            BackendResult result;
+            result.progress = BackendProgress::Answered;
+            result.status = 200;
+            result.body = request.target.find("watch") == std::string::npos
+                ? R"({"items":[)" + objects[0] + "," + objects[1] + R"(],"atRev":9})"
+                : R"({"events":[{"deleted":false,"object":)" + objects[0] + R"(},{"deleted":false,"object":)"
+                    + objects[1] + R"(}],"atRev":9})";
+            callback(result);
+            return BackendTransport::Handle(1);
+        };
+        StoreClient store(transport, "10.0.0.1:80");
+        ObjectPage page;
+        store.list("servers", "", [&page](const ObjectPage& found) { page = found; });
+        ASSERT_EQ(page.status, StoreStatus::Ok);
+        ASSERT_EQ(page.objects.size(), 2U);
+        EXPECT_TRUE(page.objects[0].spec.is_null());
+        EXPECT_EQ(page.objects[1].name, "b");
+        ObjectChanges changes;
+        store.watch("servers", 4, 1ms, [&changes](const ObjectChanges& found) { changes = found; });
+        ASSERT_EQ(changes.status, StoreStatus::Ok);
+        ASSERT_EQ(changes.changes.size(), 2U);
+        const std::optional<std::vector<ObjectChange>> passedOn = decodeChanges(encodeChanges(changes.changes));
+        ASSERT_TRUE(passedOn);
+        EXPECT_EQ(passedOn->at(1).object.spec, json::parse(R"({"x":1})"));
+    }
+}
+
 /// Guards against one unreadable entry of another writer hiding all other servers.
 TEST(StoreClientTest, AnUnreadableEntryDoesNotHideTheOthers)
 {
--- a/tests/request_reducer_test.cpp
+++ b/tests/request_reducer_test.cpp
@@ -255,6 +255,23 @@
     EXPECT_EQ(singleEffect<SendToBackend>(effects).request.address, "127.0.0.1:1002");
 }
 
+// Guards against a second copy of the first refusal answering the request while a server runs it: both carry its id.
+TEST_F(RequestReducerTest, ARequestThatIsSentAgainGetsANewConnection)
+{
+    const SendToBackend first = singleEffect<SendToBackend>(receive(1, makeRequest(false)));
+    EXPECT_FALSE(first.request.needsNewConnection);
+    apply(BackendFinished {first.dispatch, refused(409, "not-owner")});
+    const SendToBackend second = singleEffect<SendToBackend>(changeRoutes([](RoutingSnapshot&, GroupRoute& group) {
+        group.partitions[0] = {0, 42};
+    }));
+    EXPECT_TRUE(second.request.needsNewConnection);
+    const std::vector<HeaderField> refusal {{"Jasminespread-Outcome", "not-run"}};
+    EXPECT_TRUE(first.request.isMatchingAnswer(refusal, false));
+    EXPECT_FALSE(first.request.isMatchingAnswer(refusal, true));
+    EXPECT_TRUE(first.request.isMatchingAnswer({{"Jasminespread-Outcome", "done"}}, true));
+    EXPECT_FALSE(first.request.isMatchingAnswer({{"Jasminespread-Request-Id", "other"}}, false));
+}
+
 // Guards against a request that waits beyond its deadline or is dispatched after it.
 TEST_F(RequestReducerTest, NothingIsDispatchedAfterItsDeadline)
 {
