Handle pipelined requests concurrently, answers in order; a stop waits for accepted connections

A planned stop closed the listener with connections in its backlog, and ended as soon as nothing was pending, although a connection that was just accepted had not sent its request yet.

Change: RequestReader separates bytes into requests, RequestQueue keeps them and the answers in order, and HttpServer processes both in a loop. Requests that may be repeated run beside each other; any other runs alone. Limits: maxPipelinedRequests (16) and maxPipelinedBytes (256 KiB) for each connection. Nothing is read behind a request whose answer closes the connection; during a stop the last request that was read carries the close. The age of a request counts from when its bytes arrived. The listener is drained before it is closed, and the process waits 500 ms for first requests. Keep-alive probes to callers have a number (3).

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -38,6 +38,8 @@
 /// The process exits this long before it would be killed.
 constexpr Milliseconds stopMargin = 300ms;
 constexpr Milliseconds drainIdleTimeout = 3000ms;
+/// After the last connection was accepted, its first request is awaited for this time.
+constexpr Milliseconds firstRequestWait = 500ms;
 /// Processor share, in cores, from which an instance is fully fit to lead: the largest share in the users' deployments.
 constexpr double fullFitnessProcessorShare = 0.5;
 /// Longer than that of a grant: a release is answered when the requests in flight for its keys have ended.
@@ -87,7 +89,8 @@
                   [](CallerAnswer& answer) {
                       logEvent(
                           LogEvent::RequestRejected, "status=" + std::to_string(answer.status) + " why=" + answer.body);
-                  }})
+                  },
+                  [this](const RawRequest& raw) { return mayOverlap(raw); }})
         , m_readinessServer(HttpServerLimits(),
               {[this](std::uint64_t caller, RawRequest&& raw) { onReadiness(caller, raw); }, [](std::uint64_t) {}, {}})
     {
@@ -245,6 +248,15 @@
         apply(RequestReceived {caller, std::move(std::get<GatewayRequest>(decoded))});
     }
 
+    /// Whether a request may run beside others of its connection. One without a route reaches no server.
+    [[nodiscard]] bool mayOverlap(const RawRequest& raw) const
+    {
+        const HostRoute* route = m_configuration
+            ? findRoute(*m_configuration, findHeader(raw.headers, "Host").value_or(""), raw.path)
+            : nullptr;
+        return route == nullptr || route->repeatability == Repeatability::Idempotent;
+    }
+
     [[nodiscard]] bool isReady() const
     {
         if (m_stopping || !m_configuration || !m_directory.hasList()) {
@@ -488,7 +500,8 @@
         if (removedFromBalancer) {
             m_callerServer.stopListening();
         }
-        const bool idle = removedFromBalancer && m_callerServer.pending() == 0;
+        const bool idle = now - m_stopRequestedAt >= balancerRemovalTime + firstRequestWait
+            && m_callerServer.pending() == 0 && !m_callerServer.hasInput();
         if (idle || now - m_stopRequestedAt >= m_settings.stopTimeout - stopMargin) {
             g_main_loop_quit(m_loop);
         }
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -3,8 +3,10 @@
 #include "base/deadline_timer.h"
 #include "base/glib_pointer.h"
 #include "base/socket_address.h"
+#include "http/request_queue.h"
+#include "http/request_reader.h"
 
-#include <boost/beast/http.hpp>
+#include <boost/beast/http/status.hpp>
 
 #include <glib-unix.h>
 #include <netinet/in.h>
@@ -22,30 +24,19 @@
 namespace jasminespread {
 namespace {
 
-namespace http = boost::beast::http;
-using ErrorCode = boost::system::error_code;
-using RequestParser = http::request_parser<http::string_body>;
-
 constexpr std::size_t readBufferBytes = 16'384;
 constexpr int listenBacklog = 512;
 /// Time for which a connection is still read after its last answer: closing it with unread bytes would reset it, and
 /// the caller could lose the answer.
 constexpr Milliseconds lingerTime {1000};
-/// A caller that does not read its complete answer within this time is disconnected.
+/// A caller that does not read what is written for it within this time is disconnected.
 constexpr Milliseconds writeTimeout {30'000};
 /// Output buffer capacity that a connection may keep between requests; larger buffers are released.
 constexpr std::size_t idleBufferBytes = 4096;
-/// Idle time before TCP keep-alive probes and interval between them. Callers that vanished without closing their
-/// connection are detected when the system's default number of probes is unanswered.
+/// Callers that vanished without closing their connection are detected by TCP keep-alive probes: idle time before the
+/// first one and interval between them, in seconds, and their number.
 constexpr int keepAliveSeconds = 2;
-
-enum class Phase : std::uint8_t {
-    Idle, ///< Between requests.
-    Reading, ///< A request arrives.
-    Waiting, ///< For HttpServer::answer().
-    Writing, ///< An answer is written.
-    Lingering ///< The last answer is written; input is discarded until the caller closes or lingerTime passes.
-};
+constexpr int keepAliveProbes = 3;
 
 struct Connection {
     std::uint64_t number = 0;
@@ -53,17 +44,18 @@
     GSourcePointer source; ///< Destroyed before the descriptor is closed.
     gpointer sourceTag = nullptr;
     GIOCondition condition {};
-    Phase phase = Phase::Idle;
-    std::unique_ptr<RequestParser> parser;
-    bool continueSent = false;
-    std::string input; ///< Received bytes that the parser has not consumed.
+    RequestReader reader;
+    RequestQueue queue;
     std::string output;
     std::size_t writtenBytes = 0; ///< Bytes of `output` that are written.
-    bool closeAfterAnswer = false;
-    bool isHeadRequest = false;
-    bool inputEnded = false;
-    MonotonicTime requestStartedAt; ///< Arrival of the first byte of the current request.
-    MonotonicTime phaseDeadline; ///< Time limit of the current phase; MonotonicTime::max() for none.
+    bool lastRequestRead = false; ///< Nothing behind the requests in the queue is read.
+    bool closing = false; ///< The last answer is in `output`, or written.
+    bool lingering = false; ///< The last answer is written; input is discarded until the caller closes.
+    bool processing = false; ///< process() runs; it removes the connection if it is lost meanwhile.
+    bool lost = false;
+    MonotonicTime idleDeadline;
+    MonotonicTime writeDeadline; ///< Also the end of lingering.
+    MonotonicTime deadline = MonotonicTime::max(); ///< The earliest that applies, as registered.
 
     Connection() = default;
     Connection(const Connection&) = delete;
@@ -75,23 +67,32 @@
             close(fd);
         }
     }
+
+    [[nodiscard]] bool isIdle() const { return queue.empty() && output.empty() && !reader.hasPartialRequest(); }
 };
 
 std::string_view reasonPhrase(unsigned status)
 {
+    namespace http = boost::beast::http;
     const boost::core::string_view text = http::obsolete_reason(http::int_to_status(status));
     return {text.data(), text.size()};
 }
 
-unsigned statusOf(const ErrorCode& ec)
+void appendAnswer(std::string& output, const RequestQueue::Ready& ready, bool closes)
 {
-    if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
-        return 431;
+    const CallerAnswer& answer = ready.answer;
+    const bool mayHaveBody = answer.status != 204 && answer.status != 304;
+    output += "HTTP/1.1 " + std::to_string(answer.status) + ' ' + std::string(reasonPhrase(answer.status)) + "\r\n";
+    for (const HeaderField& field : answer.headers) {
+        output += field.name + ": " + field.value + "\r\n";
+    }
+    if (mayHaveBody) {
+        output += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
     }
-    if (ec == http::error::body_limit) {
-        return 413;
+    output += closes ? "Connection: close\r\n\r\n" : "\r\n";
+    if (mayHaveBody && !ready.isHead) {
+        output += answer.body;
     }
-    return 400;
 }
 
 } // namespace
@@ -104,7 +105,8 @@
     DeadlineTimer timer;
     std::uint64_t nextNumber = 1;
     std::optional<Milliseconds> drainIdleTimeout;
-    std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections;
+    std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections; ///< By number.
+    std::unordered_map<std::uint64_t, std::uint64_t> requests; ///< Connections of unanswered requests.
     std::set<std::pair<MonotonicTime, std::uint64_t>> deadlines;
     std::array<char, readBufferBytes> buffer {};
 
@@ -119,7 +121,7 @@
     State(HttpServerLimits initialLimits, Hooks callbacks)
         : limits(initialLimits)
         , hooks(std::move(callbacks))
-        , timer([this] { expirePhases(); })
+        , timer([this] { expireDeadlines(); })
     {
     }
 
@@ -134,14 +136,30 @@
     State(const State&) = delete;
     State& operator=(const State&) = delete;
 
-    void setDeadline(Connection& connection, MonotonicTime deadline)
+    [[nodiscard]] static MonotonicTime deadlineOf(const Connection& connection)
     {
-        deadlines.erase({connection.phaseDeadline, connection.number});
-        connection.phaseDeadline = deadline;
-        if (deadline != MonotonicTime::max()) {
-            deadlines.emplace(deadline, connection.number);
+        if (connection.lingering) {
+            return connection.writeDeadline;
+        }
+        if (connection.isIdle()) {
+            return connection.idleDeadline;
+        }
+        const MonotonicTime write = connection.output.empty() ? MonotonicTime::max() : connection.writeDeadline;
+        const bool reads = connection.reader.hasPartialRequest() && !connection.lastRequestRead;
+        return reads ? std::min(write, connection.reader.deadline()) : write;
+    }
+
+    void updateDeadline(Connection& connection)
+    {
+        const MonotonicTime deadline = deadlineOf(connection);
+        if (deadline != connection.deadline) {
+            deadlines.erase({connection.deadline, connection.number});
+            connection.deadline = deadline;
+            if (deadline != MonotonicTime::max()) {
+                deadlines.emplace(deadline, connection.number);
+            }
+            armTimer();
         }
-        armTimer();
     }
 
     void armTimer() { timer.arm(deadlines.empty() ? std::nullopt : std::optional(deadlines.begin()->first)); }
@@ -169,6 +187,7 @@
             setsockopt(fd, SOL_SOCKET, SO_KEEPALIVE, &one, sizeof one);
             setsockopt(fd, IPPROTO_TCP, TCP_KEEPIDLE, &probe, sizeof probe);
             setsockopt(fd, IPPROTO_TCP, TCP_KEEPINTVL, &probe, sizeof probe);
+            setsockopt(fd, IPPROTO_TCP, TCP_KEEPCNT, &keepAliveProbes, sizeof keepAliveProbes);
             auto connection = std::make_unique<Connection>();
             connection->number = nextNumber++;
             connection->fd = fd;
@@ -181,20 +200,30 @@
             g_source_attach(source, g_main_context_get_thread_default());
             Connection& opened = *connection;
             connections.emplace(opened.number, std::move(connection));
-            setDeadline(opened, monotonicNow() + limits.idleTimeout);
+            opened.idleDeadline = monotonicNow() + idleTimeout();
+            updateDeadline(opened);
             read(opened);
         }
     }
 
-    void closeConnection(std::uint64_t number)
+    /// Closes a connection, once process() has returned if it runs.
+    void closeConnection(Connection& connection)
     {
-        const auto it = connections.find(number);
-        const std::unique_ptr<Connection> connection = std::move(it->second);
-        deadlines.erase({connection->phaseDeadline, number});
+        connection.lost = true;
+        if (connection.processing) {
+            return;
+        }
+        const auto it = connections.find(connection.number);
+        const std::unique_ptr<Connection> closed = std::move(it->second);
         connections.erase(it);
+        deadlines.erase({closed->deadline, closed->number});
         armTimer();
-        if (connection->phase == Phase::Waiting) {
-            hooks.callerDisconnected(number);
+        const std::vector<std::uint64_t> unanswered = closed->queue.unanswered();
+        for (const std::uint64_t request : unanswered) {
+            requests.erase(request);
+        }
+        for (const std::uint64_t request : unanswered) {
+            hooks.callerDisconnected(request);
         }
     }
 
@@ -206,140 +235,124 @@
         }
         if (n <= 0) {
             // Half-closed connections are not supported: a caller that closes its side has disconnected.
-            return closeConnection(connection.number);
-        }
-        if (connection.phase == Phase::Lingering) {
-            return;
+            return closeConnection(connection);
         }
-        connection.input.append(buffer.data(), static_cast<std::size_t>(n));
-        if (connection.phase == Phase::Idle || connection.phase == Phase::Reading) {
-            parse(connection);
-        } else if (connection.input.size() > limits.maxHeaderBytes) {
-            watch(connection, GIOCondition(0)); // Pipelined bytes stay in the socket until the answer is written.
+        if (!connection.lastRequestRead) {
+            connection.reader.append({buffer.data(), static_cast<std::size_t>(n)}, monotonicNow());
+            process(connection);
         }
     }
 
-    void parse(Connection& connection)
+    /// Whether the next request may be read; the bytes behind a partial one are its own.
+    [[nodiscard]] bool mayRead(const Connection& connection) const
     {
-        if (connection.phase == Phase::Idle) {
-            if (connection.input.empty()) {
-                return;
-            }
-            connection.phase = Phase::Reading;
-            connection.requestStartedAt = monotonicNow();
-            connection.continueSent = false;
-            connection.parser = std::make_unique<RequestParser>();
-            connection.parser->header_limit(limits.maxHeaderBytes);
-            connection.parser->body_limit(limits.maxBodyBytes);
-            connection.parser->eager(true);
-            setDeadline(connection, connection.requestStartedAt + limits.headerTimeout);
-        }
-        RequestParser& parser = *connection.parser;
-        ErrorCode ec;
-        std::size_t consumed = 0;
-        while (!parser.is_done() && consumed < connection.input.size()) {
-            consumed += parser.put(
-                boost::asio::const_buffer(connection.input.data() + consumed, connection.input.size() - consumed), ec);
-            if (ec) {
-                break;
-            }
+        if (connection.lastRequestRead) {
+            return false;
+        }
+        const bool mayBegin = connection.queue.size() < limits.maxPipelinedRequests
+            && connection.queue.heldBytes() + connection.output.size() < limits.maxPipelinedBytes
+            && (!drainIdleTimeout || connection.queue.empty());
+        const bool nothingHeld = connection.queue.empty() && connection.output.empty();
+        return nothingHeld || connection.reader.hasPartialRequest() || mayBegin;
+    }
+
+    /// Reads, handles and answers requests of a connection until it needs input, an answer, or room in the socket.
+    /// A loop instead of nested calls: many immediate answers must not use up the stack.
+    void process(Connection& connection)
+    {
+        if (connection.processing) {
+            return;
         }
-        connection.input.erase(0, consumed);
-        if (parser.is_header_done() && parser.chunked() && !limits.acceptChunked) {
-            return refuse(connection, 411, "a body needs a Content-Length");
+        connection.processing = true;
+        bool progressed = true;
+        while (progressed && !connection.lost) {
+            while (!connection.lost && (readRequest(connection) || deliverRequest(connection))) { }
+            progressed = !connection.lost && writeAnswers(connection);
         }
-        if (ec == http::error::need_more) {
-            ec = {};
-            if (!parser.is_header_done() && connection.input.size() > limits.maxHeaderBytes) {
-                ec = http::error::header_limit;
-            }
+        connection.processing = false;
+        if (connection.lost) {
+            return closeConnection(connection);
         }
-        if (ec) {
-            return refuse(connection, statusOf(ec), ec.message());
+        watchSocket(connection);
+        updateDeadline(connection);
+    }
+
+    /// Returns whether a request or refusal was added to the queue.
+    bool readRequest(Connection& connection)
+    {
+        if (!mayRead(connection)) {
+            return false;
         }
-        if (parser.is_header_done() && !parser.is_done()) {
-            setDeadline(connection, connection.requestStartedAt + limits.bodyTimeout);
-            const boost::core::string_view expect = parser.get()[http::field::expect];
-            if (!connection.continueSent && boost::beast::iequals(expect, "100-continue")) {
-                connection.continueSent = true;
-                connection.output = "HTTP/1.1 100 Continue\r\n\r\n";
-                flush(connection);
-            }
-            return;
+        auto next = connection.reader.next(limits, monotonicNow());
+        if (const auto* refusal = std::get_if<RequestReader::Refusal>(&next)) {
+            refuse(connection, refusal->status, refusal->reason);
+            return true;
+        }
+        auto* request = std::get_if<RequestReader::Request>(&next);
+        if (request == nullptr) {
+            return false;
         }
-        if (parser.is_done()) {
-            deliver(connection);
+        if (request->closes) {
+            connection.lastRequestRead = true;
+            connection.reader.discard();
         }
+        connection.queue.add(nextNumber++, std::move(request->raw), request->isHead, request->closes);
+        return true;
     }
 
-    void deliver(Connection& connection)
+    /// Returns whether a request was passed on.
+    bool deliverRequest(Connection& connection)
     {
-        http::request<http::string_body>& message = connection.parser->get();
-        RawRequest request;
-        request.method = std::string(message.method_string());
-        const std::string target(message.target());
-        const std::size_t question = target.find('?');
-        request.path = target.substr(0, question);
-        if (question != std::string::npos) {
-            request.query = target.substr(question + 1);
-        }
-        bool hasHost = false;
-        bool hasDuplicateHost = false;
-        for (const auto& field : message) {
-            hasDuplicateHost = hasDuplicateHost || (hasHost && field.name() == http::field::host);
-            hasHost = hasHost || field.name() == http::field::host;
-            request.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-        }
-        if (hasDuplicateHost || (!hasHost && message.version() >= 11)) {
-            return refuse(connection, 400, hasDuplicateHost ? "more than one Host field" : "the Host field is missing");
-        }
-        request.body = std::move(message.body());
-        connection.isHeadRequest = message.method() == http::verb::head;
-        connection.closeAfterAnswer = !connection.parser->keep_alive();
-        connection.parser.reset();
-        connection.phase = Phase::Waiting;
-        setDeadline(connection, MonotonicTime::max());
-        hooks.requestArrived(connection.number, std::move(request));
-    }
-
-    void refuse(Connection& connection, unsigned status, std::string_view reason)
+        std::optional<RequestQueue::Delivery> delivery = connection.queue.takeDeliverable(hooks.mayOverlap);
+        if (!delivery) {
+            return false;
+        }
+        requests.emplace(delivery->request, connection.number);
+        hooks.requestArrived(delivery->request, std::move(delivery->raw));
+        return true;
+    }
+
+    void refuse(Connection& connection, unsigned status, const std::string& reason)
     {
-        connection.parser.reset();
-        connection.closeAfterAnswer = true;
-        connection.isHeadRequest = false;
+        connection.lastRequestRead = true;
+        connection.reader.discard();
         CallerAnswer answer;
         answer.status = status;
         answer.headers.push_back({"Content-Type", "text/plain"});
-        answer.body = std::string(reason) + "\n";
+        answer.body = reason + "\n";
         if (hooks.inputRefused) {
             hooks.inputRefused(answer);
         }
-        write(connection, std::move(answer));
+        connection.queue.addRefusal(std::move(answer));
     }
 
-    void write(Connection& connection, CallerAnswer&& answer)
+    /// Writes the answers that are next in order. Returns whether there was output and all of it is written.
+    bool writeAnswers(Connection& connection)
     {
-        connection.closeAfterAnswer = connection.closeAfterAnswer || drainIdleTimeout.has_value();
-        const bool hasBody = !connection.isHeadRequest && answer.status != 204 && answer.status != 304;
-        std::string& output = connection.output;
-        output += "HTTP/1.1 " + std::to_string(answer.status) + ' ' + std::string(reasonPhrase(answer.status)) + "\r\n";
-        for (const HeaderField& field : answer.headers) {
-            output += field.name + ": " + field.value + "\r\n";
+        const bool wasEmpty = connection.output.empty();
+        while (std::optional<RequestQueue::Ready> ready = connection.queue.takeReady()) {
+            connection.closing = ready->closes || (drainIdleTimeout && connection.queue.empty());
+            appendAnswer(connection.output, *ready, connection.closing);
+        }
+        if (connection.closing) {
+            connection.lastRequestRead = true;
+            connection.reader.discard();
+        }
+        if (connection.queue.empty() && connection.reader.expectsContinue()) {
+            connection.reader.confirmContinue();
+            connection.output += "HTTP/1.1 100 Continue\r\n\r\n";
         }
-        if (answer.status != 204 && answer.status != 304) {
-            output += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
+        if (connection.output.empty()) {
+            return false;
         }
-        output += connection.closeAfterAnswer ? "Connection: close\r\n\r\n" : "\r\n";
-        if (hasBody) {
-            output += answer.body;
+        if (wasEmpty) {
+            connection.writeDeadline = monotonicNow() + writeTimeout;
         }
-        connection.phase = Phase::Writing;
-        setDeadline(connection, monotonicNow() + writeTimeout);
-        flush(connection);
+        return flush(connection);
     }
 
-    /// Writes as much as the socket accepts and continues with the next request once the answer is complete.
-    void flush(Connection& connection)
+    /// Writes as much as the socket accepts. Returns whether everything is written.
+    bool flush(Connection& connection)
     {
         while (connection.writtenBytes < connection.output.size()) {
             const ssize_t n = ::send(connection.fd, connection.output.data() + connection.writtenBytes,
@@ -347,9 +360,10 @@
             if (n >= 0) {
                 connection.writtenBytes += static_cast<std::size_t>(n);
             } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
-                return watch(connection, GIOCondition(G_IO_IN | G_IO_OUT));
+                return false;
             } else if (errno != EINTR) {
-                return closeConnection(connection.number);
+                closeConnection(connection);
+                return false;
             }
         }
         connection.writtenBytes = 0;
@@ -357,22 +371,23 @@
         if (connection.output.capacity() > idleBufferBytes) {
             connection.output.shrink_to_fit();
         }
-        watch(connection, G_IO_IN);
-        if (connection.phase == Phase::Writing) {
-            finishAnswer(connection);
+        connection.idleDeadline = monotonicNow() + idleTimeout();
+        if (connection.closing) {
+            shutdown(connection.fd, SHUT_WR);
+            connection.lingering = true;
+            connection.writeDeadline = monotonicNow() + lingerTime;
         }
+        return true;
     }
 
-    void finishAnswer(Connection& connection)
+    /// Bytes that may not be read yet stay in the socket.
+    void watchSocket(Connection& connection) const
     {
-        if (connection.closeAfterAnswer) {
-            shutdown(connection.fd, SHUT_WR);
-            connection.phase = Phase::Lingering;
-            return setDeadline(connection, monotonicNow() + lingerTime);
-        }
-        connection.phase = Phase::Idle;
-        setDeadline(connection, monotonicNow() + idleTimeout());
-        parse(connection);
+        const bool reads
+            = mayRead(connection) || connection.lingering || connection.reader.unreadBytes() <= limits.maxHeaderBytes;
+        const int in = reads ? G_IO_IN : 0;
+        const int out = connection.output.empty() ? 0 : G_IO_OUT;
+        watch(connection, GIOCondition(in | out));
     }
 
     static gboolean onReady(gpointer data)
@@ -383,7 +398,7 @@
         Connection& connection = *state.connections.at(number);
         const GIOCondition events = g_source_query_unix_fd(connection.source.get(), connection.sourceTag);
         if ((events & G_IO_OUT) != 0) {
-            state.flush(connection);
+            state.process(connection);
         }
         if ((events & ~G_IO_OUT) != 0 && state.connections.contains(number)) {
             state.read(connection);
@@ -397,16 +412,18 @@
         return G_SOURCE_CONTINUE;
     }
 
-    /// Refuses requests and closes connections whose phase deadline has passed.
-    void expirePhases()
+    /// Refuses requests that did not arrive in time, and closes idle connections and those that are not read.
+    void expireDeadlines()
     {
         const MonotonicTime now = monotonicNow();
         while (!deadlines.empty() && deadlines.begin()->first <= now) {
             Connection& connection = *connections.at(deadlines.begin()->second);
-            if (connection.phase == Phase::Reading) {
+            const bool reads = !connection.lastRequestRead && connection.reader.hasPartialRequest();
+            if (reads && connection.reader.deadline() <= now) {
                 refuse(connection, 408, "the request did not arrive in time");
+                process(connection);
             } else {
-                closeConnection(connection.number);
+                closeConnection(connection);
             }
         }
         armTimer();
@@ -460,9 +477,8 @@
 {
     m_state->drainIdleTimeout = maxIdleTime;
     for (auto& [number, connection] : m_state->connections) {
-        if (connection->phase == Phase::Idle) {
-            m_state->setDeadline(*connection, std::min(connection->phaseDeadline, monotonicNow() + maxIdleTime));
-        }
+        connection->idleDeadline = std::min(connection->idleDeadline, monotonicNow() + maxIdleTime);
+        m_state->updateDeadline(*connection);
     }
 }
 
@@ -470,37 +486,51 @@
 {
     m_state->listenSource.reset();
     if (m_state->listener >= 0) {
+        m_state->accept(); // Closing the listener would reset them.
         close(m_state->listener);
         m_state->listener = -1;
     }
 }
 
+bool HttpServer::hasInput() const
+{
+    return std::any_of(m_state->connections.begin(), m_state->connections.end(), [](const auto& entry) {
+        pollfd readable {entry.second->fd, POLLIN, 0};
+        return !entry.second->lingering && poll(&readable, 1, 0) > 0;
+    });
+}
+
 bool HttpServer::hasCallerDisconnected(std::uint64_t request) const
 {
-    const auto it = m_state->connections.find(request);
-    if (it == m_state->connections.end()) {
+    const auto it = m_state->requests.find(request);
+    if (it == m_state->requests.end()) {
         return false;
     }
+    const Connection& connection = *m_state->connections.at(it->second);
     char byte = 0;
-    const ssize_t n = recv(it->second->fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
+    const ssize_t n = recv(connection.fd, &byte, 1, MSG_PEEK | MSG_DONTWAIT);
     return n == 0 || (n < 0 && errno != EAGAIN && errno != EWOULDBLOCK && errno != EINTR);
 }
 
 void HttpServer::answer(std::uint64_t request, CallerAnswer&& answer)
 {
-    const auto it = m_state->connections.find(request);
-    if (it != m_state->connections.end() && it->second->phase == Phase::Waiting) {
-        m_state->write(*it->second, std::move(answer));
+    const auto it = m_state->requests.find(request);
+    if (it == m_state->requests.end()) {
+        return;
     }
+    Connection& connection = *m_state->connections.at(it->second);
+    m_state->requests.erase(it);
+    connection.queue.answer(request, std::move(answer));
+    m_state->process(connection);
 }
 
 std::size_t HttpServer::pending() const noexcept
 {
     std::size_t n = 0;
     for (const auto& [number, connection] : m_state->connections) {
-        const Phase phase = connection->phase;
-        const bool hasHead = phase == Phase::Reading && connection->parser->is_header_done();
-        n += hasHead || phase == Phase::Waiting || phase == Phase::Writing ? 1 : 0;
+        n += connection->queue.size();
+        n += connection->reader.hasPartialBody() ? 1 : 0;
+        n += connection->queue.empty() && !connection->output.empty() ? 1 : 0;
     }
     return n;
 }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -21,6 +21,12 @@
     Milliseconds bodyTimeout {30'000}; ///< From the first byte of a request to its last byte.
     Milliseconds idleTimeout {15'000}; ///< Between requests.
     bool acceptChunked = true; ///< Otherwise a request body needs a Content-Length.
+    /// @name Pipelining
+    /// While a connection reaches one of these limits, no further request is read from it.
+    /// @{
+    std::uint32_t maxPipelinedRequests = 16; ///< Requests without a written answer.
+    std::uint32_t maxPipelinedBytes = 262'144; ///< Bytes of requests that wait and of answers that are not written.
+    /// @}
 };
 
 /// An HTTP answer to a caller.
@@ -30,18 +36,23 @@
     std::string body;
 };
 
-/// HTTP/1.1 server on non-blocking sockets and GLib that controls the byte stream: Beast's parser checks the framing,
-/// and a connection is read one request at a time, so that bytes after an answer never belong to another request.
-/// Not thread-safe; runs on the thread's default main context.
+/// HTTP/1.1 server on non-blocking sockets and GLib that controls the byte stream: Beast's parser checks the framing.
+/// Requests that a caller sends before it has the answer to an earlier one are handled concurrently where a hook allows
+/// it; answers are written in the order of the requests. Behind a request whose answer closes the connection nothing is
+/// read. Not thread-safe; runs on the thread's default main context.
 class HttpServer {
 public:
     struct Hooks {
+        /// A request arrived; @p request is unique in this server. The hook may call answer().
         std::function<void(std::uint64_t request, RawRequest&&)> requestArrived;
         /// The connection closed before answer() was called. The request needs no answer.
         std::function<void(std::uint64_t request)> callerDisconnected;
         /// The server is about to refuse malformed, too large or too slow input; the hook may change the answer. May be
         /// empty.
         std::function<void(CallerAnswer& answer)> inputRefused;
+        /// Whether a request may be handled while others of its connection are, i.e. whether it may be repeated. Empty:
+        /// no request may.
+        std::function<bool(const RawRequest&)> mayOverlap {};
     };
 
     HttpServer(HttpServerLimits limits, Hooks hooks);
@@ -52,14 +63,17 @@
     /// Listens on @p address (IP address and port); @p reusePort shares the address with other sockets of this user.
     /// Fails with AddressInUse or InvalidInput.
     [[nodiscard]] Result<void> listen(const std::string& address, bool reusePort = false);
-    /// Returns whether connections wait to be accepted; stopListening() would reset them.
+    /// Returns whether connections wait to be accepted.
     [[nodiscard]] bool hasBacklog() const;
     /// Replaces the limits for input that arrives from now on.
     void setLimits(const HttpServerLimits& limits);
-    /// Makes every answer from now on close its connection, and closes idle connections after @p maxIdleTime.
+    /// Makes the answer to the last request that was read from a connection close it, and closes idle connections after
+    /// @p maxIdleTime. Behind unanswered requests nothing more is read.
     void drain(Milliseconds maxIdleTime);
-    /// Stops accepting connections.
+    /// Accepts the connections that wait, then stops accepting connections.
     void stopListening();
+    /// Returns whether bytes of callers wait to be read, or a caller's close.
+    [[nodiscard]] bool hasInput() const;
     /// Returns whether the caller of an unanswered request has closed its connection, even if callerDisconnected() has
     /// not run yet. False for unknown requests.
     [[nodiscard]] bool hasCallerDisconnected(std::uint64_t request) const;
