--- a/standins/fault-proxy.cpp
+++ b/standins/fault-proxy.cpp
@@ -447,10 +447,10 @@
     m_closed = true;
     for (GSocketConnection* side : m_sides) {
         if (side != nullptr && reset) {
-            // With a linger time of zero, the kernel sends a reset on close.
-            const linger option {1, 0};
+            // Disconnecting resets the connection at once; the close below waits for pending operations.
+            const sockaddr nowhere {AF_UNSPEC, {}};
             const int fd = g_socket_get_fd(g_socket_connection_get_socket(side));
-            ::setsockopt(fd, SOL_SOCKET, SO_LINGER, &option, sizeof(option));
+            ::connect(fd, &nowhere, sizeof nowhere);
         }
     }
     // Pending operations fail and release their references to this object; its destructor closes the sockets.
--- a/tests/integration/fault_proxy_test.cpp
+++ b/tests/integration/fault_proxy_test.cpp
@@ -18,7 +18,8 @@
 protected:
     void SetUp() override
     {
-        for (int i = 0; i < 100 && callDirectly().status != 200; ++i) {
+        const auto serves = [this] { return callDirectly().status == 200 && callThroughProxy().status == 200; };
+        for (int i = 0; i < 100 && !serves(); ++i) {
             std::this_thread::sleep_for(Milliseconds(20));
         }
         ASSERT_EQ(callDirectly().status, 200U);
@@ -66,6 +67,18 @@
     EXPECT_EQ(callThroughProxy().status, 200U);
 }
 
+// Guards against a cut that is acknowledged before the open connections are reset: a request of the caller could begin
+// on one of them.
+TEST_F(FaultProxyTest, TheCutIsInForceWhenItIsAcknowledged)
+{
+    for (int i = 0; i < 200; ++i) {
+        setBehaviour("{}");
+        ASSERT_EQ(callThroughProxy().status, 200U) << "round " << i;
+        setBehaviour(R"({"mode":"cut"})");
+        ASSERT_FALSE(callThroughProxy().connected) << "round " << i;
+    }
+}
+
 // Guards against a `black-hole` mode that answers, refuses connections or loses bytes instead of holding them back.
 TEST_F(FaultProxyTest, StallsAndResumes)
 {
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -8,6 +8,8 @@
 #include <gtest/gtest.h>
 
 #include <csignal>
+#include <ctime>
+#include <deque>
 #include <filesystem>
 #include <fstream>
 #include <optional>
@@ -76,6 +78,7 @@
     {
         const unsigned host = 21 + index;
         const std::string file = m_folder + "/settings-" + std::to_string(index);
+        shiftClock(index, 0s);
         std::ofstream(file) << "self.node=edge-" << index
                             << "\nself.zone=colombo-a\nself.region=western\nself.ip=" << m_networkPrefix << host
                             << "\nnetwork.listen.front=" << address(host, 8381)
@@ -84,7 +87,25 @@
                             << "\nterms.bounds.budgetSlack=50\nterms.bounds.graceS=6\n";
         m_gateways[index] = std::make_unique<Process>(
             std::vector<std::string> {std::string(BINARY_DIR) + "/jasminespread-gateway", "--settings", file},
-            m_folder + "/gateway-" + std::to_string(index) + ".log");
+            logFile(index),
+            std::map<std::string, std::string> {{"LD_PRELOAD", std::string(BINARY_DIR) + "/libclock-shift.so"},
+                {"CLOCK_SHIFT_FILE", clockShiftFile(index)}});
+    }
+
+    [[nodiscard]] std::string logFile(unsigned index) const
+    {
+        return m_folder + "/gateway-" + std::to_string(index) + ".log";
+    }
+
+    [[nodiscard]] std::string clockShiftFile(unsigned index) const
+    {
+        return m_folder + "/clock-shift-" + std::to_string(index);
+    }
+
+    /// Shifts the time of day of a gateway. The steady clock keeps running.
+    void shiftClock(unsigned index, std::chrono::seconds shift) const
+    {
+        std::ofstream(clockShiftFile(index)) << shift.count() << "\n";
     }
 
     /// Sends a request. The result is set while the main context runs.
@@ -127,6 +148,24 @@
         close(fd);
     }
 
+    /// Number of log lines whose time is over 1,000 s apart from that of the line before.
+    static unsigned clockJumpsIn(const std::string& file)
+    {
+        std::ifstream log(file);
+        unsigned jumps = 0;
+        std::time_t last = 0;
+        for (std::string line; std::getline(log, line);) {
+            std::tm calendarTime {};
+            if (strptime(line.c_str(), "%Y-%m-%dT%H:%M:%S", &calendarTime) == nullptr) {
+                continue;
+            }
+            const std::time_t at = timegm(&calendarTime);
+            jumps += last != 0 && std::abs(at - last) > 1000 ? 1 : 0;
+            last = at;
+        }
+        return jumps;
+    }
+
     bool isReady(unsigned gateway) { return call(gateway, "/api/readiness", std::nullopt, 8388).status == 200; }
 
     std::string m_networkPrefix;
@@ -179,6 +218,68 @@
     }
 }
 
+/// Guards against a planned stop that cuts off requests on connections which were accepted shortly before it ends.
+TEST_F(GatewayTest, AnswersConnectionsAcceptedDuringStop)
+{
+    m_gateways[0]->signal(SIGTERM);
+    std::deque<std::pair<MonotonicTime, int>> opened;
+    std::vector<int> sent;
+    const std::optional<SocketAddress> to = parseSocketAddress(address(21, 8381));
+    const std::string text = "GET /read/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: x\r\nDeadline-Ms: 3000\r\n\r\n";
+    const auto sendDue = [&](MonotonicTime now) {
+        while (!opened.empty() && opened.front().first + 100ms <= now) {
+            EXPECT_EQ(::send(opened.front().second, text.data(), text.size(), MSG_NOSIGNAL),
+                static_cast<ssize_t>(text.size()));
+            sent.push_back(opened.front().second);
+            opened.pop_front();
+        }
+    };
+    const MonotonicTime end = monotonicNow() + 5s;
+    bool refused = false;
+    while (monotonicNow() < end && (!refused || !opened.empty())) {
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        refused = refused || connect(fd, to->get(), to->size) != 0;
+        if (refused) {
+            close(fd);
+        } else {
+            opened.emplace_back(monotonicNow(), fd);
+        }
+        (void)runUntil(20ms, [] { return false; });
+        sendDue(monotonicNow());
+    }
+    EXPECT_TRUE(refused);
+    (void)runUntil(300ms, [] { return false; });
+    unsigned unanswered = 0;
+    for (const int fd : sent) {
+        char bytes[4096];
+        unanswered += recv(fd, bytes, sizeof bytes, MSG_DONTWAIT) > 0 ? 0 : 1;
+        close(fd);
+    }
+    EXPECT_GT(sent.size(), 20U);
+    EXPECT_EQ(unanswered, 0U) << "of " << sent.size();
+}
+
+/// Guards against decisions by the time of day: it jumps ahead and back on one instance, the leader or another one.
+TEST_F(GatewayTest, ServesWhileTheTimeOfDayJumps)
+{
+    std::uint64_t version = 10;
+    for (const unsigned jumping : {0U, 1U}) {
+        for (const std::chrono::seconds shift : {1910s, 0s, -1910s, 0s}) {
+            shiftClock(jumping, shift);
+            const MonotonicTime end = monotonicNow() + 1500ms;
+            while (monotonicNow() < end) {
+                EXPECT_EQ(call(jumping, "/read/1").status, 200U);
+                EXPECT_EQ(call(1 - jumping, "/plan/1", 40'000).status, 200U);
+                (void)runUntil(50ms, [] { return false; });
+            }
+            const std::string prefix = "/v" + std::to_string(++version) + "/";
+            m_store.put("config", "main", configuration(version, prefix));
+            EXPECT_TRUE(runUntil(3s, [&] { return call(0, prefix).status == 200 && call(1, prefix).status == 200; }));
+        }
+        EXPECT_GE(clockJumpsIn(logFile(jumping)), 4U);
+    }
+}
+
 /// Guards against an instance that keeps an old configuration after the store dropped the history of its changes.
 TEST_F(GatewayTest, FollowsConfigurationAfterHistoryCompaction)
 {
--- a/tests/integration/process.cpp
+++ b/tests/integration/process.cpp
@@ -1,6 +1,7 @@
 #include "process.h"
 
 #include <csignal>
+#include <cstdlib>
 #include <fcntl.h>
 #include <stdexcept>
 #include <sys/prctl.h>
@@ -9,7 +10,8 @@
 
 namespace jasminespread::test {
 
-Process::Process(const std::vector<std::string>& arguments, const std::string& logFile)
+Process::Process(const std::vector<std::string>& arguments, const std::string& logFile,
+    const std::map<std::string, std::string>& environment)
 {
     std::vector<char*> argv;
     argv.reserve(arguments.size() + 1);
@@ -27,6 +29,9 @@
         ::prctl(PR_SET_PDEATHSIG, SIGKILL);
         ::dup2(log, STDOUT_FILENO);
         ::dup2(log, STDERR_FILENO);
+        for (const auto& [name, value] : environment) {
+            ::setenv(name.c_str(), value.c_str(), 1);
+        }
         ::execv(argv[0], argv.data());
         ::_exit(127);
     }
--- a/tests/integration/process.h
+++ b/tests/integration/process.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include <map>
 #include <string>
 #include <sys/types.h>
 #include <vector>
@@ -9,8 +10,9 @@
 /// A child process started by a test. It is killed when this object is destroyed.
 class Process {
 public:
-    /// Starts @p arguments[0]; standard output and error go to @p logFile.
-    Process(const std::vector<std::string>& arguments, const std::string& logFile);
+    /// Starts @p arguments[0] with further environment variables; standard output and error go to @p logFile.
+    Process(const std::vector<std::string>& arguments, const std::string& logFile,
+        const std::map<std::string, std::string>& environment = {});
     /// Kills the process if it is still running.
     ~Process();
     Process(const Process&) = delete;
