Fewer calls and bytes for control: old copies at the start, deflated changes, short ids in heartbeats

Heartbeats named each busy server by its id, for every instance anew.

Changes are passed on deflated, up to 8 KB. Heartbeats carry 32-bit hashes of server ids, packed, and are built once.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -5,6 +5,7 @@
 #include "gateway/server_directory.h"
 #include "peer/peer_transport.h"
 #include "ranges/range_authority.h"
+#include "ranges/range_call_proof.h"
 
 #include <jasminespread/backend_transports.h>
 #include <jasminespread/log_event.h>
@@ -402,24 +403,33 @@
 
     void executeRangeEffect(GrantRange&& effect)
     {
-        sendCall(effect.callId, m_ports.encodeGrant(effect, monotonicNow() + RangeTimes().callTimeout));
+        sendCall(effect.callId, false, m_ports.encodeGrant(effect, monotonicNow() + RangeTimes().callTimeout));
     }
 
     void executeRangeEffect(ReleaseRange&& effect)
     {
-        sendCall(effect.callId, m_ports.encodeRelease(effect, monotonicNow() + releaseTimeout));
+        sendCall(effect.callId, true, m_ports.encodeRelease(effect, monotonicNow() + releaseTimeout));
     }
 
-    void sendCall(std::uint64_t call, BackendRequest&& request)
+    void sendCall(std::uint64_t call, bool isRelease, BackendRequest&& request)
     {
         request.connectTimeout = RangeTimes().callTimeout;
         // The time of a grant counts from the decision, by a clock that also advances while the machine is suspended.
         request.mayBegin
             = [until = m_rangeEffectsDecidedAt + RangeTimes().callTimeout] { return boottimeNow() < until; };
-        m_transport.send(std::move(request), [this, call](const BackendResult& result) {
-            const LoopMonitor::Step step(m_monitor, "grant-answer");
-            applyRangeEvent(m_ports.decodeGrantAnswer(call, result));
-        });
+        BackendRequest repeated = request;
+        repeated.needsNewConnection = true;
+        m_transport.send(std::move(request),
+            [this, call, isRelease, repeated = std::move(repeated)](const BackendResult& result) mutable {
+                const LoopMonitor::Step step(m_monitor, "grant-answer");
+                RangeCallEnded ended = m_ports.decodeGrantAnswer(call, result);
+                if (m_callProof.accepts(repeated.address, isRelease, ended, result.connectionReused)) {
+                    return applyRangeEvent(std::move(ended));
+                }
+                m_transport.send(std::move(repeated), [this, call](const BackendResult& confirmed) {
+                    applyRangeEvent(m_ports.decodeGrantAnswer(call, confirmed));
+                });
+            });
     }
 
     void executeRangeEffect(SendRangePeerMessage&& effect) { m_peers->send(effect.to, std::move(effect.envelope)); }
@@ -536,6 +546,7 @@
     GatewayPorts m_ports;
     GatewayReducer m_reducer;
     RangeAuthority m_authority;
+    RangeCallProof m_callProof;
     ServerDirectory m_directory;
     DeadlineTimer m_reducerTimer; ///< Fires at the reducer's next wake time.
     HttpServer m_callerServer;
--- a/src/gateway/gateway_event.h
+++ b/src/gateway/gateway_event.h
@@ -3,6 +3,7 @@
 #include "gateway/gateway_configuration.h"
 #include "gateway/gateway_request.h"
 #include "gateway/listed_server.h"
+#include "gateway/server_loads.h"
 #include "gateway/shared_retry_budget.h"
 #include "ranges/key_range.h"
 
@@ -68,7 +69,7 @@
 
 /// Requests in flight from all instances at busy servers, as of recent reports.
 struct ServerLoadsReported {
-    std::map<std::string, std::uint32_t> inFlight; ///< By server id; servers that are absent are not busy.
+    ServerLoads inFlight;
 };
 
 /// The number of instances that share the retry budgets.
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -285,7 +285,7 @@
 void GatewayReducer::handle(ServerLoadsReported&& event)
 {
     for (auto& [id, server] : m_servers) {
-        const auto it = event.inFlight.find(id);
+        const auto it = event.inFlight.find(serverIdHash(id));
         const std::uint32_t total = it == event.inFlight.end() ? 0 : it->second;
         server.otherInstancesInFlight = total - std::min(total, server.observation.inFlight());
     }
--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -1,5 +1,7 @@
 #include "ranges/range_authority.h"
 
+#include "base/deflate.h"
+
 #include <algorithm>
 #include <cmath>
 #include <tuple>
@@ -26,9 +28,12 @@
 constexpr Milliseconds voluntaryHandoverDelay = 1000ms;
 /// Members with a report within the last two intervals are preferred as successor.
 constexpr Milliseconds freshReportAge = 2 * reportInterval;
-/// Each instance fetches a larger change, such as a whole configuration, from the store, whose link is faster than the
-/// leader's.
-constexpr std::size_t maxForwardedBytes = 4096;
+/// Changes up to this size are passed on as they are, larger ones deflated.
+constexpr std::size_t maxPlainBytes = 512;
+/// Each instance fetches a change that is larger when deflated from the store, whose link is faster than the leader's.
+constexpr std::size_t maxForwardedBytes = 8192;
+/// Bound on the size of a change that another instance passed on.
+constexpr std::size_t maxInflatedBytes = 1'048'576;
 /// Highest number of keys in one report; the load of further keys is not reported.
 constexpr std::size_t maxReportedKeys = 2048;
 /// Bound of another instance's clock, about 100 years, so that differences of two clocks stay in range.
@@ -288,15 +293,21 @@
     if (m_term == 0) {
         return;
     }
+    wire::FeedChange change;
+    change.set_feed(event.change.feed);
+    change.set_base_revision(event.change.baseRevision);
+    change.set_revision(event.change.revision);
+    if (event.change.payload.size() <= maxPlainBytes) {
+        change.set_payload(event.change.payload);
+    } else if (event.change.payload.size() <= maxInflatedBytes) {
+        std::string deflated = deflate(event.change.payload);
+        if (deflated.size() <= maxForwardedBytes) {
+            change.set_deflated_payload(std::move(deflated));
+        }
+    }
     for (const auto& [id, member] : m_members) {
         wire::Envelope envelope;
-        wire::FeedChange& change = *envelope.mutable_feed_change();
-        change.set_feed(event.change.feed);
-        change.set_base_revision(event.change.baseRevision);
-        change.set_revision(event.change.revision);
-        if (event.change.payload.size() <= maxForwardedBytes) {
-            change.set_payload(event.change.payload);
-        }
+        *envelope.mutable_feed_change() = change;
         m_effects.emplace_back(SendRangePeerMessage {id, std::move(envelope)});
     }
 }
@@ -335,9 +346,9 @@
         }
         m_feedSelector.onLeaderHeartbeat(feedSummary, m_now);
     }
-    std::map<std::string, std::uint32_t> busy;
-    for (const wire::ServerLoad& load : message.loads()) {
-        busy[load.id()] = load.in_flight();
+    ServerLoads busy;
+    for (int i = 0; i < message.busy_servers_size() && i < message.busy_in_flight_size(); ++i) {
+        busy[message.busy_servers(i)] = message.busy_in_flight(i);
     }
     m_effects.emplace_back(PublishLoads {std::move(busy)});
     if (message.successor() == m_self.instance) {
@@ -400,11 +411,14 @@
 
 void RangeAuthority::receive(const wire::FeedChange& message)
 {
-    if (message.payload().empty()) {
+    const std::optional<std::string> inflated
+        = message.deflated_payload().empty() ? std::nullopt : inflate(message.deflated_payload(), maxInflatedBytes);
+    const std::string& payload = inflated ? *inflated : message.payload();
+    if (payload.empty()) {
         m_effects.emplace_back(FetchFeed {message.feed()});
     } else {
         m_effects.emplace_back(
-            ApplyFeedChange {{message.feed(), message.base_revision(), message.revision(), message.payload()}});
+            ApplyFeedChange {{message.feed(), message.base_revision(), message.revision(), payload}});
     }
 }
 
@@ -513,32 +527,31 @@
     m_nextHeartbeatAt = m_now + heartbeatInterval;
     updateMembers();
     const std::string next = chooseSuccessor();
-    const std::map<std::string, std::uint32_t> busy = busyServers();
+    const ServerLoads busy = busyServers();
     m_effects.emplace_back(PublishLoads {busy});
-    const std::optional<FeedSummary> summary = m_feedSelector.summarize(m_now);
+    wire::RangeLeaderHeartbeat heartbeat;
+    heartbeat.set_term(m_term);
+    heartbeat.set_sent_at_ms(
+        static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(m_now.time_since_epoch()).count()));
+    heartbeat.set_address(m_self.address);
+    heartbeat.set_instances(m_instanceCount);
+    heartbeat.set_leaving(m_stopping);
+    heartbeat.set_successor(next);
+    if (const std::optional<FeedSummary> summary = m_feedSelector.summarize(m_now)) {
+        heartbeat.set_feed_age_ms(static_cast<std::uint32_t>(summary->age.count()));
+        for (const auto& [feed, revision] : summary->revisions) {
+            wire::FeedState& state = *heartbeat.add_feeds();
+            state.set_feed(feed);
+            state.set_revision(revision);
+        }
+    }
+    for (const auto& [server, n] : busy) {
+        heartbeat.add_busy_servers(server);
+        heartbeat.add_busy_in_flight(n);
+    }
     for (const auto& [id, member] : m_members) {
         wire::Envelope envelope;
-        wire::RangeLeaderHeartbeat& heartbeat = *envelope.mutable_range_leader_heartbeat();
-        heartbeat.set_term(m_term);
-        heartbeat.set_sent_at_ms(
-            static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(m_now.time_since_epoch()).count()));
-        heartbeat.set_address(m_self.address);
-        heartbeat.set_instances(m_instanceCount);
-        heartbeat.set_leaving(m_stopping);
-        heartbeat.set_successor(next);
-        if (summary) {
-            heartbeat.set_feed_age_ms(static_cast<std::uint32_t>(summary->age.count()));
-            for (const auto& [feed, revision] : summary->revisions) {
-                wire::FeedState& state = *heartbeat.add_feeds();
-                state.set_feed(feed);
-                state.set_revision(revision);
-            }
-        }
-        for (const auto& [server, n] : busy) {
-            wire::ServerLoad& load = *heartbeat.add_loads();
-            load.set_id(server);
-            load.set_in_flight(n);
-        }
+        *envelope.mutable_range_leader_heartbeat() = heartbeat;
         m_effects.emplace_back(SendRangePeerMessage {id, std::move(envelope)});
     }
     for (const auto& [service, counts] : std::exchange(m_unreportedCounts, {})) {
@@ -553,7 +566,7 @@
 }
 
 /// Servers with at least half of their slots in use. The load of other servers causes no delay and is not sent.
-std::map<std::string, std::uint32_t> RangeAuthority::busyServers() const
+ServerLoads RangeAuthority::busyServers() const
 {
     std::map<std::string, std::uint32_t> total = m_ownInFlight;
     for (const auto& [id, member] : m_members) {
@@ -561,11 +574,11 @@
             total[server] += n;
         }
     }
-    std::map<std::string, std::uint32_t> busy;
+    ServerLoads busy;
     for (const ListedServer& server : m_servers ? *m_servers : ServerList()) {
         const auto it = total.find(server.identity.id);
         if (it != total.end() && it->second * 2 >= server.slots) {
-            busy.insert(*it);
+            busy[serverIdHash(it->first)] += it->second;
         }
     }
     return busy;
--- a/src/ranges/range_authority.h
+++ b/src/ranges/range_authority.h
@@ -87,7 +87,7 @@
     [[nodiscard]] std::string chooseSuccessor() const;
     [[nodiscard]] std::map<std::string, Member>::const_iterator fittestMember() const;
     void addReportedLoads(const wire::InstanceReport& report);
-    [[nodiscard]] std::map<std::string, std::uint32_t> busyServers() const;
+    [[nodiscard]] ServerLoads busyServers() const;
     void addSpeed(const ObservedSpeed& speed);
     void log(LogEvent event, std::string details) { m_effects.emplace_back(WriteRangeLog {event, std::move(details)}); }
 
--- a/src/ranges/range_event.h
+++ b/src/ranges/range_event.h
@@ -2,6 +2,7 @@
 
 #include "gateway/gateway_configuration.h"
 #include "gateway/listed_server.h"
+#include "gateway/server_loads.h"
 #include "ranges/feed_source_selector.h"
 #include "ranges/key_range.h"
 #include "ranges/range_record.h"
@@ -186,7 +187,7 @@
 
 /// In-flight requests of all instances on busy servers, from the latest reports.
 struct PublishLoads {
-    std::map<std::string, std::uint32_t> inFlight; ///< By server id; a server without an entry is not busy.
+    ServerLoads inFlight;
 };
 
 /// Publishes the number of running instances.
--- a/tests/mutated_input_test.cpp
+++ b/tests/mutated_input_test.cpp
@@ -67,7 +67,7 @@
     platform::ObjectPage list()
     {
         platform::ObjectPage listed;
-        m_client.list("servers", "", [&listed](const platform::ObjectPage& found) { listed = found; });
+        m_client.list("servers", "", false, [&listed](const platform::ObjectPage& found) { listed = found; });
         return listed;
     }
 
--- a/tests/object_feed_test.cpp
+++ b/tests/object_feed_test.cpp
@@ -3,6 +3,7 @@
 #include <gtest/gtest.h>
 
 #include <deque>
+#include <optional>
 
 namespace jasminespread::platform {
 namespace {
@@ -18,7 +19,11 @@
     ObjectFeedTest()
         : m_store(m_transport, "10.0.0.1:80")
         , m_feed(m_store, "servers", Milliseconds(0),
-              {[this](const std::map<std::string, PlatformObject>& objects) { m_objects = objects; }, [](bool) {},
+              {[this](const std::map<std::string, PlatformObject>& objects) {
+                   m_objects = objects;
+                   ++m_reports;
+               },
+                  [this](bool reachable) { m_reachable = reachable; },
                   [this](FeedRevision revision, bool) { m_revision = revision; }, [](FeedChange&&) {}})
     {
         m_transport.send = [this](const BackendRequest& request, BackendTransport::Callback callback) {
@@ -40,6 +45,22 @@
         callback(std::move(result));
     }
 
+    void answerWith(unsigned status)
+    {
+        BackendResult result;
+        result.progress = BackendProgress::Answered;
+        result.status = status;
+        const BackendTransport::Callback callback = std::exchange(m_callback, nullptr);
+        callback(std::move(result));
+    }
+
+    /// Answers the first list, and the watch that confirms it.
+    void answerFirstList(const std::string& body, std::uint64_t revision)
+    {
+        answer(body);
+        answer(R"({"events":[],"atRev":)" + std::to_string(revision) + "}");
+    }
+
     [[nodiscard]] std::string names() const
     {
         std::string text;
@@ -61,6 +82,8 @@
     std::deque<std::string> m_targets;
     BackendTransport::Callback m_callback;
     std::map<std::string, PlatformObject> m_objects;
+    unsigned m_reports = 0;
+    std::optional<bool> m_reachable;
     FeedRevision m_revision;
     StoreClient m_store;
     ObjectFeed m_feed;
@@ -70,7 +93,7 @@
 /// the known state is newer.
 TEST_F(ObjectFeedTest, ForwardedChangesOlderThanTheKnownStateAreIgnored)
 {
-    answer(R"({"items":[)" + entry("a", 6) + "," + entry("c", 18) + R"(],"hasMore":false,"atRev":20})");
+    answerFirstList(R"({"items":[)" + entry("a", 6) + "," + entry("c", 18) + R"(],"hasMore":false,"atRev":20})", 20);
     m_feed.apply(forwarded("b", 12, false, 10, 22)); // Removed at 15, which is not among the changes.
     EXPECT_EQ(names(), "a@6 c@18 ");
     m_feed.apply(forwarded("c", 14, true, 10, 24)); // Listed again at 18.
@@ -87,8 +110,10 @@
 {
     const std::string deep = std::string(64, '[') + std::string(64, ']');
     answer(R"({"items":[)" + entry("a b&c", 6, deep) + R"(],"hasMore":true,"atRev":20})");
-    EXPECT_EQ(m_targets.back(), "/api/objects/servers?after=a%20b%26c");
-    answer(R"({"items":[)" + entry("d", 7, "1e99999999999") + "," + entry("e", 8) + R"(],"hasMore":false,"atRev":20})");
+    EXPECT_EQ(m_targets.back(), "/api/objects/servers?allowStale=1&after=a%20b%26c");
+    answerFirstList(
+        R"({"items":[)" + entry("d", 7, "1e99999999999") + "," + entry("e", 8) + R"(],"hasMore":false,"atRev":20})",
+        20);
     EXPECT_EQ(names(), "a b&c@6 d@7 e@8 ");
     EXPECT_TRUE(m_objects.at("d").spec.is_null());
     EXPECT_TRUE(m_objects.at("e").spec.is_object());
@@ -97,7 +122,7 @@
 /// Guards against a server staying in use whose entry was replaced by one that cannot be read.
 TEST_F(ObjectFeedTest, AnUnreadableChangeReplacesTheEarlierEntry)
 {
-    answer(R"({"items":[)" + entry("a", 6) + "," + entry("b", 7) + R"(],"hasMore":false,"atRev":20})");
+    answerFirstList(R"({"items":[)" + entry("a", 6) + "," + entry("b", 7) + R"(],"hasMore":false,"atRev":20})", 20);
     m_feed.fetch();
     const std::string deep = std::string(64, '[') + std::string(64, ']');
     answer(R"({"events":[{"object":)" + entry("a", 21, deep) + R"(,"deleted":false},{"object":)" + entry("c", 22)
@@ -106,5 +131,34 @@
     EXPECT_TRUE(m_objects.at("a").spec.is_null());
 }
 
+/// Guards against a starting instance that uses a server which left before: the first list may be seconds old, and its
+/// pages of different ages.
+TEST_F(ObjectFeedTest, AnOldFirstListIsReportedOnlyAfterTheChangesSince)
+{
+    answer(R"({"items":[)" + entry("a", 6) + "," + entry("b", 7) + R"(],"hasMore":true,"atRev":20})");
+    answer(R"({"items":[)" + entry("c", 8) + R"(],"hasMore":false,"atRev":16})");
+    EXPECT_EQ(m_targets.back(), "/api/objects/servers?watch=16&waitMs=0");
+    EXPECT_EQ(m_reports, 0U);
+    EXPECT_EQ(m_reachable, std::nullopt); // A copy does not show that the store answers.
+    answer(R"({"events":[{"object":)" + entry("c", 18) + R"(,"deleted":true},{"object":)" + entry("b", 22)
+        + R"(,"deleted":true}],"atRev":22})");
+    EXPECT_EQ(names(), "a@6 ");
+    EXPECT_EQ(m_reports, 1U);
+    EXPECT_EQ(m_revision.asOf, 22U);
+    EXPECT_EQ(m_reachable, true);
+}
+
+/// Guards against relying on an old list whose later changes the store no longer has.
+TEST_F(ObjectFeedTest, WithoutTheChangesSinceAnOldListAnotherIsRequested)
+{
+    answer(R"({"items":[)" + entry("a", 6) + R"(],"hasMore":false,"atRev":16})");
+    answerWith(410);
+    EXPECT_EQ(m_targets.back(), "/api/objects/servers");
+    EXPECT_EQ(m_reports, 0U);
+    answer(R"({"items":[)" + entry("b", 30) + R"(],"hasMore":false,"atRev":31})");
+    EXPECT_EQ(names(), "b@30 ");
+    EXPECT_EQ(m_revision.asOf, 31U);
+}
+
 } // namespace
 } // namespace jasminespread::platform
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -339,7 +339,7 @@
         };
         StoreClient store(transport, "10.0.0.1:80");
         ObjectPage page;
-        store.list("servers", "", [&page](const ObjectPage& found) { page = found; });
+        store.list("servers", "", false, [&page](const ObjectPage& found) { page = found; });
         ASSERT_EQ(page.status, StoreStatus::Ok);
         ASSERT_EQ(page.objects.size(), 2U);
         EXPECT_TRUE(page.objects[0].spec.is_null());
@@ -369,7 +369,7 @@
     };
     StoreClient store(transport, "10.0.0.1:80");
     ObjectPage page;
-    store.list("servers", "", [&page](const ObjectPage& found) { page = found; });
+    store.list("servers", "", false, [&page](const ObjectPage& found) { page = found; });
     ASSERT_EQ(page.status, StoreStatus::Ok);
     ASSERT_EQ(page.objects.size(), 2U);
     EXPECT_EQ(page.objects[1].name, "b");
