--- a/daemons/jasminespread-gateway.cpp
+++ b/daemons/jasminespread-gateway.cpp
@@ -21,6 +21,9 @@
 /// Time for the logging thread to write its last lines before the process exits.
 constexpr unsigned long logFlushUs = 20'000;
 constexpr const char* settingsVariable = "JASMINESPREAD_NODE_FILE";
+/// Bounds of the options for pipelined requests.
+constexpr std::uint32_t maxPipelinedRequestsLimit = 1000;
+constexpr std::uint32_t maxPipelinedBytesLimit = 67'108'864;
 
 std::string settingsPath(const po::variables_map& values)
 {
@@ -31,17 +34,31 @@
     return path == nullptr ? std::string() : std::string(path);
 }
 
+/// Returns an option from 1 to @p limit. Fails with InvalidInput.
+Result<std::uint32_t> countOption(const po::variables_map& values, const std::string& name, std::uint32_t limit)
+{
+    const std::uint32_t n = values[name].as<std::uint32_t>();
+    if (n < 1 || n > limit) {
+        return fail(ErrorKind::InvalidInput,
+            "--" + name + " is " + std::to_string(n) + "; give a number from 1 to " + std::to_string(limit));
+    }
+    return n;
+}
+
 Result<int> run(const std::string& path, const po::variables_map& values)
 {
     BOOST_LEAF_AUTO(settings, platform::loadPlatformSettings(path));
+    GatewayDaemonSettings gateway = platform::gatewaySettings(settings);
+    BOOST_LEAF_ASSIGN(
+        gateway.maxPipelinedRequests, countOption(values, "max-pipelined-requests", maxPipelinedRequestsLimit));
+    BOOST_LEAF_ASSIGN(gateway.maxPipelinedBytes, countOption(values, "max-pipelined-bytes", maxPipelinedBytesLimit));
     if (values.contains("check")) {
         std::cout << path << ": settings are valid\n";
         return Success;
     }
     setUpLogging(values["log-level"].as<std::string>(), "", program);
     BOOST_LEAF_CHECK(runGatewayDaemon(
-        platform::gatewaySettings(settings),
-        [&settings](BackendTransport& transport) { return platform::makePorts(settings, transport); },
+        gateway, [&settings](BackendTransport& transport) { return platform::makePorts(settings, transport); },
         [path]() -> Result<GatewayDaemonSettings> {
             BOOST_LEAF_AUTO(changed, platform::loadPlatformSettings(path));
             return platform::gatewaySettings(changed);
@@ -57,9 +74,15 @@
 int main(int argc, char** argv)
 {
     po::options_description options("Options of jasminespread-gateway");
+    const HttpServerLimits defaults;
     options.add_options()("settings", po::value<std::string>()->value_name("FILE"),
         "settings file of the platform; default: the path in JASMINESPREAD_NODE_FILE")("log-level",
-        po::value<std::string>()->default_value("info")->value_name("LEVEL"), "debug, info, warning or error")("check",
+        po::value<std::string>()->default_value("info")->value_name("LEVEL"),
+        "debug, info, warning or error")("max-pipelined-requests",
+        po::value<std::uint32_t>()->default_value(defaults.maxPipelinedRequests)->value_name("N"),
+        "requests of one caller's connection that may wait for their answers; then no more are read")(
+        "max-pipelined-bytes", po::value<std::uint32_t>()->default_value(defaults.maxPipelinedBytes)->value_name("N"),
+        "bytes of waiting requests and answers of one caller's connection; then no more requests are read")("check",
         "check the settings and exit")("version", "print the version and exit")("help", "print this help and exit");
     po::variables_map values;
     try {
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -84,7 +84,7 @@
               rangeTimes(settings), leadershipTimes(settings), randomSeed())
         , m_directory(serverGracePeriod)
         , m_reducerTimer([this] { onReducerTimer(); })
-        , m_callerServer(HttpServerLimits(),
+        , m_callerServer(callerServerLimits(settings),
               {[this](std::uint64_t caller, RawRequest&& raw) { onRequest(caller, std::move(raw)); },
                   [this](std::uint64_t caller) { apply(CallerDisconnected {caller}); },
                   [](CallerAnswer& answer) {
@@ -134,6 +134,14 @@
         return times;
     }
 
+    static HttpServerLimits callerServerLimits(const GatewayDaemonSettings& settings)
+    {
+        HttpServerLimits limits;
+        limits.maxPipelinedRequests = settings.maxPipelinedRequests;
+        limits.maxPipelinedBytes = settings.maxPipelinedBytes;
+        return limits;
+    }
+
     static LeadershipTimes leadershipTimes(const GatewayDaemonSettings& settings)
     {
         LeadershipTimes times;
@@ -176,7 +184,7 @@
         }
         m_configuration = std::make_shared<const GatewayConfiguration>(std::move(received));
         const CallerLimits& limits = m_configuration->limits;
-        HttpServerLimits bounds;
+        HttpServerLimits bounds = callerServerLimits(m_settings);
         bounds.maxHeaderBytes = limits.maxHeaderBytes;
         bounds.maxBodyBytes = limits.maxBodyBytes;
         bounds.headerTimeout = limits.headerTimeout;
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -20,6 +20,8 @@
     std::string readinessAddress; ///< Answers the load balancer's readiness checks.
     std::string controlAddress; ///< Receives messages from other instances.
     std::uint64_t maxAnswerBytes = 67'108'864; ///< Largest response body that is accepted from a backend server.
+    std::uint32_t maxPipelinedRequests = HttpServerLimits().maxPipelinedRequests; ///< Per caller's connection.
+    std::uint32_t maxPipelinedBytes = HttpServerLimits().maxPipelinedBytes; ///< Per caller's connection.
     GatewayReducerSettings reducer;
     Milliseconds stopTimeout {6000}; ///< From the stop signal until the process is killed.
     Milliseconds maxHold {10'000}; ///< Longest time that a grant of a key range may last.
