--- a/include/jasminespread/backend_transport.h
+++ b/include/jasminespread/backend_transport.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <functional>
 #include <string>
+#include <string_view>
 #include <utility>
 #include <vector>
 
@@ -22,6 +23,7 @@
     std::string address; ///< IP address and port.
     /// Connection pool: requests share connections only within their pool. Empty: the default pool.
     std::string pool;
+    std::string_view purpose; ///< Label for metrics; refers to a constant.
     std::string method;
     std::string target; ///< Path and query.
     std::vector<HeaderField> headers; ///< A Host field among them replaces the default one, the address.
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -2,6 +2,7 @@
 
 #include "base/deadline_timer.h"
 #include "base/loop_monitor.h"
+#include "gateway/gateway_metrics.h"
 #include "gateway/server_directory.h"
 #include "peer/peer_transport.h"
 #include "ranges/range_authority.h"
@@ -26,6 +27,7 @@
 using namespace std::chrono_literals;
 
 constexpr std::string_view recordKind = "jasminespread";
+constexpr std::string_view metricsPath = "/metrics"; ///< On the readiness address.
 /// Tick interval of the range authority: a tenth of its shortest timeout.
 constexpr Milliseconds rangeTickInterval = 50ms;
 /// Interval at which request counts by key are passed to the range authority.
@@ -154,6 +156,7 @@
     {
         BackendTransport monitoredTransport = transport;
         monitoredTransport.send = [this](BackendRequest request, BackendTransport::Callback callback) {
+            m_gatewayMetrics.recordStoreCall(request.purpose);
             return m_transport.send(std::move(request), [this, callback = std::move(callback)](BackendResult result) {
                 const LoopMonitor::Step step(m_monitor, "store-answer");
                 callback(std::move(result));
@@ -283,6 +286,11 @@
     void onReadiness(std::uint64_t caller, const RawRequest& request)
     {
         CallerAnswer answer;
+        if (request.path == metricsPath) {
+            answer.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+            answer.body = m_metrics.exposition();
+            return m_readinessServer.answer(caller, std::move(answer));
+        }
         answer.status = request.path != m_ports.readinessPath ? 404 : isReady() ? 200 : 503;
         m_readinessServer.answer(caller, std::move(answer));
     }
@@ -367,6 +375,7 @@
 
     void execute(RecordDecision&& effect)
     {
+        m_gatewayMetrics.recordDecision(effect);
         logEvent(LogEvent::RequestDecided,
             "id=" + effect.requestId + " route=" + effect.route + " service=" + effect.service
                 + " server=" + effect.server + " age-ms=" + std::to_string(effect.age.count())
@@ -548,6 +557,7 @@
     std::uint64_t m_incarnation;
     GMainLoop* m_loop = nullptr;
     MetricsRegistry m_metrics;
+    GatewayMetrics m_gatewayMetrics {m_metrics};
     LoopMonitor m_monitor;
     BackendTransport m_transport;
     BackendTransport m_adapterTransport; ///< m_transport with monitored callbacks, for the adapter.
--- a/src/gateway/gateway_event.h
+++ b/src/gateway/gateway_event.h
@@ -128,6 +128,9 @@
     std::uint64_t dispatch = 0; ///< SendToServer::dispatch.
 };
 
+/// RecordDecision::decision of a request that got the answer of a backend server.
+inline constexpr std::string_view answeredDecision = "answered";
+
 /// Logs one decision about a request.
 struct RecordDecision {
     std::string requestId;
--- /dev/null
+++ b/src/gateway/gateway_metrics.cpp
@@ -0,0 +1,39 @@
+#include "gateway/gateway_metrics.h"
+
+namespace jasminespread {
+
+void GatewayMetrics::recordDecision(const RecordDecision& decision)
+{
+    const std::string service = "service=\"" + decision.service + '"';
+    MetricsRegistry::Counter*& counter = m_decisions[{decision.service, decision.decision}];
+    if (counter == nullptr) {
+        counter = &m_registry.counter("jasminespread_gateway_decisions_total",
+            service + ",decision=\"" + std::string(decision.decision) + '"', "Decisions about requests.");
+    }
+    counter->add();
+    if (decision.decision != answeredDecision) {
+        return;
+    }
+    MetricsRegistry::Histogram*& seconds = m_seconds[decision.service];
+    if (seconds == nullptr) {
+        seconds = &m_registry.histogram("jasminespread_gateway_request_seconds", service,
+            "Time from the arrival of a request to the answer of its backend server.");
+    }
+    seconds->record(std::chrono::duration<double>(decision.age).count());
+}
+
+void GatewayMetrics::recordStoreCall(std::string_view purpose)
+{
+    auto it = m_storeCalls.find(purpose);
+    if (it == m_storeCalls.end()) {
+        const std::string label = "purpose=\"" + std::string(purpose) + '"';
+        it = m_storeCalls
+                 .emplace(purpose,
+                     &m_registry.counter(
+                         "jasminespread_gateway_store_calls_total", label, "Calls to the platform's store by purpose."))
+                 .first;
+    }
+    it->second->add();
+}
+
+} // namespace jasminespread
--- /dev/null
+++ b/src/gateway/gateway_metrics.h
@@ -0,0 +1,35 @@
+#pragma once
+
+#include "gateway/gateway_event.h"
+
+#include <jasminespread/metrics_registry.h>
+
+#include <map>
+#include <string>
+#include <string_view>
+#include <utility>
+
+namespace jasminespread {
+
+/// Counts what a gateway does (docs/metrics.md). Not thread-safe.
+class GatewayMetrics {
+public:
+    /// Precondition: @p registry outlives this object.
+    explicit GatewayMetrics(MetricsRegistry& registry)
+        : m_registry(registry)
+    {
+    }
+
+    void recordDecision(const RecordDecision& decision);
+    /// Counts a call to the platform's store.
+    void recordStoreCall(std::string_view purpose);
+
+private:
+    MetricsRegistry& m_registry;
+    std::map<std::pair<std::string, std::string_view>, MetricsRegistry::Counter*>
+        m_decisions; ///< By service, decision.
+    std::map<std::string, MetricsRegistry::Histogram*> m_seconds; ///< By service.
+    std::map<std::string, MetricsRegistry::Counter*, std::less<>> m_storeCalls; ///< By purpose.
+};
+
+} // namespace jasminespread
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -551,7 +551,7 @@
     effect.status = answer.status;
     effect.headers = std::move(answer.headers);
     effect.body = std::move(answer.body);
-    finish(job, std::move(effect), "answered", "status " + std::to_string(answer.status));
+    finish(job, std::move(effect), answeredDecision, "status " + std::to_string(answer.status));
 }
 
 void GatewayReducer::refuse(Job& job, std::string_view message, Milliseconds retryAfter)
--- a/src/peer/peer_transport.cpp
+++ b/src/peer/peer_transport.cpp
@@ -99,6 +99,26 @@
     static gboolean dispatch(GSource*, GSourceFunc callback, gpointer data) { return callback(data); }
 };
 
+/// Names of messages in labels of metrics, as in peer.proto.
+constexpr std::array<EnumName<wire::Envelope::MessageCase>, 16> messageNames {{
+    {wire::Envelope::kHeartbeat, "heartbeat"},
+    {wire::Envelope::kHeartbeatReply, "heartbeat_reply"},
+    {wire::Envelope::kGroupView, "group_view"},
+    {wire::Envelope::kViewRequest, "view_request"},
+    {wire::Envelope::kConfigurationRevision, "configuration_revision"},
+    {wire::Envelope::kConfigurationRequest, "configuration_request"},
+    {wire::Envelope::kConfigurationAck, "configuration_ack"},
+    {wire::Envelope::kHotKeyReport, "hot_key_report"},
+    {wire::Envelope::kForwardRequest, "forward_request"},
+    {wire::Envelope::kForwardAnswer, "forward_answer"},
+    {wire::Envelope::kForwardCancel, "forward_cancel"},
+    {wire::Envelope::kDeclaration, "declaration"},
+    {wire::Envelope::kRangeLeaderHeartbeat, "range_leader_heartbeat"},
+    {wire::Envelope::kInstanceReport, "instance_report"},
+    {wire::Envelope::kRangeTableView, "range_table_view"},
+    {wire::Envelope::kFeedChange, "feed_change"},
+}};
+
 GSourceFuncs pullSourceFuncs {PullSource::prepare, PullSource::check, PullSource::dispatch, nullptr, nullptr, nullptr};
 
 } // namespace
@@ -108,6 +128,7 @@
         std::string address;
         SocketPtr socket;
     };
+    using ByteCounters = std::map<wire::Envelope::MessageCase, MetricsRegistry::Counter*>;
 
     std::string self;
     std::uint64_t incarnation;
@@ -118,6 +139,9 @@
     MetricsRegistry::Counter& rejectedCounter;
     MetricsRegistry::Counter& sentCounter;
     MetricsRegistry::Counter& droppedSendCounter;
+    MetricsRegistry& registry;
+    ByteCounters sentBytes;
+    ByteCounters receivedBytes;
     ContextPtr context {zmq_ctx_new()};
     SocketPtr pullSocket;
     GSource* source = nullptr;
@@ -143,6 +167,7 @@
               metrics.counter("jasminespread_peer_messages_sent_total", "", "Control messages handed to ZeroMQ."))
         , droppedSendCounter(metrics.counter("jasminespread_peer_messages_send_dropped_total", "",
               "Control messages not sent because the peer is unknown, not connected or too slow."))
+        , registry(metrics)
     {
     }
 
@@ -171,6 +196,18 @@
         rejectedSinceLastLog = 0;
     }
 
+    /// Counts the bytes of a message by its kind.
+    void addBytes(
+        ByteCounters& counters, const char* name, const char* help, const wire::Envelope& envelope, std::size_t bytes)
+    {
+        MetricsRegistry::Counter*& counter = counters[envelope.message_case()];
+        if (counter == nullptr) {
+            counter = &registry.counter(
+                name, "message=\"" + std::string(enumName(messageNames, envelope.message_case())) + '"', help);
+        }
+        counter->add(bytes);
+    }
+
     /// Receives and drops the remaining parts of a multi-part message.
     void dropRemainingParts(zmq_msg_t* first)
     {
@@ -213,6 +250,8 @@
             return;
         }
         receivedCounter.add();
+        addBytes(receivedBytes, "jasminespread_peer_bytes_received_total", "Bytes of accepted control messages.",
+            envelope, size);
         receiver(std::move(envelope));
     }
 
@@ -333,6 +372,8 @@
         return false;
     }
     state.sentCounter.add();
+    state.addBytes(state.sentBytes, "jasminespread_peer_bytes_sent_total",
+        "Bytes of control messages handed to ZeroMQ.", envelope, bytes.size());
     return true;
 }
 
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -199,6 +199,20 @@
     }
 }
 
+/// Guards against a gateway whose calls, control bytes and answers cannot be counted from outside.
+TEST_F(GatewayTest, ReportsMetrics)
+{
+    EXPECT_EQ(call(0, "/read/1").status, 200U);
+    const std::string text
+        = call(0, "/metrics", std::nullopt, 8388).body + call(1, "/metrics", std::nullopt, 8388).body;
+    for (const char* sample : {"jasminespread_gateway_store_calls_total{purpose=\"list-copy\"} ",
+             "jasminespread_gateway_decisions_total{service=\"desk\",decision=\"answered\"} 1\n",
+             "jasminespread_gateway_request_seconds_count{service=\"desk\"} 1\n",
+             "jasminespread_peer_bytes_sent_total{message=\"range_leader_heartbeat\"} "}) {
+        EXPECT_NE(text.find(sample), std::string::npos) << sample << text;
+    }
+}
+
 /// Guards against requests that fail during a store outage, both while the store answers 503 and while it does not
 /// answer.
 TEST_F(GatewayTest, ServesDuringStoreOutage)
