--- a/tests/deflate_test.cpp
+++ b/tests/deflate_test.cpp
@@ -29,7 +29,7 @@
 {
     const std::string text = sampleText();
     EXPECT_FALSE(inflate(deflate(text), text.size() - 1));
-    EXPECT_FALSE(inflate(deflate(std::string(50'000'000, 'x')), 1'000'000));
+    EXPECT_FALSE(inflate(deflate(std::string(8'000'000, 'x')), 1'000'000));
     EXPECT_FALSE(inflate("", 100));
     EXPECT_FALSE(inflate(deflate(text) + "x", text.size()));
     for (std::uint64_t seed = 1; seed <= 400; ++seed) {
