--- a/standins/fault-proxy.cpp
+++ b/standins/fault-proxy.cpp
@@ -450,7 +450,7 @@
             // Disconnecting resets the connection at once; the close below waits for pending operations.
             const sockaddr nowhere {AF_UNSPEC, {}};
             const int fd = g_socket_get_fd(g_socket_connection_get_socket(side));
-            ::connect(fd, &nowhere, sizeof nowhere);
+            (void)::connect(fd, &nowhere, sizeof nowhere);
         }
     }
     // Pending operations fail and release their references to this object; its destructor closes the sockets.
