Joining instances serve keys as soon as their connection is open; requests wait for the first configuration

ZeroMQ drops messages while a connection is being opened, so the first reports, heartbeats and tables were lost; the next report came 300 ms later, and the leader took the dropped tables for sent for 500 ms. An instance that learned of the leader just after a tick waited another report interval. 71 requests were refused in the 50 to 100 ms before the first configuration, with a Retry-After of 500 ms. At the start of a fleet each instance tried to write the leader's record (192 creations at 195 instances).

Change: a message that was not sent is an event of the range authority. A leader repeats heartbeat and tables at the next tick, an instance its report after 50 ms; a new instance gets a heartbeat at once. Requests that arrive within 300 ms of the start wait for configuration and server list, alone on their connection; a request without that much time is refused at once, as are later ones. Before the first election an instance reads the record again.

Ruled out: the time of the election (0.2 s) and of the store's answers (30 ms).

Seen to fail without the change: StartingGatewayTest (two of three), RangeJoiningTest (three of four).

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -106,6 +106,7 @@
         BOOST_LEAF_CHECK(m_readinessServer.listen(m_settings.readinessAddress));
         BOOST_LEAF_CHECK(startPeers());
         m_startedAt = monotonicNow();
+        apply(GatewayTick {}); // The reducer counts its start from here.
         g_unix_signal_add(SIGTERM, onStopSignal, this);
         g_unix_signal_add(SIGINT, onStopSignal, this);
         g_unix_signal_add(SIGHUP, onReloadSignal, this);
@@ -260,12 +261,15 @@
         apply(RequestReceived {caller, std::move(std::get<GatewayRequest>(decoded))});
     }
 
-    /// Whether a request may run beside others of its connection. One without a route reaches no server.
+    /// Whether a request may run beside others of its connection. One without a route reaches no server; before the
+    /// first configuration a request may turn out to be of any route.
     [[nodiscard]] bool mayOverlap(const RawRequest& raw) const
     {
-        const HostRoute* route = m_configuration
-            ? findRoute(*m_configuration, findHeader(raw.headers, "Host").value_or(""), raw.path)
-            : nullptr;
+        if (!m_configuration) {
+            return false;
+        }
+        const HostRoute* route
+            = findRoute(*m_configuration, findHeader(raw.headers, "Host").value_or(""), raw.path);
         return route == nullptr || route->repeatability == Repeatability::Idempotent;
     }
 
@@ -449,7 +453,12 @@
             });
     }
 
-    void executeRangeEffect(SendRangePeerMessage&& effect) { m_peers->send(effect.to, std::move(effect.envelope)); }
+    void executeRangeEffect(SendRangePeerMessage&& effect)
+    {
+        if (!m_peers->send(effect.to, std::move(effect.envelope))) {
+            applyRangeEvent(RangeMessageDropped {std::move(effect.to)});
+        }
+    }
 
     void executeRangeEffect(ConnectRangePeers&& effect)
     {
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -14,6 +14,11 @@
 constexpr std::uint32_t initialInstanceCount = 32;
 /// Assumed typical latency as a share of the latency objective, until latencies are observed.
 constexpr double initialShareOfObjective = 0.35;
+/// After its start an instance loads configuration and server list within a few round trips. Requests of this time wait
+/// for them, later ones are refused at once.
+constexpr Milliseconds maxLoadTime = 300ms;
+/// Highest number of requests that wait for the first configuration.
+constexpr std::size_t maxHeldRequests = 1000;
 /// A request is refused after more dispatches than this failed before a byte was written.
 constexpr std::uint32_t maxUnsentDispatches = 6;
 /// Retry interval for a request whose key has no usable owner, unless a newer range table arrives.
@@ -52,6 +57,9 @@
 GatewayEffects GatewayReducer::reduce(TimedGatewayEvent event)
 {
     m_now = event.now;
+    if (m_startedAt == MonotonicTime()) {
+        m_startedAt = m_now;
+    }
     std::visit([this](auto& alternative) { handle(std::move(alternative)); }, event.event);
     return std::exchange(m_effects, {});
 }
@@ -70,12 +78,48 @@
 
 std::optional<MonotonicTime> GatewayReducer::nextWake() const
 {
-    return m_wakes.empty() ? std::nullopt : std::optional(m_wakes.begin()->first);
+    std::optional<MonotonicTime> next;
+    if (!m_wakes.empty()) {
+        next = m_wakes.begin()->first;
+    }
+    if (!m_heldRequests.empty()) {
+        next = std::min(next.value_or(MonotonicTime::max()), m_startedAt + maxLoadTime);
+    }
+    return next;
+}
+
+/// Whether the first configuration or server list is missing although the instance started only recently.
+bool GatewayReducer::isLoading() const
+{
+    return (!m_configuration || !m_serversListed) && m_now < m_startedAt + maxLoadTime;
+}
+
+bool GatewayReducer::canWaitForLoad(const GatewayRequest& request) const
+{
+    const Milliseconds maxWait = std::chrono::ceil<Milliseconds>(m_startedAt + maxLoadTime - m_now);
+    return m_heldRequests.size() < maxHeldRequests && request.timeLeft.value_or(Milliseconds::max()) > maxWait;
+}
+
+/// Continues with the held requests when the instance has loaded, or its time for that is over.
+void GatewayReducer::handleHeldRequests()
+{
+    if (isLoading()) {
+        return;
+    }
+    for (HeldRequest& held : std::exchange(m_heldRequests, {})) {
+        held.received.request.arrivedAt = held.arrivedAt;
+        handle(std::move(held.received));
+    }
 }
 
 void GatewayReducer::handle(RequestReceived&& event)
 {
     GatewayRequest& request = event.request;
+    if (isLoading() && canWaitForLoad(request)) {
+        const MonotonicTime arrivedAt = std::min(request.arrivedAt.value_or(m_now), m_now);
+        m_heldRequests.push_back({std::move(event), arrivedAt});
+        return;
+    }
     if (!m_configuration) {
         return answerNow(event.caller, request, serviceUnavailable, "no configuration is known yet", startupRetryAfter);
     }
@@ -115,6 +159,8 @@
 
 void GatewayReducer::handle(CallerDisconnected&& event)
 {
+    std::erase_if(
+        m_heldRequests, [&event](const HeldRequest& held) { return held.received.caller == event.caller; });
     const auto it = m_jobsByCaller.find(event.caller);
     if (it == m_jobsByCaller.end()) {
         return;
@@ -217,10 +263,12 @@
             [&entry](const HostRoute& route) { return route.name == entry.first; });
     });
     configureBudgets();
+    handleHeldRequests();
 }
 
 void GatewayReducer::handle(ServersListed&& event)
 {
+    m_serversListed = true;
     m_serverPools.clear();
     for (auto& [id, server] : m_servers) {
         server.isListed = false;
@@ -261,6 +309,7 @@
         });
         return !entry.second.isListed && !inUse;
     });
+    handleHeldRequests();
 }
 
 void GatewayReducer::handle(RangeTableChanged&& event)
@@ -299,6 +348,7 @@
 
 void GatewayReducer::handle(GatewayTick&&)
 {
+    handleHeldRequests();
     while (!m_wakes.empty() && m_wakes.begin()->first <= m_now) {
         Job& job = *m_jobs.at(m_wakes.begin()->second);
         if (job.deadline <= m_now) {
--- a/src/gateway/gateway_reducer.h
+++ b/src/gateway/gateway_reducer.h
@@ -41,7 +41,7 @@
     /// Returns the observed speeds since the last call and the requests in flight, for each server that has either.
     [[nodiscard]] std::vector<ObservedSpeed> takeSpeeds();
     /// Number of unanswered requests.
-    [[nodiscard]] std::size_t requestsInFlight() const noexcept { return m_jobs.size(); }
+    [[nodiscard]] std::size_t requestsInFlight() const noexcept { return m_jobs.size() + m_heldRequests.size(); }
     /// Next time at which a GatewayTick is due; nothing while there are no requests.
     [[nodiscard]] std::optional<MonotonicTime> nextWake() const;
 
@@ -91,6 +91,12 @@
         std::uint64_t notOwnerTableVersion = 0;
     };
 
+    /// A request that arrived before the first configuration and server list.
+    struct HeldRequest {
+        RequestReceived received;
+        MonotonicTime arrivedAt;
+    };
+
     void handle(RequestReceived&& event);
     void handle(CallerDisconnected&& event);
     void handle(ServerAnswered&& event);
@@ -102,6 +108,13 @@
     void handle(InstanceCountChanged&& event);
     void handle(GatewayTick&& event);
 
+    /// @name Requests that arrived before the first configuration and server list
+    /// @{
+    [[nodiscard]] bool isLoading() const;
+    [[nodiscard]] bool canWaitForLoad(const GatewayRequest& request) const;
+    void handleHeldRequests();
+    /// @}
+
     /// @name Steps of a request
     /// @{
     /// Dispatches a request that is not in flight, makes it wait for an owner of its key, or refuses it.
@@ -142,6 +155,9 @@
     GatewayReducerSettings m_settings;
     std::mt19937_64 m_random;
     MonotonicTime m_now;
+    MonotonicTime m_startedAt; ///< First event.
+    bool m_serversListed = false;
+    std::vector<HeldRequest> m_heldRequests;
     GatewayEffects m_effects;
     std::shared_ptr<const GatewayConfiguration> m_configuration;
     std::uint32_t m_instanceCount;
--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -14,6 +14,8 @@
 
 constexpr Milliseconds heartbeatInterval = 300ms;
 constexpr Milliseconds reportInterval = 300ms;
+/// A report that was not sent is followed by the next one after this time. A new connection takes a few round trips.
+constexpr Milliseconds droppedReportInterval = 50ms;
 constexpr Milliseconds stepInterval = 50ms;
 /// A member without a report for this long is not counted and gets no messages.
 constexpr Milliseconds memberTimeout = 3000ms;
@@ -90,6 +92,8 @@
         }
         if (m_now >= m_nextHeartbeatAt) {
             sendHeartbeats();
+        } else {
+            sendAwaitedHeartbeats();
         }
     } else if (m_now >= m_nextReportAt) {
         sendReport();
@@ -323,6 +327,19 @@
     }
 }
 
+void RangeAuthority::handle(RangeMessageDropped&& event)
+{
+    if (m_term == 0) {
+        m_nextReportAt = std::min(m_nextReportAt, m_now + droppedReportInterval);
+        return;
+    }
+    m_tableSender.onDropped(event.to);
+    const auto member = m_members.find(event.to);
+    if (member != m_members.end()) {
+        member->second.awaitsHeartbeat = true;
+    }
+}
+
 void RangeAuthority::receive(const wire::RangeLeaderHeartbeat& message, const wire::InstanceReference& sender)
 {
     m_leadership.onHeartbeat(message.term(), sender.id(), sender.incarnation(), message.address(), m_now);
@@ -376,6 +393,7 @@
         onEarlierLeaderStopped();
     }
     if (isNewProcess) {
+        member.awaitsHeartbeat = true;
         connectPeers();
     }
     if (m_term != 0) {
@@ -526,9 +544,51 @@
 {
     m_nextHeartbeatAt = m_now + heartbeatInterval;
     updateMembers();
-    const std::string next = chooseSuccessor();
     const ServerLoads busy = busyServers();
     m_effects.emplace_back(PublishLoads {busy});
+    const wire::RangeLeaderHeartbeat heartbeat = makeHeartbeat(busy);
+    for (auto& [id, member] : m_members) {
+        sendHeartbeat(id, member, heartbeat);
+    }
+    for (const auto& [service, counts] : std::exchange(m_unreportedCounts, {})) {
+        const auto keyedService = m_services.find(service);
+        if (keyedService == m_services.end() || !keyedService->second.adopted) {
+            continue;
+        }
+        for (const auto& [key, count] : counts) {
+            keyedService->second.keeper->addLoad(key, count);
+        }
+    }
+}
+
+/// Sends a heartbeat and the route tables to the instances that could not be reached at the last attempt, so that an
+/// instance serves keys as soon as the connection to it is open.
+void RangeAuthority::sendAwaitedHeartbeats()
+{
+    std::optional<wire::RangeLeaderHeartbeat> heartbeat;
+    for (auto& [id, member] : m_members) {
+        if (!member.awaitsHeartbeat) {
+            continue;
+        }
+        if (!heartbeat) {
+            heartbeat = makeHeartbeat(busyServers());
+        }
+        sendHeartbeat(id, member, *heartbeat);
+        sendTableUpdates(id);
+    }
+}
+
+void RangeAuthority::sendHeartbeat(
+    const std::string& to, Member& member, const wire::RangeLeaderHeartbeat& heartbeat)
+{
+    member.awaitsHeartbeat = false;
+    wire::Envelope envelope;
+    *envelope.mutable_range_leader_heartbeat() = heartbeat;
+    m_effects.emplace_back(SendRangePeerMessage {to, std::move(envelope)});
+}
+
+wire::RangeLeaderHeartbeat RangeAuthority::makeHeartbeat(const ServerLoads& busy) const
+{
     wire::RangeLeaderHeartbeat heartbeat;
     heartbeat.set_term(m_term);
     heartbeat.set_sent_at_ms(
@@ -536,7 +596,7 @@
     heartbeat.set_address(m_self.address);
     heartbeat.set_instances(m_instanceCount);
     heartbeat.set_leaving(m_stopping);
-    heartbeat.set_successor(next);
+    heartbeat.set_successor(chooseSuccessor());
     if (const std::optional<FeedSummary> summary = m_feedSelector.summarize(m_now)) {
         heartbeat.set_feed_age_ms(static_cast<std::uint32_t>(summary->age.count()));
         for (const auto& [feed, revision] : summary->revisions) {
@@ -549,20 +609,7 @@
         heartbeat.add_busy_servers(server);
         heartbeat.add_busy_in_flight(n);
     }
-    for (const auto& [id, member] : m_members) {
-        wire::Envelope envelope;
-        *envelope.mutable_range_leader_heartbeat() = heartbeat;
-        m_effects.emplace_back(SendRangePeerMessage {id, std::move(envelope)});
-    }
-    for (const auto& [service, counts] : std::exchange(m_unreportedCounts, {})) {
-        const auto keyedService = m_services.find(service);
-        if (keyedService == m_services.end() || !keyedService->second.adopted) {
-            continue;
-        }
-        for (const auto& [key, count] : counts) {
-            keyedService->second.keeper->addLoad(key, count);
-        }
-    }
+    return heartbeat;
 }
 
 /// Servers with at least half of their slots in use. The load of other servers causes no delay and is not sent.
@@ -643,11 +690,11 @@
 
 void RangeAuthority::sendReport()
 {
-    m_nextReportAt = m_now + reportInterval;
     const std::optional<LeaderRecord>& leader = m_leadership.leader();
     if (!leader || leader->instance == m_self.instance) {
         return;
     }
+    m_nextReportAt = m_now + reportInterval;
     wire::Envelope envelope;
     wire::InstanceReport& report = *envelope.mutable_instance_report();
     report.set_address(m_self.address);
--- a/src/ranges/range_authority.h
+++ b/src/ranges/range_authority.h
@@ -39,6 +39,7 @@
         bool storeReachable = false;
         double fitness = 0; ///< Fitness to lead, from 0 to 1.
         std::map<std::string, std::uint32_t> inFlight; ///< Its requests in flight, by server id.
+        bool awaitsHeartbeat = false; ///< It is new, or the latest message to it was not sent.
     };
 
     /// A keyed service whose ranges this instance grants as leader.
@@ -62,6 +63,7 @@
     void handle(FeedRevisionConfirmed&& event);
     void handle(FeedChanged&& event);
     void handle(RangeStopRequested&& event);
+    void handle(RangeMessageDropped&& event);
 
     void receive(const wire::RangeLeaderHeartbeat& message, const wire::InstanceReference& sender);
     void receive(const wire::InstanceReport& message, const wire::InstanceReference& sender);
@@ -78,6 +80,9 @@
     void handleReadBack(KeyedService& keyedService, const StoreReadResult& result);
     void adopt(const std::string& service, KeyedService& keyedService, const StoreReadResult& result);
     void sendHeartbeats();
+    void sendAwaitedHeartbeats();
+    [[nodiscard]] wire::RangeLeaderHeartbeat makeHeartbeat(const ServerLoads& busy) const;
+    void sendHeartbeat(const std::string& to, Member& member, const wire::RangeLeaderHeartbeat& heartbeat);
     void sendReport();
     void connectPeers();
     void updateFeedSource();
--- a/src/ranges/range_event.h
+++ b/src/ranges/range_event.h
@@ -125,9 +125,14 @@
 /// Shutdown of the process was requested.
 struct RangeStopRequested { };
 
+/// A SendRangePeerMessage was not sent, because there is no connection to the instance yet or any more.
+struct RangeMessageDropped {
+    std::string to; ///< Instance id.
+};
+
 using RangeEvent = std::variant<RangeTick, RangeServersListed, RangeServicesConfigured, RecordRead, RecordWritten,
     RangeCallEnded, RangePeerMessage, KeysCounted, SpeedsObserved, StoreReachabilityChanged, FeedRevisionConfirmed,
-    FeedChanged, RangeStopRequested>;
+    FeedChanged, RangeStopRequested, RangeMessageDropped>;
 
 /// `now` includes time in which the machine was suspended; otherwise leases would seem valid after they expired.
 struct TimedRangeEvent {
--- a/src/ranges/range_leadership.cpp
+++ b/src/ranges/range_leadership.cpp
@@ -63,14 +63,17 @@
     }
     const bool ledBeforeRestart
         = m_leader && m_leader->instance == m_self.instance && m_leader->incarnation != m_self.incarnation;
-    const bool mayTakeOver = m_leader
-        ? ledBeforeRestart || now - m_lastHeartbeatAt >= m_takeoverTimeout
-        : now >= m_startedAt + m_times.takeoverJitter * m_jitterShare * firstElectionFactor;
+    const MonotonicTime firstElectionAt = m_startedAt
+        + std::chrono::duration_cast<Milliseconds>(m_times.takeoverJitter * m_jitterShare * firstElectionFactor);
+    const bool mayTakeOver = m_leader ? ledBeforeRestart || now - m_lastHeartbeatAt >= m_takeoverTimeout
+                                      : now >= firstElectionAt;
     if (!mayTakeOver) {
         return due;
     }
     m_callInFlight = true;
-    if (!m_versionIsCurrent) {
+    // Of many instances that start together, most find another one's record instead of trying to write their own.
+    const bool mayHaveBeenElected = !m_leader && m_absentAt < firstElectionAt;
+    if (!m_versionIsCurrent || mayHaveBeenElected) {
         due.read = ReadRecord {std::string(leaderRecordName)};
         return due;
     }
@@ -98,6 +101,7 @@
     if (status == StoreStatus::NotFound) {
         m_versionIsCurrent = true;
         m_version = 0;
+        m_absentAt = event.startedAt;
         if (m_role != Role::Leader) {
             m_role = Role::Follower;
         }
--- a/src/ranges/range_leadership.h
+++ b/src/ranges/range_leadership.h
@@ -82,6 +82,7 @@
     std::optional<LeaderRecord> m_leader;
     std::uint64_t m_version = 0; ///< Last known version of the stored record.
     bool m_versionIsCurrent = false; ///< `m_version` is believed to be the stored version.
+    MonotonicTime m_absentAt; ///< Start of the latest read that found no record.
     MonotonicTime m_lastHeartbeatAt; ///< Last heartbeat of the leader, or when it became known.
     MonotonicTime m_verifiedAt; ///< Start of the latest store call that confirmed this instance as leader.
     MonotonicTime m_tookOverAt;
--- a/src/ranges/range_table_messages.cpp
+++ b/src/ranges/range_table_messages.cpp
@@ -69,13 +69,25 @@
             }
         }
         SentTable& sent = sentTables[service];
+        sent.reportedVersion = version;
         const bool isInTransit = version < sent.version && now - sent.sentAt < lostTableTimeout;
         if (!isInTransit || isNewProcess || report.missed_changes()) {
-            sent = {version, MonotonicTime()};
+            sent = {version, version, MonotonicTime()};
         }
     }
 }
 
+void RangeTableSender::onDropped(const std::string& instance)
+{
+    const auto sentTables = m_instances.find(instance);
+    if (sentTables == m_instances.end()) {
+        return;
+    }
+    for (auto& [service, sent] : sentTables->second) {
+        sent = {sent.reportedVersion, sent.reportedVersion, MonotonicTime()};
+    }
+}
+
 std::vector<wire::RangeTableView> RangeTableSender::takeUpdates(const std::string& instance, MonotonicTime now)
 {
     std::vector<wire::RangeTableView> views;
@@ -90,7 +102,7 @@
             [&sent](const std::shared_ptr<const RangeTable>& table) { return table->version == sent.version; });
         views.push_back(base == tables.end() ? encodeTable(current, 0, current.routes)
                                              : encodeTable(current, sent.version, changedRoutes(**base, current)));
-        sent = {current.version, now};
+        sent = {current.version, sent.reportedVersion, now};
     }
     return views;
 }
--- a/src/ranges/range_table_messages.h
+++ b/src/ranges/range_table_messages.h
@@ -28,12 +28,15 @@
         const std::string& instance, const wire::InstanceReport& report, bool isNewProcess, MonotonicTime now);
     /// Returns the messages to send to an instance now, and marks them as sent.
     [[nodiscard]] std::vector<wire::RangeTableView> takeUpdates(const std::string& instance, MonotonicTime now);
+    /// Messages to an instance were not sent: it has only what it reported.
+    void onDropped(const std::string& instance);
     void forget(const std::string& instance) { m_instances.erase(instance); }
 
 private:
     /// The table that an instance has reported or was sent.
     struct SentTable {
         std::uint64_t version = 0; ///< 0: no table of this term.
+        std::uint64_t reportedVersion = 0; ///< The one that the instance last reported.
         MonotonicTime sentAt; ///< Unset if the instance reported it.
     };
 
--- a/tests/support/leading_authority.h
+++ b/tests/support/leading_authority.h
@@ -7,6 +7,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <utility>
 #include <vector>
@@ -63,7 +64,11 @@
             } else if (auto* grant = std::get_if<GrantRange>(&effect)) {
                 unansweredGrants.push_back(grant->callId);
             } else if (auto* sent = std::get_if<SendRangePeerMessage>(&effect)) {
-                messages.push_back(std::move(sent->envelope));
+                if (unreachableInstances.contains(sent->to)) {
+                    reduce(RangeMessageDropped {sent->to});
+                } else {
+                    messages.push_back(std::move(sent->envelope));
+                }
             }
         }
     }
@@ -90,6 +95,7 @@
     std::vector<std::uint64_t> unansweredGrants; ///< Call ids of grants that were not answered yet.
     std::vector<wire::Envelope> messages; ///< Sent to other instances.
     std::size_t answeredGrants = 0;
+    std::set<std::string> unreachableInstances; ///< Messages to them are dropped.
 
 private:
     static LeadershipTimes timesWithFitness(double fitness)
