--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -268,8 +268,7 @@
         if (!m_configuration) {
             return false;
         }
-        const HostRoute* route
-            = findRoute(*m_configuration, findHeader(raw.headers, "Host").value_or(""), raw.path);
+        const HostRoute* route = findRoute(*m_configuration, findHeader(raw.headers, "Host").value_or(""), raw.path);
         return route == nullptr || route->repeatability == Repeatability::Idempotent;
     }
 
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -159,8 +159,7 @@
 
 void GatewayReducer::handle(CallerDisconnected&& event)
 {
-    std::erase_if(
-        m_heldRequests, [&event](const HeldRequest& held) { return held.received.caller == event.caller; });
+    std::erase_if(m_heldRequests, [&event](const HeldRequest& held) { return held.received.caller == event.caller; });
     const auto it = m_jobsByCaller.find(event.caller);
     if (it == m_jobsByCaller.end()) {
         return;
--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -578,8 +578,7 @@
     }
 }
 
-void RangeAuthority::sendHeartbeat(
-    const std::string& to, Member& member, const wire::RangeLeaderHeartbeat& heartbeat)
+void RangeAuthority::sendHeartbeat(const std::string& to, Member& member, const wire::RangeLeaderHeartbeat& heartbeat)
 {
     member.awaitsHeartbeat = false;
     wire::Envelope envelope;
--- a/src/ranges/range_leadership.cpp
+++ b/src/ranges/range_leadership.cpp
@@ -65,8 +65,8 @@
         = m_leader && m_leader->instance == m_self.instance && m_leader->incarnation != m_self.incarnation;
     const MonotonicTime firstElectionAt = m_startedAt
         + std::chrono::duration_cast<Milliseconds>(m_times.takeoverJitter * m_jitterShare * firstElectionFactor);
-    const bool mayTakeOver = m_leader ? ledBeforeRestart || now - m_lastHeartbeatAt >= m_takeoverTimeout
-                                      : now >= firstElectionAt;
+    const bool mayTakeOver
+        = m_leader ? ledBeforeRestart || now - m_lastHeartbeatAt >= m_takeoverTimeout : now >= firstElectionAt;
     if (!mayTakeOver) {
         return due;
     }
--- a/src/ranges/range_placement.cpp
+++ b/src/ranges/range_placement.cpp
@@ -13,7 +13,8 @@
 /// Lowest extra load of the whole service, in requests.
 constexpr double minIdleLoad = 1;
 /// Moves are planned while the load of the most loaded server exceeds the mean by at least the larger of these: a
-/// fraction of the mean, or a number of standard deviations of a random (Poisson) load with that mean.
+/// fraction of the mean, or a number of standard deviations of a random (Poisson) load with the mean of the requests.
+/// The extra load is not random, so that idle keys are divided evenly before the first requests.
 constexpr double minExcessShare = 0.35;
 constexpr double minExcessDeviations = 2;
 /// Limit of the moves of one round: the larger of a fixed number and a number per server. Each move delays the callers
@@ -158,6 +159,7 @@
         canReceive[i] = servers[i].canMoveRanges;
     }
     const double mean = total / std::max(1.0, capacity);
+    const double requestsPerCapacity = load.total() / std::max(1.0, capacity);
     const auto utilization = [&](std::size_t i) { return loads[i] / servers[i].capacity; };
     std::vector<RangeMove> moves;
     std::vector<bool> canGive = canReceive;
@@ -178,7 +180,8 @@
             break;
         }
         const double expected = mean * servers[*mostLoaded].capacity;
-        const double minExcess = std::max(minExcessShare * expected, minExcessDeviations * std::sqrt(expected));
+        const double expectedRequests = requestsPerCapacity * servers[*mostLoaded].capacity;
+        const double minExcess = std::max(minExcessShare * expected, minExcessDeviations * std::sqrt(expectedRequests));
         if (loads[*mostLoaded] - expected < minExcess) {
             break;
         }
--- a/tests/gateway_reducer_test.cpp
+++ b/tests/gateway_reducer_test.cpp
@@ -161,8 +161,8 @@
     configuration->routes.push_back(route("read", "/read/", "ledger", Repeatability::Idempotent, 2));
     EXPECT_TRUE(m_fresh.reduce({m_now, GatewayConfigured {configuration}}).empty());
     m_now += 40ms;
-    const GatewayEffects effects = m_fresh.reduce({m_now,
-        ServersListed {std::make_shared<const ServerList>(ServerList {server("near", "domain-a", "west")})}});
+    const GatewayEffects effects = m_fresh.reduce(
+        {m_now, ServersListed {std::make_shared<const ServerList>(ServerList {server("near", "domain-a", "west")})}});
     ASSERT_NE(find<SendToServer>(effects), nullptr);
     EXPECT_EQ(find<SendToServer>(effects)->caller, 1U);
     EXPECT_EQ(find<SendToServer>(effects)->timeLeft, 700ms);
--- a/tests/range_joining_test.cpp
+++ b/tests/range_joining_test.cpp
@@ -92,8 +92,8 @@
     };
     (void)reportsAt(RangeTick {});
     (void)reportsAt(RecordRead {std::string(leaderRecordName), now,
-        {StoreStatus::Ok, {std::string(leaderRecordName), 3,
-            encodeLeaderRecord({4, "edge-1", 2, "10.0.0.1:7200", {}})}}});
+        {StoreStatus::Ok,
+            {std::string(leaderRecordName), 3, encodeLeaderRecord({4, "edge-1", 2, "10.0.0.1:7200", {}})}}});
     now += 50ms;
     ASSERT_EQ(reportsAt(RangeTick {}), 1);
     (void)reportsAt(RangeMessageDropped {"edge-1"});
@@ -103,7 +103,8 @@
     EXPECT_EQ(reportsAt(RangeTick {}), 0) << "the second one was sent";
 }
 
-/// No heartbeats arrive in the first second, so that only the election is counted. Guards against a write attempt of every instance when a whole fleet starts together.
+/// No heartbeats arrive in the first second, so that only the election is counted. Guards against a write attempt of
+/// every instance when a whole fleet starts together.
 TEST(RangeJoiningTest, FewInstancesOfAFleetTryToBecomeTheFirstLeader)
 {
     constexpr unsigned instanceCount = 200;
