--- a/tests/object_feed_test.cpp
+++ b/tests/object_feed_test.cpp
@@ -160,5 +160,25 @@
     EXPECT_EQ(m_revision.asOf, 31U);
 }
 
+/// Guards against a new leader whose view gets old while it waits for the watch that it began before, so that all other
+/// instances query the store themselves.
+TEST_F(ObjectFeedTest, AnInstanceThatBeginsToForwardConfirmsItsViewAtOnce)
+{
+    m_feed.setSource(FeedSource::Store);
+    answerFirstList(R"({"items":[)" + entry("a", 6) + R"(],"hasMore":false,"atRev":20})", 20);
+    const std::size_t calls = m_targets.size();
+    ASSERT_NE(m_targets.back().find("waitMs=2000"), std::string::npos) << m_targets.back();
+    const BackendTransport::Callback longWatch = std::exchange(m_callback, nullptr);
+    m_feed.setSource(FeedSource::StoreForOthers);
+    ASSERT_EQ(m_targets.size(), calls + 1);
+    answer(R"({"events":[{"deleted":false,"object":)" + entry("b", 22) + R"(}],"atRev":22})");
+    EXPECT_EQ(names(), "a@6 b@22 ");
+    EXPECT_EQ(m_revision.asOf, 22U);
+    m_callback = longWatch;
+    answer(R"({"events":[{"deleted":false,"object":)" + entry("b", 22) + R"(}],"atRev":21})");
+    EXPECT_EQ(m_revision.asOf, 22U);
+    EXPECT_EQ(m_targets.size(), calls + 1) << "the earlier watch is not followed by another one";
+}
+
 } // namespace
 } // namespace jasminespread::platform
