A succeeded leader tells the other instances who leads

Cause, by reading: after a planned stop only the successor knows that it leads. The others miss heartbeats for 1.1 to 1.5 s, then read the leader's record, and from 1.4 s on query the store themselves: at 195 instances about one read and two to four watches each, for every stop of a leader.

Change: while a leader names a successor it reads its record every 0.2 s; when it has been succeeded it sends its members RangeLeaderChange (term, instance, address), and connections send for 0.2 s after they were closed what they had accepted. An instance follows only a later term, and not itself.

--- a/src/peer/peer_transport.cpp
+++ b/src/peer/peer_transport.cpp
@@ -23,6 +23,8 @@
 constexpr int reconnectIntervalMs = 50;
 constexpr int reconnectIntervalMaxMs = 200;
 constexpr int connectTimeoutMs = 500;
+/// A closed connection may send what it has accepted for this long: the last messages to an instance.
+constexpr int lingerMs = 200;
 /// ZeroMQ pings each connection at this interval. When nothing arrives within the timeout, it closes and re-establishes
 /// the connection, so that messages from before a network partition do not delay those after it.
 constexpr int connectionCheckIntervalMs = 500;
@@ -71,7 +73,7 @@
 
 void setConnectionOptions(void* socket, std::string_view address)
 {
-    setOption(socket, ZMQ_LINGER, 0);
+    setOption(socket, ZMQ_LINGER, lingerMs);
     setOption(socket, ZMQ_IPV6, address.starts_with('[') ? 1 : 0);
     setOption(socket, ZMQ_HEARTBEAT_IVL, connectionCheckIntervalMs);
     setOption(socket, ZMQ_HEARTBEAT_TIMEOUT, connectionCheckTimeoutMs);
@@ -100,7 +102,7 @@
 };
 
 /// Names of messages in labels of metrics, as in peer.proto.
-constexpr std::array<EnumName<wire::Envelope::MessageCase>, 16> messageNames {{
+constexpr std::array<EnumName<wire::Envelope::MessageCase>, 17> messageNames {{
     {wire::Envelope::kHeartbeat, "heartbeat"},
     {wire::Envelope::kHeartbeatReply, "heartbeat_reply"},
     {wire::Envelope::kGroupView, "group_view"},
@@ -117,6 +119,7 @@
     {wire::Envelope::kInstanceReport, "instance_report"},
     {wire::Envelope::kRangeTableView, "range_table_view"},
     {wire::Envelope::kFeedChange, "feed_change"},
+    {wire::Envelope::kRangeLeaderChange, "range_leader_change"},
 }};
 
 GSourceFuncs pullSourceFuncs {PullSource::prepare, PullSource::check, PullSource::dispatch, nullptr, nullptr, nullptr};
--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -17,6 +17,8 @@
 /// A report that was not sent is followed by the next one after this time. A new connection takes a few round trips.
 constexpr Milliseconds droppedReportInterval = 50ms;
 constexpr Milliseconds stepInterval = 50ms;
+/// While a leader names a successor, it reads its record at this interval to see that it has been succeeded.
+constexpr Milliseconds successionCheckInterval = 200ms;
 /// A member without a report for this long is not counted and gets no messages.
 constexpr Milliseconds memberTimeout = 3000ms;
 constexpr Milliseconds recordReadInterval = 200ms;
@@ -90,6 +92,12 @@
         if (m_now >= m_nextStepAt) {
             stepServices();
         }
+        if (m_now >= m_nextSuccessionCheckAt) {
+            m_nextSuccessionCheckAt = m_now + successionCheckInterval;
+            if (m_leadership.storeAvailable() && !chooseSuccessor().empty()) {
+                m_leadership.verifyNow(m_now);
+            }
+        }
         if (m_now >= m_nextHeartbeatAt) {
             sendHeartbeats();
         } else {
@@ -240,6 +248,8 @@
         receive(envelope.range_table_view());
     } else if (envelope.has_feed_change()) {
         receive(envelope.feed_change());
+    } else if (envelope.has_range_leader_change()) {
+        receive(envelope.range_leader_change());
     }
 }
 
@@ -440,6 +450,20 @@
     }
 }
 
+void RangeAuthority::receive(const wire::RangeLeaderChange& message)
+{
+    if (message.leader().id() == m_self.instance) {
+        return; // It learns of its own leadership from the store.
+    }
+    const std::uint64_t known = term();
+    m_leadership.onHeartbeat(
+        message.term(), message.leader().id(), message.leader().incarnation(), message.address(), m_now);
+    applyLeadership();
+    if (term() > known) {
+        m_nextReportAt = m_now;
+    }
+}
+
 void RangeAuthority::applyLeadership()
 {
     const bool leads = isLeader();
@@ -486,11 +510,30 @@
     log(LogEvent::GroupLost,
         "term=" + std::to_string(m_term)
             + " leader=" + (m_leadership.leader() ? m_leadership.leader()->instance : std::string("unknown")));
+    announceNextLeader();
     m_term = 0;
     m_services.clear();
     m_nextReportAt = m_now;
 }
 
+/// Tells the members which instance leads now. They would learn it from the store, after the heartbeat timeout.
+void RangeAuthority::announceNextLeader()
+{
+    const std::optional<LeaderRecord>& next = m_leadership.leader();
+    if (!next || next->term <= m_term) {
+        return;
+    }
+    wire::Envelope envelope;
+    wire::RangeLeaderChange& change = *envelope.mutable_range_leader_change();
+    change.set_term(next->term);
+    change.mutable_leader()->set_id(next->instance);
+    change.mutable_leader()->set_incarnation(next->incarnation);
+    change.set_address(next->address);
+    for (const auto& [id, member] : m_members) {
+        m_effects.emplace_back(SendRangePeerMessage {id, envelope});
+    }
+}
+
 /// Latest end of a lease that an earlier leader may have granted.
 MonotonicTime RangeAuthority::earlierLeaseEnd() const
 {
--- a/src/ranges/range_authority.h
+++ b/src/ranges/range_authority.h
@@ -69,10 +69,12 @@
     void receive(const wire::InstanceReport& message, const wire::InstanceReference& sender);
     void receive(const wire::RangeTableView& message);
     void receive(const wire::FeedChange& message);
+    void receive(const wire::RangeLeaderChange& message);
 
     void applyLeadership();
     void beginTerm();
     void endTerm();
+    void announceNextLeader();
     void onEarlierLeaderStopped();
     void stepServices();
     void stepService(const std::string& service, KeyedService& keyedService);
@@ -118,6 +120,7 @@
     MonotonicTime m_nextHeartbeatAt;
     MonotonicTime m_nextReportAt;
     MonotonicTime m_nextStepAt;
+    MonotonicTime m_nextSuccessionCheckAt;
     std::vector<RangePeer> m_peers;
     FeedSourceSelector m_feedSelector;
     bool m_tableBaseMissing = false; ///< Table changes did not apply to the known table; set in the next report.
--- a/tests/mutated_input_test.cpp
+++ b/tests/mutated_input_test.cpp
@@ -252,6 +252,11 @@
     report.mutable_instance_report()->set_address("10.0.0.2:7200");
     report.mutable_instance_report()->add_tables()->set_service(test::LeadingAuthority::service);
     valid.push_back(report.SerializeAsString());
+    wire::Envelope change;
+    change.mutable_range_leader_change()->set_term(2);
+    change.mutable_range_leader_change()->mutable_leader()->set_id("edge-3");
+    change.mutable_range_leader_change()->set_address("10.0.0.3:7200");
+    valid.push_back(change.SerializeAsString());
     ASSERT_GT(valid.size(), 2U);
     for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
         Mutation mutation(seed);
--- a/tests/range_succession_test.cpp
+++ b/tests/range_succession_test.cpp
@@ -63,5 +63,68 @@
     EXPECT_EQ(successorsOf(leader), std::set<std::string> {""});
 }
 
+/// Guards against instances that query the store and lose the leader's view after a planned stop, because only the
+/// successor knows that it leads.
+TEST(RangeSuccessionTest, ASucceededLeaderTellsTheOtherInstances)
+{
+    LeadingAuthority leader;
+    leader.run(10s);
+    leader.report(2);
+    leader.report(3, 0.2);
+    leader.reduce(RangeStopRequested {});
+    leader.run(100ms);
+    const std::uint64_t term = leader.term();
+    leader.succeed("edge-2", 2, "10.0.0.2:7200");
+    leader.messages.clear();
+    leader.run(250ms);
+    unsigned told = 0;
+    for (const wire::Envelope& envelope : leader.messages) {
+        if (envelope.has_range_leader_change()) {
+            ++told;
+            EXPECT_EQ(envelope.range_leader_change().term(), term + 1);
+            EXPECT_EQ(envelope.range_leader_change().leader().id(), "edge-2");
+            EXPECT_EQ(envelope.range_leader_change().address(), "10.0.0.2:7200");
+        }
+    }
+    EXPECT_EQ(told, 2U);
+}
+
+/// Guards against following an instance that led before the present leader.
+TEST(RangeSuccessionTest, AnInstanceFollowsTheAnnouncedLeaderOfALaterTerm)
+{
+    RangeAuthority follower(LeaderRecord {0, "edge-3", 7, "10.0.0.3:7200", {}}, RangeTimes(), LeadershipTimes(), 1);
+    MonotonicTime now {1h};
+    const auto reportsTo = [&](RangeEvent event) {
+        std::set<std::string> leaders;
+        for (const RangeEffect& effect : follower.reduce({now, std::move(event)})) {
+            EXPECT_FALSE(std::holds_alternative<ReadRecord>(effect) && follower.term() > 4);
+            if (const auto* sent = std::get_if<SendRangePeerMessage>(&effect)) {
+                leaders.insert(sent->to);
+            }
+        }
+        now += 50ms;
+        return leaders;
+    };
+    const auto announce = [](std::uint64_t term, const std::string& leader) {
+        wire::Envelope envelope;
+        envelope.mutable_sender()->set_id("edge-1");
+        envelope.mutable_range_leader_change()->set_term(term);
+        envelope.mutable_range_leader_change()->mutable_leader()->set_id(leader);
+        envelope.mutable_range_leader_change()->set_address("10.0.0.9:7200");
+        return RangePeerMessage {std::move(envelope)};
+    };
+    (void)reportsTo(RangeTick {});
+    (void)reportsTo(RecordRead {std::string(leaderRecordName), now,
+        {StoreStatus::Ok,
+            {std::string(leaderRecordName), 3, encodeLeaderRecord({4, "edge-1", 2, "10.0.0.1:7200", {}})}}});
+    EXPECT_EQ(reportsTo(RangeTick {}), std::set<std::string> {"edge-1"});
+    (void)reportsTo(announce(5, "edge-2"));
+    EXPECT_EQ(reportsTo(RangeTick {}), std::set<std::string> {"edge-2"});
+    (void)reportsTo(announce(4, "edge-1"));
+    now += 300ms;
+    EXPECT_EQ(reportsTo(RangeTick {}), std::set<std::string> {"edge-2"});
+    EXPECT_EQ(follower.term(), 5U);
+}
+
 } // namespace
 } // namespace jasminespread
--- a/tests/support/leading_authority.h
+++ b/tests/support/leading_authority.h
@@ -52,6 +52,16 @@
         reduce(RangePeerMessage {std::move(envelope)});
     }
 
+    /// Stores a record of the next term, as a successor does. Precondition: this instance leads.
+    void succeed(const std::string& instance, std::uint64_t incarnation, const std::string& address)
+    {
+        StoredObject& stored = m_records.at(std::string(leaderRecordName));
+        stored = {stored.name, ++m_version,
+            encodeLeaderRecord({m_authority.term() + 1, instance, incarnation, address, {"edge-1"}})};
+    }
+
+    [[nodiscard]] std::uint64_t term() const { return m_authority.term(); }
+
     /// Handles one event, answers the resulting store calls, and records the resulting grants and messages.
     void reduce(RangeEvent&& event)
     {
