--- a/tests/object_feed_test.cpp
+++ b/tests/object_feed_test.cpp
@@ -1,13 +1,18 @@
 #include "object_feed.h"
 
+#include <glib.h>
+
 #include <gtest/gtest.h>
 
 #include <deque>
 #include <optional>
+#include <thread>
 
 namespace jasminespread::platform {
 namespace {
 
+using namespace std::chrono_literals;
+
 std::string entry(const std::string& name, std::uint64_t revision, const std::string& spec = "{}")
 {
     return R"({"metadata":{"name":")" + name + R"(","rev":)" + std::to_string(revision) + R"(},"spec":)" + spec + "}";
@@ -54,6 +59,18 @@
         callback(std::move(result));
     }
 
+    /// Runs the main context until the feed calls the store.
+    bool isCallSentWithin(Milliseconds limit)
+    {
+        const MonotonicTime end = monotonicNow() + limit;
+        while (!m_callback && monotonicNow() < end) {
+            if (!g_main_context_iteration(nullptr, FALSE)) {
+                std::this_thread::sleep_for(1ms);
+            }
+        }
+        return static_cast<bool>(m_callback);
+    }
+
     /// Answers the first list, and the watch that confirms it.
     void answerFirstList(const std::string& body, std::uint64_t revision)
     {
@@ -166,6 +183,7 @@
 {
     m_feed.setSource(FeedSource::Store);
     answerFirstList(R"({"items":[)" + entry("a", 6) + R"(],"hasMore":false,"atRev":20})", 20);
+    EXPECT_TRUE(isCallSentWithin(1400ms));
     const std::size_t calls = m_targets.size();
     ASSERT_NE(m_targets.back().find("waitMs=2000"), std::string::npos) << m_targets.back();
     const BackendTransport::Callback longWatch = std::exchange(m_callback, nullptr);
@@ -180,5 +198,24 @@
     EXPECT_EQ(m_targets.size(), calls + 1) << "the earlier watch is not followed by another one";
 }
 
+/// Guards against a watch of every instance of a fleet that starts, shortly before the leader becomes their source.
+TEST_F(ObjectFeedTest, AStartedInstanceDoesNotWatchTheStoreWhenALeaderAppears)
+{
+    m_feed.setSource(FeedSource::Store);
+    answerFirstList(R"({"items":[)" + entry("a", 6) + R"(],"hasMore":false,"atRev":20})", 20);
+    EXPECT_FALSE(isCallSentWithin(300ms));
+    m_feed.setSource(FeedSource::Leader);
+    EXPECT_FALSE(isCallSentWithin(1100ms));
+}
+
+/// Guards against a view that gets older than it may where there is no leader.
+TEST_F(ObjectFeedTest, AStartedInstanceWatchesTheStoreWithoutALeader)
+{
+    m_feed.setSource(FeedSource::Store);
+    answerFirstList(R"({"items":[)" + entry("a", 6) + R"(],"hasMore":false,"atRev":20})", 20);
+    EXPECT_FALSE(isCallSentWithin(300ms));
+    EXPECT_TRUE(isCallSentWithin(1100ms));
+}
+
 } // namespace
 } // namespace jasminespread::platform
