Key owner: no reference formed from a missing route, as the linter asks; linger and stop margin

clang-analyzer (core.NonNullParamChecker) could not see that a missing route implies no server. No change of behaviour.

--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -377,8 +377,9 @@
 {
     const std::shared_ptr<const RangeTable>& ranges = serviceOf(job.service).ranges;
     const RangeRoute* route = ranges ? findRangeRoute(*ranges, *job.request->key) : nullptr;
-    const auto server = route == nullptr || route->owner.id.empty() ? m_servers.end() : m_servers.find(route->owner.id);
-    const bool ownerUsable = server != m_servers.end() && server->second.listed.identity == route->owner
+    const ServerIdentity* owner = route == nullptr || route->owner.id.empty() ? nullptr : &route->owner;
+    const auto server = owner == nullptr ? m_servers.end() : m_servers.find(owner->id);
+    const bool ownerUsable = owner != nullptr && server != m_servers.end() && server->second.listed.identity == *owner
         && server->second.observation.isReachable(m_now) && !isOutOfService(server->second);
     const bool rejectedAsNotOwner
         = ranges && job.notOwnerTableVersion == ranges->version && job.notOwnerTableVersion != 0;
--- a/src/peer/peer_transport.cpp
+++ b/src/peer/peer_transport.cpp
@@ -23,7 +23,8 @@
 constexpr int reconnectIntervalMs = 50;
 constexpr int reconnectIntervalMaxMs = 200;
 constexpr int connectTimeoutMs = 500;
-/// A closed connection may send what it has accepted for this long: the last messages to an instance.
+/// A closed connection may send what it has accepted for this long: the last messages to an instance. It can delay the
+/// end of the process as much, so it is shorter than the gateway's stop margin.
 constexpr int lingerMs = 200;
 /// ZeroMQ pings each connection at this interval. When nothing arrives within the timeout, it closes and re-establishes
 /// the connection, so that messages from before a network partition do not delay those after it.
