--- a/include/jasminespread/log_event.h
+++ b/include/jasminespread/log_event.h
@@ -81,7 +81,7 @@
     {LogEvent::PeerMessageRejected, LogLevel::Warning, "peer-message-rejected",
         "A message from an unknown address or with unreadable content was dropped."},
     {LogEvent::ServerListChanged, LogLevel::Info, "server-list-changed",
-        "A backend server was added, is leaving, or is no longer listed."},
+        "A backend server was added, is leaving, or is no longer listed; how long ago that can have been at most."},
     {LogEvent::GroupTakenOver, LogLevel::Info, "group-taken-over", "This instance became primary of a group."},
     {LogEvent::GroupLost, LogLevel::Warning, "group-lost", "Another instance became primary of a group."},
     {LogEvent::AuthorityLapsed, LogLevel::Warning, "authority-lapsed",
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -18,6 +18,7 @@
 #include <deque>
 #include <map>
 #include <memory>
+#include <optional>
 #include <random>
 #include <unordered_map>
 
@@ -207,20 +208,31 @@
         publishServers();
     }
 
+    /// Upper bound of the time since the changes were made that the server list feed is reporting.
+    [[nodiscard]] std::optional<Milliseconds> maxServerChangeAge() const
+    {
+        const std::optional<MonotonicTime> confirmedAsOf = m_authority.feedConfirmedAsOf(m_ports.serverFeed);
+        return confirmedAsOf ? std::optional(std::chrono::ceil<Milliseconds>(boottimeNow() - *confirmedAsOf))
+                             : std::nullopt;
+    }
+
     void publishServers()
     {
         const std::shared_ptr<const ServerList> servers = m_directory.servers();
         if (m_servers && *m_servers == *servers) {
             return;
         }
-        logServerChanges(servers);
+        const std::optional<Milliseconds> maxChangeAge = maxServerChangeAge();
+        logServerChanges(servers, maxChangeAge);
         m_servers = servers;
-        apply(ServersListed {servers});
+        apply(ServersListed {servers, maxChangeAge});
         applyRangeEvent(RangeServersListed {servers});
     }
 
-    void logServerChanges(const std::shared_ptr<const ServerList>& servers) const
+    void logServerChanges(
+        const std::shared_ptr<const ServerList>& servers, std::optional<Milliseconds> maxChangeAge) const
     {
+        const std::string age = " max-age-ms=" + (maxChangeAge ? std::to_string(maxChangeAge->count()) : "unknown");
         std::map<ServerIdentity, ListedServerState> before;
         if (m_servers) {
             for (const ListedServer& server : *m_servers) {
@@ -232,12 +244,12 @@
             if (m_servers && (it == before.end() || it->second != server.state)) {
                 logEvent(LogEvent::ServerListChanged,
                     "server=" + server.identity.id + " service=" + server.service
-                        + " state=" + std::string(enumName(listedServerStateNames, server.state)));
+                        + " state=" + std::string(enumName(listedServerStateNames, server.state)) + age);
             }
             before.erase(server.identity);
         }
         for (const auto& [identity, state] : before) {
-            logEvent(LogEvent::ServerListChanged, "server=" + identity.id + " state=gone");
+            logEvent(LogEvent::ServerListChanged, "server=" + identity.id + " state=gone" + age);
         }
     }
 
--- a/src/gateway/gateway_event.h
+++ b/src/gateway/gateway_event.h
@@ -10,6 +10,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <string>
 #include <variant>
 #include <vector>
@@ -60,6 +61,8 @@
 
 struct ServersListed {
     std::shared_ptr<const ServerList> servers;
+    /// Upper bound of the time since the changes in this list were made; nothing when it is unknown.
+    std::optional<Milliseconds> maxChangeAge {};
 };
 
 /// The range table of one keyed service changed.
--- a/src/gateway/gateway_ports.h
+++ b/src/gateway/gateway_ports.h
@@ -18,6 +18,7 @@
     /// Called by the adapter while the gateway runs.
     struct Callbacks {
         std::function<void(GatewayConfiguration&&)> configurationReceived;
+        /// The list changed. Called before feedRevisionKnown() for the same change.
         std::function<void(ServerList&&)> serversListed;
         /// The store became reachable (true) or unreachable, as seen by calls for the server list.
         std::function<void(bool)> storeReachabilityChanged;
@@ -28,6 +29,7 @@
         std::function<void(FeedChange&&)> feedChanged;
     };
 
+    std::string serverFeed; ///< Name of the feed that serversListed() reports.
     std::string readinessPath; ///< Path of the load balancer's readiness check.
     /// Returns an answer instead of a request when the caller's request is malformed.
     std::function<std::variant<GatewayRequest, CallerAnswer>(RawRequest&&)> decodeRequest;
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -492,6 +492,12 @@
     ++job.sendCount;
     m_jobsByDispatch.emplace(number, job.number);
     server.observation.recordStart();
+    if (server.drainingSince) {
+        recordDecision(job, server.listed.identity.id, "sent-to-leaving-owner",
+            "listed for "
+                + std::to_string(std::chrono::duration_cast<Milliseconds>(m_now - *server.drainingSince).count())
+                + " ms");
+    }
     const bool canHedge = !job.keyed && job.route->repeatability == Repeatability::Idempotent
         && job.sendCount < job.route->maxAttempts && job.dispatches.size() == 1;
     if (canHedge) {
--- a/src/ranges/feed_source_selector.cpp
+++ b/src/ranges/feed_source_selector.cpp
@@ -18,7 +18,9 @@
 
 void FeedSourceSelector::onStoreAnswer(const std::string& feed, FeedRevision revision, MonotonicTime answeredAt)
 {
-    m_feeds[feed].storeAnsweredAt = answeredAt;
+    Feed& state = m_feeds[feed];
+    state.storeAnsweredAt = answeredAt;
+    state.confirmedAsOf = std::max(state.confirmedAsOf.value_or(answeredAt), answeredAt);
     onRevisionLearned(feed, revision);
 }
 
@@ -38,13 +40,18 @@
     m_term = summary.term;
     // A heartbeat that was queued on a congested link or in the receive buffer describes an older view.
     const MonotonicTime::duration queueingDelay = heartbeatDelay - m_minHeartbeatDelay;
-    m_leaderViewAsOf = std::max(m_leaderViewAsOf.value_or(MonotonicTime()), now - summary.age - queueingDelay);
+    const MonotonicTime viewAsOf = now - summary.age - queueingDelay;
+    m_leaderViewAsOf = std::max(m_leaderViewAsOf.value_or(MonotonicTime()), viewAsOf);
     for (const auto& [name, revision] : summary.revisions) {
         Feed& state = m_feeds[name];
         state.leaderRevision = std::max(state.leaderRevision, revision);
         if (state.leaderRevision > state.revision.asOf && !state.laggingSince) {
             state.laggingSince = now;
         }
+        const bool hasLeadersState = state.revision.asOf != 0 && state.revision.asOf >= state.leaderRevision;
+        if (hasLeadersState) {
+            state.confirmedAsOf = std::max(state.confirmedAsOf.value_or(viewAsOf), viewAsOf);
+        }
     }
 }
 
@@ -69,6 +76,12 @@
     return m_leaderViewAsOf && now - *m_leaderViewAsOf <= maxViewAge ? FeedSource::Leader : FeedSource::Store;
 }
 
+std::optional<MonotonicTime> FeedSourceSelector::confirmedAsOf(const std::string& feed) const
+{
+    const auto it = m_feeds.find(feed);
+    return it == m_feeds.end() ? std::nullopt : it->second.confirmedAsOf;
+}
+
 std::vector<std::string> FeedSourceSelector::laggingFeeds(MonotonicTime now)
 {
     std::vector<std::string> lagging;
--- a/src/ranges/feed_source_selector.h
+++ b/src/ranges/feed_source_selector.h
@@ -62,6 +62,9 @@
     [[nodiscard]] std::optional<FeedSummary> summarize(MonotonicTime now) const;
     /// Source to use at @p now. @p forwardsChanges: this instance leads and other instances rely on it.
     [[nodiscard]] FeedSource source(bool forwardsChanges, MonotonicTime now) const;
+    /// Time up to which the local state of @p feed is known to include every change; nothing before the first
+    /// confirmation. A change that is learned next was made after it.
+    [[nodiscard]] std::optional<MonotonicTime> confirmedAsOf(const std::string& feed) const;
     /// Feeds for which the leader has had a newer revision for longer than a forwarded change takes to arrive. Each is
     /// returned again only after a retry interval.
     [[nodiscard]] std::vector<std::string> laggingFeeds(MonotonicTime now);
@@ -70,6 +73,7 @@
     struct Feed {
         FeedRevision revision;
         MonotonicTime storeAnsweredAt;
+        std::optional<MonotonicTime> confirmedAsOf; ///< By an answer of the store, here or at the leader.
         std::uint64_t leaderRevision = 0; ///< Revision of the last change that the leader reported.
         std::optional<MonotonicTime> laggingSince;
     };
--- a/src/ranges/range_authority.h
+++ b/src/ranges/range_authority.h
@@ -8,6 +8,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <optional>
 #include <set>
 #include <string>
 #include <vector>
@@ -28,6 +29,11 @@
     [[nodiscard]] std::uint64_t term() const noexcept;
     /// Whether a route table is known for each of @p services.
     [[nodiscard]] bool hasRangeTables(const std::vector<std::string>& services) const;
+    /// FeedSourceSelector::confirmedAsOf() of @p feed, by the clock of the events.
+    [[nodiscard]] std::optional<MonotonicTime> feedConfirmedAsOf(const std::string& feed) const
+    {
+        return m_feedSelector.confirmedAsOf(feed);
+    }
 
 private:
     /// Another instance that reports to this one.
--- a/tests/feed_source_selector_test.cpp
+++ b/tests/feed_source_selector_test.cpp
@@ -55,6 +55,25 @@
     EXPECT_EQ(selector.source(false, start + 5s), FeedSource::Leader);
 }
 
+/// Guards against a change that is taken for newer than it can be: a heartbeat confirms the state only if the state has
+/// all changes of the leader's view, and only as of the time of that view.
+TEST(FeedSourceSelectorTest, AStateIsConfirmedAsOfTheViewThatItCompletes)
+{
+    FeedSourceSelector selector;
+    EXPECT_FALSE(selector.confirmedAsOf("servers"));
+    selector.onLeaderHeartbeat({{{"servers", 7}}, 300ms, 1, start}, start);
+    EXPECT_FALSE(selector.confirmedAsOf("servers"));
+    selector.onStoreAnswer("servers", {8, 7}, start + 1s);
+    EXPECT_EQ(selector.confirmedAsOf("servers"), start + 1s);
+    // An older view, a newer one, and one with a change that is not known here yet.
+    selector.onLeaderHeartbeat({{{"servers", 7}}, 600ms, 1, start + 1300ms}, start + 1300ms);
+    EXPECT_EQ(selector.confirmedAsOf("servers"), start + 1s);
+    selector.onLeaderHeartbeat({{{"servers", 8}}, 100ms, 1, start + 1600ms}, start + 1600ms);
+    EXPECT_EQ(selector.confirmedAsOf("servers"), start + 1500ms);
+    selector.onLeaderHeartbeat({{{"servers", 9}}, 100ms, 1, start + 1900ms}, start + 1900ms);
+    EXPECT_EQ(selector.confirmedAsOf("servers"), start + 1500ms);
+}
+
 /// Guards against a leader that has an answer for one feed only while other instances stop watching both.
 TEST(FeedSourceSelectorTest, SummaryHasTheAgeOfTheOldestFeed)
 {
