The drain time counts from the earliest time at which a server can have been listed

Callers saw: their requests went to a server more than the drain time (2 s) after the store had listed it as draining. Cause: an instance let a draining owner serve for half of the drain time, counted from when the instance learned of the state. With a leader that the store turns away it learns up to 1.4 s and a call later: 1.4 + 0.15 + 1 s. Class: a bound that starts at local knowledge instead of at the event. Change: ServerAvailability is the one place that tells whether a server takes a request. It counts from when the server list was last confirmed without the state, which is earlier than the event, and ends 250 ms before the drain time. The same question is asked again when a request that waited for a connection is about to be written. Same class, mended here: a server that is draining in the first list gets nothing; a state that comes back does not begin anew; a suspension of the machine counts; what is known of a server outlives a list without it. KeyedGatewayTest.StopsSendingToADrainingOwner has the same times and now says how old the listing may be: it asserted the half share, which was the fault. Also mended, as the availability is bound to a server's run: requests in flight of an earlier run under the same id were subtracted from the count of the next one, which fell below 0, and that server was not chosen any more (ARestartUnderTheSameIdKeepsTheCountOfRequestsInFlight; fails without the comparison of runs). Ruled out: smaller shares or view ages (three constants in three files still add up).

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -53,6 +53,9 @@
 constexpr Milliseconds stallThreshold = 100ms;
 constexpr Milliseconds sendDelayThreshold = 100ms;
 
+/// Two clocks are read one after the other; a smaller difference is not a suspension of the machine.
+constexpr Milliseconds minSuspension = 20ms;
+
 /// Time by a clock that also advances while the machine is suspended.
 MonotonicTime boottimeNow()
 {
@@ -320,6 +323,7 @@
             return;
         }
         m_applyingEvents = true;
+        noteSuspension();
         while (!m_pendingEvents.empty()) {
             GatewayEvent next = std::move(m_pendingEvents.front());
             m_pendingEvents.pop_front();
@@ -331,6 +335,17 @@
         m_reducerTimer.arm(m_reducer.nextWake());
     }
 
+    /// Tells the reducer how long the machine was suspended since the last call.
+    void noteSuspension()
+    {
+        const auto suspendedFor = std::chrono::duration_cast<Milliseconds>(boottimeNow() - monotonicNow());
+        if (m_suspendedFor && suspendedFor - *m_suspendedFor >= minSuspension) {
+            m_pendingEvents.push_front(MachineSuspended {suspendedFor - *m_suspendedFor});
+            m_suspendedFor = suspendedFor;
+        }
+        m_suspendedFor = m_suspendedFor.value_or(suspendedFor);
+    }
+
     void execute(AnswerRequest&& effect)
     {
         const std::uint64_t caller = effect.caller;
@@ -341,8 +356,10 @@
     {
         const std::uint64_t dispatch = effect.dispatch;
         BackendRequest request = m_ports.encodeSend(effect);
-        request.mayBegin = [this, caller = effect.caller, id = effect.request->id, deadline = effect.deadline,
-                               startedAt = monotonicNow()] { return mayBegin(caller, id, startedAt, deadline); };
+        request.mayBegin = [this, dispatch, caller = effect.caller, id = effect.request->id, deadline = effect.deadline,
+                               startedAt = monotonicNow()] {
+            return m_reducer.maySend(dispatch, monotonicNow()) && mayBegin(caller, id, startedAt, deadline);
+        };
         const BackendTransport::Handle handle
             = m_transport.send(std::move(request), [this, dispatch](BackendResult result) {
                   const LoopMonitor::Step step(m_monitor, "server-answer");
@@ -595,6 +612,7 @@
     std::shared_ptr<const ServerList> m_servers; ///< As last published.
     std::deque<GatewayEvent> m_pendingEvents; ///< Events to apply, including those raised while effects are executed.
     bool m_applyingEvents = false;
+    std::optional<Milliseconds> m_suspendedFor; ///< Total time in which the machine was suspended, as last seen.
     std::unordered_map<std::uint64_t, BackendTransport::Handle> m_sendHandles; ///< By dispatch.
     std::map<std::string, std::map<std::uint16_t, std::uint32_t>> m_keyCounts; ///< By service and key.
     MonotonicTime m_nextKeyCountAt;
--- a/src/gateway/gateway_event.h
+++ b/src/gateway/gateway_event.h
@@ -39,7 +39,7 @@
 enum class SendFailure : std::uint8_t {
     MayHaveRun, ///< At least one byte of the request was written.
     NotSent, ///< No byte was written, e.g. because the connection could not be opened.
-    Withheld ///< Not sent on purpose: the caller had disconnected or its deadline had passed.
+    Withheld ///< Not sent on purpose: the caller had disconnected, its deadline had passed, or maySend() was false.
 };
 
 inline constexpr std::array<EnumName<SendFailure>, 3> sendFailureNames {{
@@ -80,11 +80,16 @@
     std::uint32_t instances = 1;
 };
 
+/// The machine was suspended, which the clock of the events does not count.
+struct MachineSuspended {
+    Milliseconds duration {0};
+};
+
 /// Lets timers expire; sent at GatewayReducer::nextWake().
 struct GatewayTick { };
 
 using GatewayEvent = std::variant<RequestReceived, CallerDisconnected, ServerAnswered, SendFailed, GatewayConfigured,
-    ServersListed, RangeTableChanged, ServerLoadsReported, InstanceCountChanged, GatewayTick>;
+    ServersListed, RangeTableChanged, ServerLoadsReported, InstanceCountChanged, MachineSuspended, GatewayTick>;
 /// @}
 
 /// @name Effects of the gateway's reducer
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -23,9 +23,8 @@
 constexpr std::uint32_t maxUnsentDispatches = 6;
 /// Retry interval for a request whose key has no usable owner, unless a newer range table arrives.
 constexpr Milliseconds ownerRetryInterval = 60ms;
-/// How long a draining owner still gets requests for its keys, as a share of the drain time. The rest is a margin for
-/// the delay with which its announcement arrives.
-constexpr double ownerShareOfDrainTime = 0.5;
+/// How long what is known of a server is kept after it was last listed. A list of the store may lack it for a while.
+constexpr Milliseconds unlistedRetention = 60s;
 /// A hedge request is sent after this multiple of the typical latency.
 constexpr double hedgeLatencyRatio = 3;
 /// Hedge requests are sent only while at most this share of the retry budget is used.
@@ -187,8 +186,8 @@
     if (answer.execution == Execution::NotOwner) {
         job.notOwnerTableVersion
             = job.keyed && serviceOf(job.service).ranges ? serviceOf(job.service).ranges->version : 0;
-        if (!job.keyed) {
-            server.observation.recordUnreachable(m_now);
+        if (!job.keyed && server.run == dispatch.serverRun) {
+            server.availability.onUnreachable(m_now);
         }
         recordDecision(job, dispatch.server, "not-owner", "status " + std::to_string(answer.status));
         return retry(job, "the backend server does not own the key");
@@ -218,6 +217,9 @@
         return retry(job, "the backend server failed the request");
     }
     server.observation.recordAnswer(latency, typicalLatencyOf(job), m_now);
+    if (server.run == dispatch.serverRun) {
+        server.availability.onAnswered(dispatch.startedAt);
+    }
     m_latencies.at(latencyKey(job.route->name, job.service)).observe(latency);
     deliver(job, std::move(answer));
 }
@@ -230,6 +232,7 @@
     }
     Job& job = *found;
     Server& server = m_servers.at(dispatch.server);
+    const bool sameRun = server.run == dispatch.serverRun;
     recordDecision(job, dispatch.server, enumName(sendFailureNames, event.failure), event.cause);
     switch (event.failure) {
     case SendFailure::MayHaveRun:
@@ -237,16 +240,25 @@
         job.mayHaveRun = true;
         break;
     case SendFailure::NotSent:
-        server.observation.recordUnreachable(m_now);
+        if (sameRun) {
+            server.availability.onUnreachable(m_now);
+        }
         --job.sendCount;
         ++job.unsentCount;
         break;
     case SendFailure::Withheld:
         --job.sendCount;
-        if (job.dispatches.empty()) {
-            return m_now >= job.deadline ? expire(job) : abandon(job);
+        if (!job.dispatches.empty()) {
+            return; // Another dispatch is still in flight.
         }
-        return; // Another dispatch is still in flight.
+        if (m_now >= job.deadline) {
+            return expire(job);
+        }
+        if (!sameRun || server.availability.maySend(scopeOf(job), m_now)) {
+            return abandon(job); // Its caller has disconnected.
+        }
+        ++job.unsentCount;
+        break;
     }
     retry(job, "the connection to the backend server broke");
 }
@@ -269,27 +281,33 @@
 {
     m_serversListed = true;
     m_serverPools.clear();
+    const std::optional<MonotonicTime> changedAfter
+        = event.maxChangeAge ? std::optional(m_now - *event.maxChangeAge) : std::nullopt;
     for (auto& [id, server] : m_servers) {
         server.isListed = false;
     }
     for (const ListedServer& listed : *event.servers) {
         Server& server = m_servers[listed.identity.id];
+        if (server.listed.identity != listed.identity) {
+            server.availability = ServerAvailability(m_settings.drainTime);
+        }
         if (server.listed.identity != listed.identity || server.listed.address != listed.address) {
-            const bool known = !server.listed.identity.id.empty();
-            if (known) {
-                server.observation = ServerObservation();
-            }
+            server.observation = ServerObservation();
+            ++server.run;
             server.warmUpEndsAt = m_now + listed.warmUpLeft;
         }
-        if (listed.state == ListedServerState::Draining
-            && (server.listed.state != listed.state || !server.drainingSince)) {
-            server.drainingSince = m_now;
-        } else if (listed.state != ListedServerState::Draining) {
-            server.drainingSince.reset();
-        }
+        server.availability.onListed(listed.state, changedAfter);
         server.listed = listed;
         server.isListed = true;
     }
+    for (auto& [id, server] : m_servers) {
+        if (!server.isListed) {
+            server.availability.onUnlisted();
+            server.unlistedAt = std::min(server.unlistedAt, m_now);
+        } else {
+            server.unlistedAt = MonotonicTime::max();
+        }
+    }
     // Servers with a missing entry are used only for services without a ready server.
     for (const ListedServerState state : {ListedServerState::Ready, ListedServerState::Missing}) {
         std::map<std::string, std::vector<std::string>> pools;
@@ -306,7 +324,7 @@
             return std::any_of(dispatches.begin(), dispatches.end(),
                 [&entry](const Dispatch& dispatch) { return dispatch.server == entry.first; });
         });
-        return !entry.second.isListed && !inUse;
+        return !entry.second.isListed && !inUse && !mustRemember(entry.second);
     });
     handleHeldRequests();
 }
@@ -345,6 +363,13 @@
     configureBudgets();
 }
 
+void GatewayReducer::handle(MachineSuspended&& event)
+{
+    for (auto& [id, server] : m_servers) {
+        server.availability.onSuspended(event.duration);
+    }
+}
+
 void GatewayReducer::handle(GatewayTick&&)
 {
     handleHeldRequests();
@@ -380,7 +405,7 @@
     const ServerIdentity* owner = route == nullptr || route->owner.id.empty() ? nullptr : &route->owner;
     const auto server = owner == nullptr ? m_servers.end() : m_servers.find(owner->id);
     const bool ownerUsable = owner != nullptr && server != m_servers.end() && server->second.listed.identity == *owner
-        && server->second.observation.isReachable(m_now) && !isOutOfService(server->second);
+        && server->second.availability.decide(RequestScope::OwnerOnly, m_now).available();
     const bool rejectedAsNotOwner
         = ranges && job.notOwnerTableVersion == ranges->version && job.notOwnerTableVersion != 0;
     const RequestTiming timing = timingOf(job);
@@ -432,7 +457,7 @@
     }
     for (const std::string& id : pool->second) {
         Server& server = m_servers.at(id);
-        if (job.triedServers.contains(id) || !server.observation.isReachable(m_now)) {
+        if (job.triedServers.contains(id) || !server.availability.decide(RequestScope::AnyServer, m_now).available()) {
             continue;
         }
         ServerCandidate candidate = candidateOf(server);
@@ -444,12 +469,28 @@
     return selectServer(candidates, timingOf(job), jitter);
 }
 
-/// Whether a key's owner gets no new requests: it is no longer listed, or it has been draining for so long that its
-/// keys should have moved.
-bool GatewayReducer::isOutOfService(const Server& server) const
+RequestScope GatewayReducer::scopeOf(const Job& job) noexcept
+{
+    return job.keyed ? RequestScope::OwnerOnly : RequestScope::AnyServer;
+}
+
+/// Whether a server that is no longer listed may be listed again with the same run and must not get requests then.
+bool GatewayReducer::mustRemember(const Server& server) const
 {
-    return !server.isListed
-        || (server.drainingSince && m_now - *server.drainingSince >= m_settings.drainTime * ownerShareOfDrainTime);
+    return server.availability.mustBeRemembered(m_now) && m_now - server.unlistedAt < unlistedRetention;
+}
+
+bool GatewayReducer::maySend(std::uint64_t dispatch, MonotonicTime now) const
+{
+    const auto it = m_jobsByDispatch.find(dispatch);
+    if (it == m_jobsByDispatch.end()) {
+        return false;
+    }
+    const Job& job = *m_jobs.at(it->second);
+    const auto sent = std::find_if(job.dispatches.begin(), job.dispatches.end(),
+        [dispatch](const Dispatch& candidate) { return candidate.number == dispatch; });
+    const Server& server = m_servers.at(sent->server);
+    return server.run != sent->serverRun || server.availability.maySend(scopeOf(job), now);
 }
 
 ServerCandidate GatewayReducer::candidateOf(const Server& server) const
@@ -487,16 +528,15 @@
 void GatewayReducer::dispatch(Job& job, Server& server)
 {
     const std::uint64_t number = m_nextNumber++;
-    job.dispatches.push_back({number, server.listed.identity.id, m_now});
+    job.dispatches.push_back(
+        {number, server.listed.identity.id, server.run, m_now, server.availability.onDispatched(m_now)});
     const bool repeated = !job.triedServers.insert(server.listed.identity.id).second;
     ++job.sendCount;
     m_jobsByDispatch.emplace(number, job.number);
     server.observation.recordStart();
-    if (server.drainingSince) {
+    if (const std::optional<Milliseconds> leavingFor = server.availability.leavingFor(m_now)) {
         recordDecision(job, server.listed.identity.id, "sent-to-leaving-owner",
-            "listed for "
-                + std::to_string(std::chrono::duration_cast<Milliseconds>(m_now - *server.drainingSince).count())
-                + " ms");
+            "leaving for at most " + std::to_string(leavingFor->count()) + " ms");
     }
     const bool canHedge = !job.keyed && job.route->repeatability == Repeatability::Idempotent
         && job.sendCount < job.route->maxAttempts && job.dispatches.size() == 1;
@@ -545,10 +585,22 @@
         [number](const Dispatch& candidate) { return candidate.number == number; });
     Dispatch removed = *dispatch;
     job.dispatches.erase(dispatch);
-    m_servers.at(removed.server).observation.recordEnd();
+    endDispatch(removed);
     return {&job, removed};
 }
 
+void GatewayReducer::endDispatch(const Dispatch& dispatch)
+{
+    Server& server = m_servers.at(dispatch.server);
+    if (server.run != dispatch.serverRun) {
+        return;
+    }
+    server.observation.recordEnd();
+    if (dispatch.firstAfterPause) {
+        server.availability.onFirstRequestEnded();
+    }
+}
+
 /// Whether another dispatch is allowed; takes a retry from the budget unless the request never reached a server.
 bool GatewayReducer::tryAcquireRetry(Job& job)
 {
@@ -648,7 +700,7 @@
 {
     for (const Dispatch& dispatch : job.dispatches) {
         m_jobsByDispatch.erase(dispatch.number);
-        m_servers.at(dispatch.server).observation.recordEnd();
+        endDispatch(dispatch);
         m_effects.emplace_back(CancelSend {dispatch.number});
     }
     job.dispatches.clear();
--- a/src/gateway/gateway_reducer.h
+++ b/src/gateway/gateway_reducer.h
@@ -2,6 +2,7 @@
 
 #include "gateway/gateway_event.h"
 #include "gateway/route_latency.h"
+#include "gateway/server_availability.h"
 #include "gateway/server_observation.h"
 #include "gateway/server_selection.h"
 #include "gateway/weighted_round_robin.h"
@@ -24,7 +25,7 @@
     std::string failureDomain;
     std::string region;
     RetryBudgetLimits retryBudget;
-    /// How long after announcing its shutdown a server may still get requests.
+    /// How long after announcing its shutdown a server may still get requests; see ServerAvailability.
     Milliseconds drainTime {2000};
 };
 
@@ -42,6 +43,8 @@
     [[nodiscard]] std::vector<ObservedSpeed> takeSpeeds();
     /// Number of unanswered requests.
     [[nodiscard]] std::size_t requestsInFlight() const noexcept { return m_jobs.size() + m_heldRequests.size(); }
+    /// Whether a SendToServer effect that has waited, e.g. for a connection, may still be executed at @p now.
+    [[nodiscard]] bool maySend(std::uint64_t dispatch, MonotonicTime now) const;
     /// Next time at which a GatewayTick is due; nothing while there are no requests.
     [[nodiscard]] std::optional<MonotonicTime> nextWake() const;
 
@@ -50,8 +53,10 @@
         ListedServer listed;
         ServerObservation observation;
         std::uint32_t otherInstancesInFlight = 0; ///< Requests from other instances, as of the last report.
+        ServerAvailability availability;
+        std::uint32_t run = 0; ///< Number of the server's run under its id, among those that were listed here.
         bool isListed = false; ///< In the latest list.
-        std::optional<MonotonicTime> drainingSince; ///< When it was first listed as draining.
+        MonotonicTime unlistedAt; ///< When it was last missing from a list for the first time.
         MonotonicTime warmUpEndsAt; ///< End of its slow start.
     };
 
@@ -64,7 +69,9 @@
     struct Dispatch {
         std::uint64_t number = 0;
         std::string server;
+        std::uint32_t serverRun = 0; ///< Server::run at the dispatch.
         MonotonicTime startedAt;
+        bool firstAfterPause = false; ///< ServerAvailability::onDispatched().
     };
 
     /// An unanswered request, or one that must finish although its caller has disconnected.
@@ -106,6 +113,7 @@
     void handle(RangeTableChanged&& event);
     void handle(ServerLoadsReported&& event);
     void handle(InstanceCountChanged&& event);
+    void handle(MachineSuspended&& event);
     void handle(GatewayTick&& event);
 
     /// @name Requests that arrived before the first configuration and server list
@@ -137,7 +145,10 @@
     /// Removes a dispatch that ended from its job. Returns a null job when the dispatch was cancelled before.
     [[nodiscard]] std::pair<Job*, Dispatch> removeDispatch(std::uint64_t number);
     [[nodiscard]] std::optional<SelectedServer> chooseServer(const Job& job, std::vector<Server*>& eligibleServers);
-    [[nodiscard]] bool isOutOfService(const Server& server) const;
+    /// Applies the end of @p dispatch to its server, unless the server has started again since.
+    void endDispatch(const Dispatch& dispatch);
+    [[nodiscard]] static RequestScope scopeOf(const Job& job) noexcept;
+    [[nodiscard]] bool mustRemember(const Server& server) const;
     [[nodiscard]] ServerCandidate candidateOf(const Server& server) const;
     [[nodiscard]] RequestTiming timingOf(const Job& job);
     [[nodiscard]] Milliseconds typicalLatencyOf(const Job& job);
--- a/src/gateway/server_observation.cpp
+++ b/src/gateway/server_observation.cpp
@@ -14,9 +14,6 @@
 constexpr double successWeight = 0.1;
 /// A latency counts as at most this multiple of the typical one, because the work per request varies.
 constexpr double maxLatencyRatio = 6;
-/// Pause before an unreachable server is tried again; doubles with each failure in a row.
-constexpr Milliseconds initialPause {300};
-constexpr std::uint32_t maxPauseDoublings = 3;
 
 } // namespace
 
@@ -41,7 +38,6 @@
     ++m_answers;
     m_latencyRatioSum += std::min(ratio, maxLatencyRatio);
     m_failures.observe(0, successWeight, now);
-    m_consecutiveUnreachable = 0;
 }
 
 ServerObservation::Speed ServerObservation::takeSpeed() noexcept
@@ -65,10 +61,4 @@
 
 void ServerObservation::recordFailure(MonotonicTime now) noexcept { m_failures.observe(1, failureWeight, now); }
 
-void ServerObservation::recordUnreachable(MonotonicTime now) noexcept
-{
-    m_unreachableUntil = now + initialPause * (1U << std::min(m_consecutiveUnreachable, maxPauseDoublings));
-    ++m_consecutiveUnreachable;
-}
-
 } // namespace jasminespread
--- a/src/gateway/server_observation.h
+++ b/src/gateway/server_observation.h
@@ -42,8 +42,6 @@
     void recordRefusal(MonotonicTime now) noexcept;
     /// A request failed that the server may have executed.
     void recordFailure(MonotonicTime now) noexcept;
-    /// No connection could be opened, or another server answered at the address.
-    void recordUnreachable(MonotonicTime now) noexcept;
     void recordEnd() noexcept { --m_inFlight; }
 
     /// Number of answers and their mean latency in multiples of the typical one.
@@ -59,8 +57,6 @@
     [[nodiscard]] double slowness(MonotonicTime now) const noexcept { return m_slowness.at(now); }
     /// Share of requests that fail or are rejected, from 0 to 1.
     [[nodiscard]] double failureShare(MonotonicTime now) const noexcept { return m_failures.at(now); }
-    /// False during the pause that follows recordUnreachable().
-    [[nodiscard]] bool isReachable(MonotonicTime now) const noexcept { return now >= m_unreachableUntil; }
 
 private:
     DecayingValue m_slowness {1, Milliseconds(4000)};
@@ -68,8 +64,6 @@
     std::uint32_t m_answers = 0; ///< Since the last call of takeSpeed().
     double m_latencyRatioSum = 0; ///< Of these answers: sum of latencies in multiples of the typical one.
     std::uint32_t m_inFlight = 0;
-    std::uint32_t m_consecutiveUnreachable = 0;
-    MonotonicTime m_unreachableUntil;
 };
 
 } // namespace jasminespread
--- a/tests/gateway_policies_test.cpp
+++ b/tests/gateway_policies_test.cpp
@@ -139,16 +139,6 @@
     EXPECT_LT(observation.failureShare(start + 20s), 0.05);
 }
 
-TEST(ServerObservationTest, PausesGrowWhileAServerIsUnreachable)
-{
-    ServerObservation observation;
-    observation.recordUnreachable(start);
-    EXPECT_FALSE(observation.isReachable(start + 200ms));
-    EXPECT_TRUE(observation.isReachable(start + 300ms));
-    observation.recordUnreachable(start + 300ms);
-    EXPECT_FALSE(observation.isReachable(start + 800ms));
-}
-
 /// Guards against giving a slot to a request that cannot finish before its deadline.
 TEST(AdmissionTest, RefusesRequestsThatWouldMissTheDeadline)
 {
--- a/tests/gateway_reducer_test.cpp
+++ b/tests/gateway_reducer_test.cpp
@@ -57,9 +57,9 @@
         return listed;
     }
 
-    void list(ServerList servers)
+    void list(ServerList servers, std::optional<Milliseconds> maxChangeAge = 0ms)
     {
-        (void)apply(ServersListed {std::make_shared<const ServerList>(std::move(servers))});
+        (void)apply(ServersListed {std::make_shared<const ServerList>(std::move(servers)), maxChangeAge});
     }
 
     GatewayEffects apply(GatewayEvent event) { return m_reducer.reduce({m_now, std::move(event)}); }
@@ -327,12 +327,12 @@
         routeTo({"owner", 1}, 1);
     }
 
-    void listOwner(ListedServerState state)
+    void listOwner(ListedServerState state, std::optional<Milliseconds> maxChangeAge = 0ms)
     {
         ListedServer owner = server("owner", "domain-a", "west");
         owner.service = "planner";
         owner.state = state;
-        list({owner});
+        list({owner}, maxChangeAge);
     }
 
     GatewayEffects routeTo(const ServerIdentity& identity, std::uint64_t version)
@@ -387,13 +387,74 @@
 /// Guards against requests to an owner that has been draining for long, when the move of its keys is late.
 TEST_F(KeyedGatewayTest, StopsSendingToADrainingOwner)
 {
-    listOwner(ListedServerState::Draining);
+    listOwner(ListedServerState::Draining, 800ms);
     m_now += 500ms;
     EXPECT_NE(find<SendToServer>(sendRequest(1, "/plan/x", 42)), nullptr);
     m_now += 600ms;
     EXPECT_EQ(find<SendToServer>(sendRequest(2, "/plan/x", 42)), nullptr);
 }
 
+/// Guards against a send that was decided in time, waited for a connection and would arrive after the drain time.
+TEST_F(KeyedGatewayTest, ARequestThatWaitedTooLongForADrainingOwnerIsWithheld)
+{
+    listOwner(ListedServerState::Draining, 1600ms);
+    const GatewayEffects sent = sendRequest(1, "/plan/x", 42);
+    ASSERT_NE(find<SendToServer>(sent), nullptr);
+    const std::uint64_t dispatch = find<SendToServer>(sent)->dispatch;
+    EXPECT_TRUE(m_reducer.maySend(dispatch, m_now + 100ms));
+    m_now += 200ms;
+    EXPECT_FALSE(m_reducer.maySend(dispatch, m_now));
+    const GatewayEffects withheld = apply(SendFailed {dispatch, SendFailure::Withheld, ""});
+    EXPECT_EQ(find<SendToServer>(withheld), nullptr);
+    // It waits for the next owner as one that arrives now does.
+    m_now += 50ms;
+    ListedServer next = server("next", "domain-a", "west");
+    next.service = "planner";
+    list({next});
+    EXPECT_NE(find<SendToServer>(routeTo({"next", 1}, 2)), nullptr);
+}
+
+/// Guards against work for a leaving server that was chosen before it left and got its connection afterwards.
+TEST_F(GatewayReducerTest, ARequestThatWaitedWhileItsServerBeganToDrainGoesToAnother)
+{
+    const GatewayEffects sent = sendRequest(1, "/order/x");
+    ASSERT_EQ(find<SendToServer>(sent)->server.identity.id, "near");
+    ListedServer draining = server("near", "domain-a", "west");
+    draining.state = ListedServerState::Draining;
+    list({draining, server("far", "domain-c", "east")});
+    const std::uint64_t dispatch = find<SendToServer>(sent)->dispatch;
+    EXPECT_FALSE(m_reducer.maySend(dispatch, m_now));
+    const GatewayEffects again = apply(SendFailed {dispatch, SendFailure::Withheld, ""});
+    ASSERT_NE(find<SendToServer>(again), nullptr);
+    EXPECT_EQ(find<SendToServer>(again)->server.identity.id, "far");
+}
+
+/// Guards against requests in flight of a server's earlier run that are subtracted from those of its next run.
+TEST_F(GatewayReducerTest, ARestartUnderTheSameIdKeepsTheCountOfRequestsInFlight)
+{
+    const GatewayEffects sent = sendRequest(1, "/read/x");
+    ASSERT_EQ(find<SendToServer>(sent)->server.identity.id, "near");
+    ListedServer restarted = server("near", "domain-a", "west");
+    restarted.identity.startedAtUnixMs = 2;
+    list({restarted});
+    (void)apply(SendFailed {find<SendToServer>(sent)->dispatch, SendFailure::MayHaveRun, "reset"});
+    for (const ObservedSpeed& speed : m_reducer.takeSpeeds()) {
+        EXPECT_LE(speed.inFlight, 1U) << speed.server;
+    }
+    EXPECT_NE(find<SendToServer>(sendRequest(2, "/read/x")), nullptr);
+}
+
+/// Guards against a server that is used again although it has left: a list lacks it and a later one has it as ready.
+TEST_F(KeyedGatewayTest, AnOwnerThatWasDrainingBeforeItWasUnlistedKeepsItsDrainTime)
+{
+    listOwner(ListedServerState::Draining, 500ms);
+    m_now += 1s;
+    list({});
+    m_now += 1s;
+    listOwner(ListedServerState::Draining);
+    EXPECT_EQ(find<SendToServer>(sendRequest(1, "/plan/x", 42)), nullptr);
+}
+
 /// Guards against a range table of an earlier leader replacing a newer one.
 TEST_F(KeyedGatewayTest, IgnoresAnOlderRangeTable)
 {
