Servers' own statements decide whether they get requests: Server-Leaving and Retry-After

Cause: no code read Server-Leaving, and Retry-After of a server's 503 only lowered a score that decays within seconds. Both rules bind an instance by itself, so they cannot be met through the store or the leader. Change: the adapter reads both from answers that are the called server's own (request id repeated, verified, not 421; exactly 1; seconds with a fraction, bounded). ServerAvailability joins them with the listed state of the same run: - Leaving: no new work from the first such answer on; the owner of a key serves on within the drain time, counted from when the answered request was sent. No list undoes it, a start under the same id does. - Pause: nothing until its end plus up to a fifth (at most 0.5 s) so that instances return spread out, then one request first. At most 30 s a statement. Requests go elsewhere within the retry budget; for a key as many wait as its owner has slots if they can finish in time, the others are refused at once with the end of the pause as Retry-After. If all servers of a service pause, requests are refused at once. Events 304 and 305, a counter by statement.

--- a/include/jasminespread/log_event.h
+++ b/include/jasminespread/log_event.h
@@ -33,6 +33,8 @@
     PeerSilent = 301,
     PeerMessageRejected = 302,
     ServerListChanged = 303,
+    ServerLeavingStated = 304,
+    ServerPauseRequested = 305,
     GroupTakenOver = 400,
     GroupLost = 401,
     AuthorityLapsed = 402,
@@ -62,7 +64,7 @@
     std::string_view meaning;
 };
 
-inline constexpr std::array<LogEventInfo, 32> logEventCatalogue {{
+inline constexpr std::array<LogEventInfo, 34> logEventCatalogue {{
     {LogEvent::ProcessStarted, LogLevel::Info, "process-started", "The process listens on all its addresses."},
     {LogEvent::ProcessStopping, LogLevel::Info, "process-stopping",
         "A stop was requested; requests in flight are drained."},
@@ -82,6 +84,10 @@
         "A message from an unknown address or with unreadable content was dropped."},
     {LogEvent::ServerListChanged, LogLevel::Info, "server-list-changed",
         "A backend server was added, is leaving, or is no longer listed; how long ago that can have been at most."},
+    {LogEvent::ServerLeavingStated, LogLevel::Info, "server-leaving-stated",
+        "A backend server stated in an answer that it is shutting down; it gets no new work."},
+    {LogEvent::ServerPauseRequested, LogLevel::Info, "server-pause-requested",
+        "A backend server refused a request and asked for a pause; it gets no requests until its end."},
     {LogEvent::GroupTakenOver, LogLevel::Info, "group-taken-over", "This instance became primary of a group."},
     {LogEvent::GroupLost, LogLevel::Warning, "group-lost", "Another instance became primary of a group."},
     {LogEvent::AuthorityLapsed, LogLevel::Warning, "authority-lapsed",
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -414,6 +414,17 @@
                 + " decision=" + std::string(effect.decision) + " why=\"" + effect.reason + "\"");
     }
 
+    void execute(RecordServerStatement&& effect)
+    {
+        m_gatewayMetrics.recordServerStatement(effect);
+        const std::string server = "server=" + effect.server.id + " id=" + effect.requestId;
+        if (effect.pause) {
+            logEvent(LogEvent::ServerPauseRequested, server + " pause-ms=" + std::to_string(effect.pause->count()));
+        } else {
+            logEvent(LogEvent::ServerLeavingStated, server);
+        }
+    }
+
     void onReducerTimer()
     {
         const LoopMonitor::Step step(m_monitor, "request-timer");
--- a/src/gateway/gateway_event.h
+++ b/src/gateway/gateway_event.h
@@ -139,6 +139,13 @@
 /// RecordDecision::decision of a request that got the answer of a backend server.
 inline constexpr std::string_view answeredDecision = "answered";
 
+/// A server stated something of itself in an answer that changes whether it gets requests.
+struct RecordServerStatement {
+    ServerIdentity server;
+    std::string requestId; ///< The request that it answered.
+    std::optional<Milliseconds> pause; ///< The pause that it asks for; nothing: it is shutting down.
+};
+
 /// Logs one decision about a request.
 struct RecordDecision {
     std::string requestId;
@@ -156,7 +163,8 @@
     std::uint16_t key = 0;
 };
 
-using GatewayEffect = std::variant<AnswerRequest, SendToServer, CancelSend, RecordDecision, CountKey>;
+using GatewayEffect
+    = std::variant<AnswerRequest, SendToServer, CancelSend, RecordDecision, RecordServerStatement, CountKey>;
 using GatewayEffects = std::vector<GatewayEffect>;
 /// @}
 
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -22,6 +22,17 @@
     seconds->record(std::chrono::duration<double>(decision.age).count());
 }
 
+void GatewayMetrics::recordServerStatement(const RecordServerStatement& statement)
+{
+    MetricsRegistry::Counter*& counter = statement.pause ? m_requestedPauses : m_statedShutdowns;
+    if (counter == nullptr) {
+        counter = &m_registry.counter("jasminespread_gateway_server_statements_total",
+            statement.pause ? "statement=\"pause\"" : "statement=\"leaving\"",
+            "Answers in which a server asked for a pause, or first stated that it is shutting down.");
+    }
+    counter->add();
+}
+
 void GatewayMetrics::recordStoreCall(std::string_view purpose)
 {
     auto it = m_storeCalls.find(purpose);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -21,6 +21,8 @@
     }
 
     void recordDecision(const RecordDecision& decision);
+    /// Counts an answer in which a server asks for a pause, or first states that it is shutting down.
+    void recordServerStatement(const RecordServerStatement& statement);
     /// Counts a call to the platform's store.
     void recordStoreCall(std::string_view purpose);
 
@@ -28,6 +30,8 @@
     MetricsRegistry& m_registry;
     std::map<std::pair<std::string, std::string_view>, MetricsRegistry::Counter*>
         m_decisions; ///< By service, decision.
+    MetricsRegistry::Counter* m_requestedPauses = nullptr;
+    MetricsRegistry::Counter* m_statedShutdowns = nullptr;
     std::map<std::string, MetricsRegistry::Histogram*> m_seconds; ///< By service.
     std::map<std::string, MetricsRegistry::Counter*, std::less<>> m_storeCalls; ///< By purpose.
 };
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -3,6 +3,7 @@
 #include "gateway/admission.h"
 
 #include <algorithm>
+#include <cmath>
 #include <utility>
 
 namespace jasminespread {
@@ -75,6 +76,17 @@
     return speeds;
 }
 
+std::vector<ServerIdentity> GatewayReducer::leavingServers() const
+{
+    std::vector<ServerIdentity> leaving;
+    for (const auto& [id, server] : m_servers) {
+        if (server.isListed && server.availability.hasStatedLeaving()) {
+            leaving.push_back(server.listed.identity);
+        }
+    }
+    return leaving;
+}
+
 std::optional<MonotonicTime> GatewayReducer::nextWake() const
 {
     std::optional<MonotonicTime> next;
@@ -183,6 +195,9 @@
     Server& server = m_servers.at(dispatch.server);
     const Milliseconds latency = std::chrono::duration_cast<Milliseconds>(m_now - dispatch.startedAt);
     ServerAnswer& answer = event.answer;
+    if (server.run == dispatch.serverRun) {
+        observeStatements(job, dispatch, server, answer);
+    }
     if (answer.execution == Execution::NotOwner) {
         job.notOwnerTableVersion
             = job.keyed && serviceOf(job.service).ranges ? serviceOf(job.service).ranges->version : 0;
@@ -224,6 +239,21 @@
     deliver(job, std::move(answer));
 }
 
+void GatewayReducer::observeStatements(
+    const Job& job, const Dispatch& dispatch, Server& server, const ServerAnswer& answer)
+{
+    if (answer.statesLeaving) {
+        if (!server.availability.hasStatedLeaving()) {
+            m_effects.emplace_back(RecordServerStatement {server.listed.identity, job.request->id, std::nullopt});
+        }
+        server.availability.onLeavingStated(dispatch.startedAt);
+    }
+    if (answer.requestedPause) {
+        server.availability.onPauseRequested(*answer.requestedPause, random(), m_now);
+        m_effects.emplace_back(RecordServerStatement {server.listed.identity, job.request->id, answer.requestedPause});
+    }
+}
+
 void GatewayReducer::handle(SendFailed&& event)
 {
     const auto [found, dispatch] = removeDispatch(event.dispatch);
@@ -391,6 +421,7 @@
 void GatewayReducer::advance(Job& job)
 {
     m_waitingForOwner.erase(job.number);
+    releaseHold(job);
     if (job.keyed) {
         advanceKeyed(job);
     } else {
@@ -404,11 +435,17 @@
     const RangeRoute* route = ranges ? findRangeRoute(*ranges, *job.request->key) : nullptr;
     const ServerIdentity* owner = route == nullptr || route->owner.id.empty() ? nullptr : &route->owner;
     const auto server = owner == nullptr ? m_servers.end() : m_servers.find(owner->id);
-    const bool ownerUsable = owner != nullptr && server != m_servers.end() && server->second.listed.identity == *owner
-        && server->second.availability.decide(RequestScope::OwnerOnly, m_now).available();
+    const bool ownerKnown = owner != nullptr && server != m_servers.end() && server->second.listed.identity == *owner;
+    const ServerAvailability::Decision decision = ownerKnown
+        ? server->second.availability.decide(RequestScope::OwnerOnly, m_now)
+        : ServerAvailability::Decision {ServerBlock::NotListed, MonotonicTime::max()};
+    const bool ownerUsable = decision.available();
     const bool rejectedAsNotOwner
         = ranges && job.notOwnerTableVersion == ranges->version && job.notOwnerTableVersion != 0;
     const RequestTiming timing = timingOf(job);
+    if (decision.block == ServerBlock::Pausing || decision.block == ServerBlock::AwaitingFirstAnswer) {
+        return holdForOwner(job, server->second, decision.until);
+    }
     if (!ownerUsable || rejectedAsNotOwner) {
         const bool moving = route != nullptr && route->moving;
         if (job.waitingForOwnerSince == MonotonicTime()) {
@@ -433,10 +470,36 @@
     dispatch(job, server->second);
 }
 
+void GatewayReducer::holdForOwner(Job& job, Server& owner, MonotonicTime until)
+{
+    // After the pause the server takes as many requests at a time as it has slots; the others would only wait longer.
+    const bool canWait = until - m_now <= maxOwnerWait(timingOf(job), true) && owner.heldRequests < owner.listed.slots;
+    if (!canWait) {
+        return refuse(job, "the owner of the key asked for a pause", retryAfterPause(until));
+    }
+    job.heldFor = owner.listed.identity.id;
+    ++owner.heldRequests;
+    m_waitingForOwner.insert(job.number);
+    setWake(job, until);
+}
+
+void GatewayReducer::releaseHold(Job& job)
+{
+    const auto owner = m_servers.find(std::exchange(job.heldFor, {}));
+    if (owner != m_servers.end()) {
+        --owner->second.heldRequests;
+    }
+}
+
 void GatewayReducer::advancePooled(Job& job)
 {
     std::vector<Server*> eligibleServers;
     const std::optional<SelectedServer> selected = chooseServer(job, eligibleServers);
+    if (!selected && eligibleServers.empty()) {
+        if (const std::optional<MonotonicTime> pauseEnd = firstPauseEnd(job)) {
+            return refuse(job, "the backend servers asked for a pause", retryAfterPause(*pauseEnd));
+        }
+    }
     if (!selected) {
         return refuse(job, "no backend server of the service can take the request",
             retryAfterFor(job, timingOf(job).latencyObjective));
@@ -469,6 +532,28 @@
     return selectServer(candidates, timingOf(job), jitter);
 }
 
+std::optional<MonotonicTime> GatewayReducer::firstPauseEnd(const Job& job) const
+{
+    std::optional<MonotonicTime> first;
+    const auto pool = m_serverPools.find(job.service);
+    for (const std::string& id : pool == m_serverPools.end() ? std::vector<std::string>() : pool->second) {
+        const ServerAvailability::Decision decision
+            = m_servers.at(id).availability.decide(RequestScope::AnyServer, m_now);
+        if (decision.block == ServerBlock::Pausing) {
+            first = std::min(first.value_or(decision.until), decision.until);
+        }
+    }
+    return first;
+}
+
+/// Retry-After for callers that are refused until the end of a pause. They return spread over a second such time,
+/// because the servers take requests again one by one.
+Milliseconds GatewayReducer::retryAfterPause(MonotonicTime until)
+{
+    const double waitMs = std::chrono::duration<double, std::milli>(until - m_now).count();
+    return Milliseconds(static_cast<std::int64_t>(std::ceil(std::max(1.0, waitMs * (1 + random())))));
+}
+
 RequestScope GatewayReducer::scopeOf(const Job& job) noexcept
 {
     return job.keyed ? RequestScope::OwnerOnly : RequestScope::AnyServer;
@@ -713,6 +798,7 @@
     }
     m_wakes.erase({job.wakeAt, job.number});
     m_waitingForOwner.erase(job.number);
+    releaseHold(job);
     m_jobs.erase(job.number);
 }
 
--- a/src/gateway/gateway_reducer.h
+++ b/src/gateway/gateway_reducer.h
@@ -41,6 +41,8 @@
     [[nodiscard]] GatewayEffects reduce(TimedGatewayEvent event);
     /// Returns the observed speeds since the last call and the requests in flight, for each server that has either.
     [[nodiscard]] std::vector<ObservedSpeed> takeSpeeds();
+    /// Returns the listed servers that have stated that they are shutting down.
+    [[nodiscard]] std::vector<ServerIdentity> leavingServers() const;
     /// Number of unanswered requests.
     [[nodiscard]] std::size_t requestsInFlight() const noexcept { return m_jobs.size() + m_heldRequests.size(); }
     /// Whether a SendToServer effect that has waited, e.g. for a connection, may still be executed at @p now.
@@ -54,6 +56,7 @@
         ServerObservation observation;
         std::uint32_t otherInstancesInFlight = 0; ///< Requests from other instances, as of the last report.
         ServerAvailability availability;
+        std::uint32_t heldRequests = 0; ///< Requests that wait for the end of its pause.
         std::uint32_t run = 0; ///< Number of the server's run under its id, among those that were listed here.
         bool isListed = false; ///< In the latest list.
         MonotonicTime unlistedAt; ///< When it was last missing from a list for the first time.
@@ -94,6 +97,7 @@
         bool mayHaveRun = false; ///< An earlier dispatch may have been executed.
         std::optional<ServerAnswer> lastServerFailure; ///< Latest answer of a server that reports a failure.
         MonotonicTime waitingForOwnerSince; ///< When its key was first found without a usable owner; zero before.
+        std::string heldFor; ///< Owner of its key that pauses, while it waits for the end of the pause.
         /// Version of the range table when a server answered that it does not own the key; 0: none.
         std::uint64_t notOwnerTableVersion = 0;
     };
@@ -129,6 +133,9 @@
     void advance(Job& job);
     void advanceKeyed(Job& job);
     void advancePooled(Job& job);
+    /// Makes a request wait for the end of its owner's pause, or refuses it.
+    void holdForOwner(Job& job, Server& owner, MonotonicTime until);
+    void releaseHold(Job& job);
     void dispatch(Job& job, Server& server);
     void hedge(Job& job);
     void retry(Job& job, std::string_view message);
@@ -144,6 +151,8 @@
 
     /// Removes a dispatch that ended from its job. Returns a null job when the dispatch was cancelled before.
     [[nodiscard]] std::pair<Job*, Dispatch> removeDispatch(std::uint64_t number);
+    /// Applies what the server states of itself in an answer.
+    void observeStatements(const Job& job, const Dispatch& dispatch, Server& server, const ServerAnswer& answer);
     [[nodiscard]] std::optional<SelectedServer> chooseServer(const Job& job, std::vector<Server*>& eligibleServers);
     /// Applies the end of @p dispatch to its server, unless the server has started again since.
     void endDispatch(const Dispatch& dispatch);
@@ -154,6 +163,9 @@
     [[nodiscard]] Milliseconds typicalLatencyOf(const Job& job);
     [[nodiscard]] bool tryAcquireRetry(Job& job);
     [[nodiscard]] Milliseconds remainingTime(const Job& job) const;
+    /// When the first server of the job's service takes requests again that pauses now; nothing if none pauses.
+    [[nodiscard]] std::optional<MonotonicTime> firstPauseEnd(const Job& job) const;
+    [[nodiscard]] Milliseconds retryAfterPause(MonotonicTime until);
     [[nodiscard]] Milliseconds retryAfterFor(const Job& job, Milliseconds expectedLatency);
     [[nodiscard]] Service& serviceOf(const std::string& name);
     [[nodiscard]] double random() { return std::uniform_real_distribution<double>(0, 1)(m_random); }
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -49,6 +49,11 @@
     Execution execution = Execution::MayHaveRun;
     /// False for a success without proof that it is a backend server's own answer, complete and unchanged.
     bool verified = true;
+    /// @name What the server states of itself, in an answer that is known to be its own
+    /// @{
+    bool statesLeaving = false; ///< It is shutting down.
+    std::optional<Milliseconds> requestedPause; ///< It wants no further requests for this time, which is positive.
+    /// @}
 };
 
 } // namespace jasminespread
--- a/tests/gateway_reducer_test.cpp
+++ b/tests/gateway_reducer_test.cpp
@@ -3,6 +3,8 @@
 #include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
+#include <set>
+
 namespace jasminespread {
 namespace {
 
@@ -475,6 +477,178 @@
     EXPECT_TRUE(find<SendToServer>(second)->repeated);
 }
 
+/// What servers state of themselves in their answers.
+class ServerStatementTest : public KeyedGatewayTest {
+protected:
+    ServerStatementTest() { listAll(); }
+
+    /// Two pooled servers and the owner of all keys, all ready.
+    void listAll()
+    {
+        ListedServer owner = server("owner", "domain-a", "west");
+        owner.service = "planner";
+        list({server("near", "domain-a", "west"), server("far", "domain-c", "east"), owner});
+    }
+
+    static ServerAnswer leavingAnswer()
+    {
+        ServerAnswer leaving = answer(200);
+        leaving.statesLeaving = true;
+        return leaving;
+    }
+
+    static ServerAnswer refusalWithPause(Milliseconds pause)
+    {
+        ServerAnswer refusal = answer(503, Execution::NotRun);
+        refusal.requestedPause = pause;
+        return refusal;
+    }
+
+    /// Server that a new request goes to; empty: none.
+    std::string serverOf(std::uint64_t caller, const std::string& path, std::optional<std::uint16_t> key = std::nullopt)
+    {
+        const GatewayEffects effects = sendRequest(caller, path, key);
+        const SendToServer* sent = find<SendToServer>(effects);
+        return sent == nullptr ? "" : sent->server.identity.id;
+    }
+
+    /// Sends a request and answers it with @p answer; returns the effects of the answer.
+    GatewayEffects exchange(std::uint64_t caller, const std::string& path, ServerAnswer answer,
+        std::optional<std::uint16_t> key = std::nullopt)
+    {
+        const GatewayEffects effects = sendRequest(caller, path, key);
+        return apply(ServerAnswered {find<SendToServer>(effects)->dispatch, std::move(answer)});
+    }
+};
+
+/// Guards against new work for a server that has said itself that it leaves while every list has it as ready.
+TEST_F(ServerStatementTest, AServerThatStatesThatItLeavesGetsNoNewWork)
+{
+    const GatewayEffects earlier = sendRequest(1, "/order/x");
+    const GatewayEffects effects = exchange(2, "/read/x", leavingAnswer());
+    EXPECT_EQ(find<AnswerRequest>(effects)->status, 200U);
+    ASSERT_NE(find<RecordServerStatement>(effects), nullptr);
+    EXPECT_EQ(find<RecordServerStatement>(effects)->server.id, "near");
+    EXPECT_EQ(serverOf(3, "/read/x"), "far");
+    EXPECT_THAT(m_reducer.leavingServers(), testing::ElementsAre(ServerIdentity {"near", 1}));
+    listAll();
+    EXPECT_EQ(serverOf(4, "/read/x"), "far");
+    list({});
+    listAll();
+    EXPECT_EQ(serverOf(5, "/read/x"), "far");
+    // A request that was sent before is let finish.
+    EXPECT_EQ(find<CancelSend>(effects), nullptr);
+    EXPECT_EQ(
+        find<AnswerRequest>(apply(ServerAnswered {find<SendToServer>(earlier)->dispatch, leavingAnswer()}))->status,
+        200U);
+}
+
+/// Guards against a statement of an earlier run that stops requests to the server after it has started again.
+TEST_F(ServerStatementTest, ARestartUnderTheSameIdEndsWhatTheServerStated)
+{
+    const GatewayEffects earlier = sendRequest(1, "/order/x");
+    (void)exchange(2, "/read/x", leavingAnswer());
+    ListedServer restarted = server("near", "domain-a", "west");
+    restarted.identity.startedAtUnixMs = 2;
+    list({restarted, server("far", "domain-c", "east")});
+    EXPECT_EQ(serverOf(3, "/read/x"), "near");
+    EXPECT_TRUE(m_reducer.leavingServers().empty());
+    (void)apply(ServerAnswered {find<SendToServer>(earlier)->dispatch, leavingAnswer()});
+    EXPECT_EQ(serverOf(4, "/read/x"), "near");
+}
+
+/// Guards against requests to a leaving owner later than the drain time after it said so, with the store away.
+TEST_F(ServerStatementTest, AnOwnerThatStatesThatItLeavesServesOnWithinTheDrainTime)
+{
+    (void)exchange(1, "/plan/x", leavingAnswer(), 42);
+    m_now += 1500ms;
+    EXPECT_EQ(serverOf(2, "/plan/x", 42), "owner");
+    m_now += 500ms;
+    EXPECT_EQ(serverOf(3, "/plan/x", 42), "");
+}
+
+/// Guards against requests to a server in the time for which it wants none: they go elsewhere.
+TEST_F(ServerStatementTest, ARefusedRequestGoesElsewhereDuringThePause)
+{
+    const GatewayEffects effects = exchange(1, "/order/x", refusalWithPause(2s));
+    ASSERT_NE(find<SendToServer>(effects), nullptr);
+    EXPECT_EQ(find<SendToServer>(effects)->server.identity.id, "far");
+    for (std::uint64_t caller = 2; caller < 20; ++caller) {
+        const GatewayEffects sent = sendRequest(caller, "/read/x");
+        ASSERT_NE(find<SendToServer>(sent), nullptr);
+        EXPECT_EQ(find<SendToServer>(sent)->server.identity.id, "far");
+        (void)apply(ServerAnswered {find<SendToServer>(sent)->dispatch, answer(200)});
+        m_now += 100ms;
+    }
+}
+
+/// Guards against waiting for a pause, or a return of all callers at once, when every server of a service pauses.
+TEST_F(ServerStatementTest, WhenAllServersPauseRequestsAreRefusedUntilAfterThePause)
+{
+    const GatewayEffects first = exchange(1, "/order/x", refusalWithPause(2s));
+    const GatewayEffects second = apply(ServerAnswered {find<SendToServer>(first)->dispatch, refusalWithPause(3s)});
+    ASSERT_NE(find<AnswerRequest>(second), nullptr);
+    EXPECT_EQ(find<AnswerRequest>(second)->origin, AnswerOrigin::Refusal);
+    std::set<Milliseconds> retryTimes;
+    for (std::uint64_t caller = 2; caller < 12; ++caller) {
+        const GatewayEffects effects = sendRequest(caller, "/read/x");
+        ASSERT_NE(find<AnswerRequest>(effects), nullptr);
+        EXPECT_EQ(find<AnswerRequest>(effects)->status, 503U);
+        EXPECT_GE(find<AnswerRequest>(effects)->retryAfter, 2s);
+        retryTimes.insert(find<AnswerRequest>(effects)->retryAfter);
+    }
+    EXPECT_GT(retryTimes.size(), 5U);
+}
+
+/// Guards against more than one request at a time to a server whose pause has just ended.
+TEST_F(ServerStatementTest, AfterThePauseOneRequestGoesFirst)
+{
+    (void)exchange(1, "/read/x", refusalWithPause(1s));
+    m_now += 1300ms;
+    const GatewayEffects first = sendRequest(2, "/read/x");
+    ASSERT_EQ(find<SendToServer>(first)->server.identity.id, "near");
+    EXPECT_EQ(serverOf(3, "/read/x"), "far");
+    (void)apply(ServerAnswered {find<SendToServer>(first)->dispatch, answer(200)});
+    EXPECT_EQ(serverOf(4, "/read/x"), "near");
+}
+
+/// Guards against refusing a request for a key whose owner takes it again in time, and against sending it earlier.
+TEST_F(ServerStatementTest, ARequestForAKeyWaitsForAShortPauseOfItsOwner)
+{
+    const GatewayEffects refused = exchange(1, "/plan/x", refusalWithPause(200ms), 42);
+    EXPECT_EQ(find<SendToServer>(refused), nullptr);
+    EXPECT_EQ(find<AnswerRequest>(refused), nullptr);
+    m_now += 190ms;
+    EXPECT_EQ(find<SendToServer>(apply(GatewayTick {})), nullptr);
+    m_now += 60ms;
+    const GatewayEffects sent = apply(GatewayTick {});
+    ASSERT_NE(find<SendToServer>(sent), nullptr);
+    EXPECT_EQ(find<SendToServer>(sent)->server.identity.id, "owner");
+}
+
+/// Guards against holding requests that the owner cannot take in time, and more than it can take after the pause.
+TEST_F(ServerStatementTest, RequestsForAKeyAreRefusedAtOnceWhenThePauseIsTooLongOrTooManyWait)
+{
+    (void)exchange(1, "/plan/x", refusalWithPause(200ms), 42);
+    unsigned refused = 0;
+    for (std::uint64_t caller = 2; caller < 12; ++caller) {
+        const GatewayEffects effects = sendRequest(caller, "/plan/x", 42);
+        EXPECT_EQ(find<SendToServer>(effects), nullptr);
+        refused += find<AnswerRequest>(effects) == nullptr ? 0 : 1;
+    }
+    EXPECT_EQ(refused, 5U); // Six wait, as many as the owner has slots.
+    (void)apply(CallerDisconnected {2});
+    EXPECT_EQ(find<AnswerRequest>(sendRequest(12, "/plan/x", 42)), nullptr);
+    m_now += 300ms;
+    const GatewayEffects first = apply(GatewayTick {});
+    ASSERT_NE(find<SendToServer>(first), nullptr);
+    const GatewayEffects longer = apply(ServerAnswered {find<SendToServer>(first)->dispatch, refusalWithPause(5s)});
+    EXPECT_EQ(find<SendToServer>(longer), nullptr);
+    const GatewayEffects late = sendRequest(13, "/plan/x", 42);
+    ASSERT_NE(find<AnswerRequest>(late), nullptr);
+    EXPECT_GE(find<AnswerRequest>(late)->retryAfter, 5s);
+}
+
 /// Guards against giving a server more time than is left for a request that waited behind others of its connection.
 TEST_F(GatewayReducerTest, TheTimeOfARequestCountsFromItsArrival)
 {
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -271,6 +271,57 @@
     EXPECT_EQ(findHeader(decodeServerAnswer(answeredWith(200, sealedHeaders)).headers, "Response-Seal"), "s");
 }
 
+/// Guards against a server that leaves because of an odd value, or because of an answer that is not its own.
+TEST(PlatformIngressTest, OnlyAServersOwnAnswerStatesThatItLeaves)
+{
+    const HeaderField id {"Request-Id", "1"};
+    const HeaderField seal {"Response-Seal", "s"};
+    const auto statesLeaving = [](unsigned status, const std::vector<HeaderField>& headers) {
+        return decodeServerAnswer(answeredWith(status, headers)).statesLeaving;
+    };
+    EXPECT_TRUE(statesLeaving(200, {id, seal, {"Server-Leaving", "1"}}));
+    EXPECT_TRUE(statesLeaving(500, {id, {"server-leaving", "1"}}));
+    EXPECT_TRUE(statesLeaving(503, {id, {"Not-Executed", "1"}, {"Server-Leaving", "1"}}));
+    for (const char* odd : {"", "0", "10", "-1", "true", "1, 1", "1;0"}) {
+        EXPECT_FALSE(statesLeaving(200, {id, seal, {"Server-Leaving", odd}})) << odd;
+    }
+    EXPECT_FALSE(statesLeaving(200, {id, {"Server-Leaving", "1"}})); // Not verified.
+    EXPECT_FALSE(statesLeaving(500, {{"Server-Leaving", "1"}}));
+    EXPECT_FALSE(statesLeaving(421, {id, {"Server-Leaving", "1"}}));
+    EXPECT_FALSE(statesLeaving(200, {id, seal}));
+    // The caller gets the field as the server sent it.
+    EXPECT_EQ(findHeader(
+                  decodeServerAnswer(answeredWith(200, {id, seal, {"Server-Leaving", "1"}})).headers, "Server-Leaving"),
+        "1");
+}
+
+/// Guards against pauses that no server asked for, and against values that stop the parser or overflow.
+TEST(PlatformIngressTest, ReadsThePauseThatAServerAsksFor)
+{
+    const HeaderField id {"Request-Id", "1"};
+    const auto pause = [&](const std::string& value) {
+        return decodeServerAnswer(answeredWith(503, {id, {"Not-Executed", "1"}, {"Retry-After", value}}))
+            .requestedPause;
+    };
+    EXPECT_EQ(pause("2"), 2000ms);
+    EXPECT_EQ(pause("0.25"), 250ms);
+    EXPECT_EQ(pause(".5"), 500ms);
+    EXPECT_EQ(pause("0.0001"), 1ms);
+    EXPECT_EQ(pause("99999999999999999999"), 1h);
+    EXPECT_EQ(pause(std::string(400, '9')), 1h);
+    for (const char* odd : {"", "0", "0.0", "-1", "+1", "1e3", "nan", "inf", "1,5", "1.5.", "0x10", "1 s", " 1", ".",
+             "Wed, 21 Oct 2026 07:28:00 GMT"}) {
+        EXPECT_EQ(pause(odd), std::nullopt) << odd;
+    }
+    const auto pauseOf = [](unsigned status, const std::vector<HeaderField>& headers) {
+        return decodeServerAnswer(answeredWith(status, headers)).requestedPause;
+    };
+    EXPECT_EQ(pauseOf(503, {id, {"Retry-After", "1"}, {"Retry-After", "x"}, {"Retry-After", "3"}}), 3000ms);
+    EXPECT_EQ(pauseOf(503, {{"Retry-After", "1"}}), std::nullopt);
+    EXPECT_EQ(pauseOf(429, {id, {"Retry-After", "1"}}), std::nullopt);
+    EXPECT_EQ(pauseOf(500, {id, {"Retry-After", "1"}}), std::nullopt);
+}
+
 TEST(PlatformIngressTest, EncodesRetryAfter)
 {
     AnswerRequest refusal;
