Keys of a server that states that it leaves move while the store still lists it as ready

Cause: only the store's list told the leader which servers leave. An instance now reports servers that have stated so in their answers, at once and with each report; the leader gives their keys to others. A statement belongs to one run of a server. The server serves on until its successor is recorded, or while there is none, so that a store that is away does not leave its keys without an owner earlier than the drain time.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -538,6 +538,8 @@
                 applyRangeEvent(KeysCounted {service, {counts.begin(), counts.end()}});
             }
             applyRangeEvent(SpeedsObserved {m_reducer.takeSpeeds()});
+            const std::vector<ServerIdentity> leaving = m_reducer.leavingServers();
+            applyRangeEvent(LeavingServersObserved {{leaving.begin(), leaving.end()}});
         }
         if (m_directory.removeExpired(now)) {
             publishServers();
--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -282,6 +282,44 @@
     }
 }
 
+void RangeAuthority::handle(LeavingServersObserved&& event)
+{
+    if (event.servers == m_ownLeavingServers) {
+        return;
+    }
+    m_ownLeavingServers = std::move(event.servers);
+    if (m_term != 0) {
+        applyLeavingServers();
+    } else {
+        m_nextReportAt = m_now;
+    }
+}
+
+/// Moves the ranges of servers that have stated to any instance that they are shutting down.
+void RangeAuthority::applyLeavingServers()
+{
+    std::set<ServerIdentity> leaving = m_leavingServers; // Still valid if the instance that reported it is lost.
+    leaving.insert(m_ownLeavingServers.begin(), m_ownLeavingServers.end());
+    for (const auto& [id, member] : m_members) {
+        leaving.insert(member.leavingServers.begin(), member.leavingServers.end());
+    }
+    std::set<ServerIdentity> listed;
+    for (const ListedServer& server : m_servers ? *m_servers : ServerList()) {
+        listed.insert(server.identity);
+    }
+    std::erase_if(leaving, [&listed](const ServerIdentity& server) { return !listed.contains(server); });
+    if (leaving == m_leavingServers) {
+        return;
+    }
+    m_leavingServers = std::move(leaving);
+    for (auto& [service, keyedService] : m_services) {
+        if (keyedService.keeper) {
+            keyedService.keeper->setLeavingServers(m_leavingServers);
+        }
+    }
+    stepServices();
+}
+
 void RangeAuthority::addSpeed(const ObservedSpeed& speed)
 {
     for (auto& [service, keyedService] : m_services) {
@@ -397,6 +435,10 @@
     for (const wire::ServerSpeed& speed : message.speeds()) {
         member.inFlight[speed.id()] = speed.in_flight();
     }
+    member.leavingServers.clear();
+    for (const wire::ServerReference& server : message.leaving_servers()) {
+        member.leavingServers.insert({server.id(), server.born_at()});
+    }
     m_tableSender.onReport(sender.id(), message, isNewProcess, m_now);
     // An earlier leader that reports this term or a later one has stopped granting, as has one that restarted.
     if (m_term != 0 && message.known_term() >= m_term && m_unconfirmedLeaders.erase(sender.id()) > 0) {
@@ -408,6 +450,7 @@
     }
     if (m_term != 0) {
         addReportedLoads(message);
+        applyLeavingServers();
         sendTableUpdates(sender.id());
     }
 }
@@ -482,6 +525,8 @@
     m_counters.term = m_term;
     m_services.clear();
     m_tableSender = RangeTableSender();
+    m_leavingServers.clear();
+    applyLeavingServers();
     const std::vector<std::string>& unconfirmed = m_leadership.leader()->unconfirmedLeaders;
     m_unconfirmedLeaders = {unconfirmed.begin(), unconfirmed.end()};
     m_earlierLeadersStoppedAt = m_now;
@@ -558,6 +603,7 @@
 {
     if (!keyedService.keeper) {
         keyedService.keeper = std::make_unique<RangeKeeper>(service, m_rangeTimes, m_counters, m_effects);
+        keyedService.keeper->setLeavingServers(m_leavingServers);
     }
     if (!keyedService.adopted) {
         if (!keyedService.readInFlight && m_now >= keyedService.nextReadAt) {
@@ -761,6 +807,11 @@
         reported.set_slowness(static_cast<float>(speed.slowness));
         reported.set_in_flight(speed.inFlight);
     }
+    for (const ServerIdentity& server : m_ownLeavingServers) {
+        wire::ServerReference& reported = *report.add_leaving_servers();
+        reported.set_id(server.id);
+        reported.set_born_at(server.startedAtUnixMs);
+    }
     for (const auto& [service, counts] : std::exchange(m_unreportedCounts, {})) {
         wire::KeyCounts& load = *report.add_loads();
         load.set_service(service);
--- a/src/ranges/range_event.h
+++ b/src/ranges/range_event.h
@@ -16,6 +16,7 @@
 #include <cstdint>
 #include <map>
 #include <memory>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -104,6 +105,11 @@
     std::vector<ObservedSpeed> speeds;
 };
 
+/// The listed servers that have stated in answers to this instance that they are shutting down.
+struct LeavingServersObserved {
+    std::set<ServerIdentity> servers;
+};
+
 /// The store became reachable or unreachable from this instance.
 struct StoreReachabilityChanged {
     bool reachable = false;
@@ -131,8 +137,8 @@
 };
 
 using RangeEvent = std::variant<RangeTick, RangeServersListed, RangeServicesConfigured, RecordRead, RecordWritten,
-    RangeCallEnded, RangePeerMessage, KeysCounted, SpeedsObserved, StoreReachabilityChanged, FeedRevisionConfirmed,
-    FeedChanged, RangeStopRequested, RangeMessageDropped>;
+    RangeCallEnded, RangePeerMessage, KeysCounted, SpeedsObserved, LeavingServersObserved, StoreReachabilityChanged,
+    FeedRevisionConfirmed, FeedChanged, RangeStopRequested, RangeMessageDropped>;
 
 /// `now` includes time in which the machine was suspended; otherwise leases would seem valid after they expired.
 struct TimedRangeEvent {
--- a/src/ranges/range_keeper.cpp
+++ b/src/ranges/range_keeper.cpp
@@ -99,7 +99,7 @@
     return it == m_listed.end() ? nullptr : it->second;
 }
 
-bool RangeKeeper::mayKeepRanges(const ServerIdentity& identity) const
+bool RangeKeeper::mayServeRanges(const ServerIdentity& identity) const
 {
     const ListedServer* server = findListed(identity);
     const auto excluded = m_excludedUntil.find(identity);
@@ -107,6 +107,11 @@
         && (excluded == m_excludedUntil.end() || excluded->second <= m_now);
 }
 
+bool RangeKeeper::mayKeepRanges(const ServerIdentity& identity) const
+{
+    return mayServeRanges(identity) && !m_leavingServers.contains(identity);
+}
+
 bool RangeKeeper::mayReceiveRanges(const ServerIdentity& identity) const
 {
     return mayKeepRanges(identity) && findListed(identity)->state == ListedServerState::Ready;
@@ -216,6 +221,10 @@
     if (!rangeState.hasTarget) {
         chooseTarget(rangeState);
     }
+    if (!rangeState.hasTarget && !rangeState.holders.empty()) {
+        // A server that only states that it is shutting down serves on while there is no other one.
+        rangeState.hasTarget = mayServeRanges(rangeState.holders.back().process.identity);
+    }
     // Until this term's first record is stored, an earlier leader can still record other holders and grant to them.
     const bool termRecorded = m_recordedGeneration > 0;
     if (rangeState.callId != 0 || m_now < rangeState.nextCallAt || !mayGrant || !termRecorded) {
@@ -225,7 +234,7 @@
     const std::size_t otherHolderCount = rangeState.holders.size() - (rangeState.hasTarget ? 1 : 0);
     if (otherHolderCount > 0) {
         // A holder keeps its range until the next holder is recorded, unless it must stop serving it.
-        const bool mustStop = !mayKeepRanges(rangeState.holders.front().process.identity);
+        const bool mustStop = !mayServeRanges(rangeState.holders.front().process.identity);
         if (recorded || mustStop) {
             revokeFrom(rangeState, rangeState.holders.front());
         }
--- a/src/ranges/range_keeper.h
+++ b/src/ranges/range_keeper.h
@@ -8,6 +8,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <unordered_map>
 #include <vector>
@@ -63,6 +64,8 @@
     /// Leases that earlier leaders granted end at @p earlierLeaseEnd at the latest.
     void limitEarlierLeases(MonotonicTime earlierLeaseEnd);
     void setServers(std::shared_ptr<const ServerList> servers);
+    /// Servers that have stated that they are shutting down, whatever their listed state; they get no ranges.
+    void setLeavingServers(std::set<ServerIdentity> servers) { m_leavingServers = std::move(servers); }
     void addLoad(std::uint16_t key, double requests) { m_load.add(key, requests); }
     /// Adds an instance's latency measurement of a server; that of another service's server has no effect.
     void addSpeed(const ObservedSpeed& speed);
@@ -117,8 +120,10 @@
     };
 
     [[nodiscard]] const ListedServer* findListed(const ServerIdentity& identity) const;
-    [[nodiscard]] bool mayKeepRanges(
+    [[nodiscard]] bool mayServeRanges(
         const ServerIdentity& identity) const; ///< It is listed, not draining and not excluded.
+    [[nodiscard]] bool mayKeepRanges(
+        const ServerIdentity& identity) const; ///< The same, and it has not stated that it is shutting down.
     [[nodiscard]] bool mayReceiveRanges(const ServerIdentity& identity) const; ///< The same, and it is ready.
     [[nodiscard]] std::vector<RangeServer> placementServers() const;
     [[nodiscard]] std::vector<PlacedRange> placedRanges(const std::vector<RangeServer>& servers) const;
@@ -152,6 +157,7 @@
     MonotonicTime m_now;
     std::shared_ptr<const ServerList> m_servers;
     std::unordered_map<std::string, const ListedServer*> m_listed; ///< Servers of the service in `m_servers`, by id.
+    std::set<ServerIdentity> m_leavingServers;
     std::map<ServerIdentity, MonotonicTime> m_excludedUntil; ///< Servers that failed to answer grants.
     std::vector<RangeState> m_ranges; ///< Sorted by key, without gaps; empty until there are servers.
     KeyLoad m_load;
--- a/tests/range_authority_test.cpp
+++ b/tests/range_authority_test.cpp
@@ -233,6 +233,43 @@
     EXPECT_GT(find<GrantRange>(granting)->fence, fence);
 }
 
+/// Guards against keys that stay with a server which has said itself that it leaves while the store lists it as ready.
+TEST_F(RangeKeeperTest, MovesTheKeysOfAServerThatStatesThatItLeaves)
+{
+    m_keeper.adopt(std::nullopt, 0, start);
+    listServers({server("a")});
+    const RangeEffects granting = stepAndStore();
+    ASSERT_NE(find<GrantRange>(granting), nullptr);
+    (void)finishCall(find<GrantRange>(granting)->callId, GrantResult::Done);
+    listServers({server("a"), server("b")});
+    m_keeper.setLeavingServers({{"a", 1}});
+    const RangeEffects releasing = stepAndStore(50ms);
+    ASSERT_NE(find<ReleaseRange>(releasing), nullptr);
+    const RangeEffects granted = finishCall(find<ReleaseRange>(releasing)->callId, GrantResult::Done, "state");
+    ASSERT_NE(find<GrantRange>(granted), nullptr);
+    EXPECT_EQ(find<GrantRange>(granted)->server, holder("b"));
+    EXPECT_EQ(find<GrantRange>(granted)->handover, "state");
+}
+
+/// Guards against keys that lose their owner before the next one can be recorded, or without a next one.
+TEST_F(RangeKeeperTest, AServerThatStatesThatItLeavesServesOnUntilTheNextOwnerIsRecorded)
+{
+    m_keeper.adopt(std::nullopt, 0, start);
+    listServers({server("a")});
+    const RangeEffects granting = stepAndStore();
+    ASSERT_NE(find<GrantRange>(granting), nullptr);
+    (void)finishCall(find<GrantRange>(granting)->callId, GrantResult::Done);
+    m_keeper.setLeavingServers({{"a", 1}});
+    (void)stepAndStore(100ms);
+    EXPECT_EQ(m_keeper.table()->routes.front().owner.id, "a");
+    listServers({server("a"), server("b")});
+    const RangeEffects writing = step(100ms); // The store does not answer.
+    EXPECT_NE(find<WriteRecord>(writing), nullptr);
+    EXPECT_EQ(find<ReleaseRange>(writing), nullptr);
+    EXPECT_EQ(find<ReleaseRange>(step(500ms)), nullptr);
+    EXPECT_EQ(m_keeper.table()->routes.front().owner.id, "a");
+}
+
 /// Guards against overwriting a record that an earlier leader wrote after this leader read it.
 TEST_F(RangeKeeperTest, DetectsARecordOfAnotherTerm)
 {
--- a/tests/support/leading_authority.h
+++ b/tests/support/leading_authority.h
@@ -39,8 +39,8 @@
         reduce(RangeServersListed {std::move(servers)});
     }
 
-    /// Sends a report of instance edge-@p index to the leader.
-    void report(std::size_t index, double fitness = 1)
+    /// Sends a report of instance edge-@p index to the leader. @p leaving: servers that it reports as shutting down.
+    void report(std::size_t index, double fitness = 1, const std::vector<ServerIdentity>& leaving = {})
     {
         wire::Envelope envelope;
         envelope.mutable_sender()->set_id("edge-" + std::to_string(index));
@@ -49,6 +49,11 @@
         report.set_address("10.0.0." + std::to_string(index) + ":7200");
         report.set_store_reachable(true);
         report.set_fitness(static_cast<float>(fitness));
+        for (const ServerIdentity& server : leaving) {
+            wire::ServerReference& reported = *report.add_leaving_servers();
+            reported.set_id(server.id);
+            reported.set_born_at(server.startedAtUnixMs);
+        }
         reduce(RangePeerMessage {std::move(envelope)});
     }
 
@@ -73,6 +78,10 @@
                 reduce(RecordWritten {write->name, now, {StoreStatus::Ok, m_version}});
             } else if (auto* grant = std::get_if<GrantRange>(&effect)) {
                 unansweredGrants.push_back(grant->callId);
+            } else if (auto* release = std::get_if<ReleaseRange>(&effect)) {
+                unansweredGrants.push_back(release->callId);
+            } else if (auto* published = std::get_if<PublishRanges>(&effect)) {
+                table = published->table;
             } else if (auto* sent = std::get_if<SendRangePeerMessage>(&effect)) {
                 if (unreachableInstances.contains(sent->to)) {
                     reduce(RangeMessageDropped {sent->to});
@@ -102,7 +111,8 @@
 
     static inline const std::string service = "archive";
     MonotonicTime now {std::chrono::hours(1)};
-    std::vector<std::uint64_t> unansweredGrants; ///< Call ids of grants that were not answered yet.
+    std::vector<std::uint64_t> unansweredGrants; ///< Call ids of grants and releases that were not answered yet.
+    std::shared_ptr<const RangeTable> table; ///< The latest one; null before the first.
     std::vector<wire::Envelope> messages; ///< Sent to other instances.
     std::size_t answeredGrants = 0;
     std::set<std::string> unreachableInstances; ///< Messages to them are dropped.
