GatewayStatementTest: real gateways beside servers that state that they leave or ask for a pause

Two gateway processes, servers that send the fields (also odd values), a store that is away, an instance paused by a signal, a server that starts again under its id. Both rules are counted from what arrives at the servers, for each gateway. The fakes' delayed steps could run after the fake had ended, when several tests run in one process; mended.

--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -7,6 +7,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <csignal>
 #include <ctime>
 #include <deque>
@@ -359,6 +360,203 @@
     EXPECT_EQ(m_deskA.executedRequests().size() + m_plannerA.executedRequests().size(), before);
 }
 
+/// Sends requests through both gateways at short intervals and compares what arrives at servers with what the servers
+/// had stated before.
+class GatewayStatementTest : public GatewayTest {
+protected:
+    /// Lets both gateways find that desk-a is the faster server, so that they prefer it.
+    GatewayStatementTest()
+    {
+        m_deskB.setServiceTime(500ms);
+        for (unsigned gateway = 0; gateway < 2; ++gateway) {
+            for (int answers = 0; answers < 5;) {
+                answers += findHeader(call(gateway, "/read/1").headers, "Server") == "desk-a" ? 1 : 0;
+            }
+        }
+        m_deskB.setServiceTime(0ms);
+    }
+
+    struct Sent {
+        unsigned gateway = 0;
+        std::string id;
+        MonotonicTime at;
+        MonotonicTime answeredAt;
+        std::shared_ptr<std::optional<BackendResult>> result;
+    };
+
+    /// Sends pooled requests and requests for @p key for @p duration and waits for the answers.
+    std::vector<Sent> load(Milliseconds duration, unsigned key)
+    {
+        std::vector<Sent> sent;
+        const MonotonicTime end = monotonicNow() + duration;
+        const auto noteAnswers = [&sent] {
+            for (Sent& request : sent) {
+                if (request.answeredAt == MonotonicTime() && request.result->has_value()) {
+                    request.answeredAt = monotonicNow();
+                }
+            }
+            return false;
+        };
+        for (unsigned i = 0; monotonicNow() < end; ++i) {
+            const unsigned gateway = i % 2;
+            const bool keyed = i % 4 >= 2;
+            const std::string id = "load-" + std::to_string(++m_requestCount);
+            sent.push_back({gateway, id, monotonicNow(), {},
+                send(gateway, keyed ? "/plan/1" : "/read/1", id,
+                    keyed ? std::optional(key) : std::optional<unsigned>())});
+            (void)runUntil(10ms, noteAnswers);
+        }
+        (void)runUntil(3s, [&] {
+            noteAnswers();
+            return std::all_of(
+                sent.begin(), sent.end(), [](const Sent& request) { return request.answeredAt != MonotonicTime(); });
+        });
+        return sent;
+    }
+
+    /// Number of requests that reached @p server from @p gateway although they were sent later than the drain time
+    /// after the gateway had passed on an answer in which the server states that it leaves.
+    static unsigned arrivalsAfterDrainTime(const std::vector<Sent>& sent, const ServerFake& server, unsigned gateway)
+    {
+        constexpr Milliseconds drainTime {2000};
+        std::optional<MonotonicTime> passedOnAt;
+        for (const Sent& request : sent) {
+            const bool states = request.gateway == gateway && request.result->has_value()
+                && findHeader(request.result->value().headers, "Server-Leaving") == "1"
+                && findHeader(request.result->value().headers, "Server") == server.id();
+            if (states) {
+                passedOnAt = std::min(passedOnAt.value_or(request.answeredAt), request.answeredAt);
+            }
+        }
+        EXPECT_TRUE(passedOnAt) << server.id() << " answered nothing through gateway " << gateway;
+        unsigned late = 0;
+        for (const Sent& request : sent) {
+            const bool arrived = std::any_of(server.arrivals().begin(), server.arrivals().end(),
+                [&request](const ServerFake::Arrival& arrival) { return arrival.requestId == request.id; });
+            late += passedOnAt && request.gateway == gateway && arrived && request.at > *passedOnAt + drainTime ? 1 : 0;
+        }
+        return late;
+    }
+
+    /// Highest number of requests that reached @p server from @p gateway between half a second after one of them was
+    /// refused and the end of the pause that the refusal asked for.
+    static unsigned arrivalsDuringPause(const std::vector<Sent>& sent, const ServerFake& server, unsigned gateway,
+        MonotonicTime lastRefusalAt, Milliseconds pause)
+    {
+        std::vector<MonotonicTime> arrivals;
+        for (const ServerFake::Arrival& arrival : server.arrivals()) {
+            const bool viaGateway = std::any_of(sent.begin(), sent.end(),
+                [&](const Sent& request) { return request.gateway == gateway && request.id == arrival.requestId; });
+            if (viaGateway) {
+                arrivals.push_back(arrival.at);
+            }
+        }
+        unsigned most = 0;
+        for (const MonotonicTime refusedAt : arrivals) {
+            const auto during = std::count_if(arrivals.begin(), arrivals.end(),
+                [&](MonotonicTime at) { return at > refusedAt + 500ms && at < refusedAt + pause; });
+            most = refusedAt <= lastRefusalAt ? std::max(most, static_cast<unsigned>(during)) : most;
+        }
+        return most;
+    }
+
+    static unsigned succeeded(const std::vector<Sent>& sent)
+    {
+        return static_cast<unsigned>(std::count_if(sent.begin(), sent.end(),
+            [](const Sent& request) { return request.result->has_value() && request.result->value().status == 200; }));
+    }
+
+    ServerFake& ownerOf(unsigned key) { return m_plannerA.holdsKey(key) ? m_plannerA : m_plannerB; }
+};
+
+/// Guards against requests to servers that have said that they leave, while the store lists them as ready.
+TEST_F(GatewayStatementTest, ServersThatStateThatTheyLeaveGetNothingAfterTheDrainTime)
+{
+    constexpr unsigned key = 40'000;
+    ServerFake& owner = ownerOf(key);
+    m_deskA.stateLeaving("1");
+    owner.stateLeaving("1");
+    const std::vector<Sent> sent = load(4s, key);
+    for (unsigned gateway = 0; gateway < 2; ++gateway) {
+        EXPECT_EQ(arrivalsAfterDrainTime(sent, m_deskA, gateway), 0U);
+        EXPECT_EQ(arrivalsAfterDrainTime(sent, owner, gateway), 0U);
+    }
+    // The keys have moved, and no request was refused meanwhile.
+    EXPECT_FALSE(owner.holdsKey(key));
+    EXPECT_EQ(succeeded(sent), sent.size());
+}
+
+/// Guards against the same while the store is away and an instance is paused, and against a server that stays without
+/// requests after it has started again under its id.
+TEST_F(GatewayStatementTest, LeavingHoldsWithoutTheStoreUntilTheServerStartsAgain)
+{
+    constexpr unsigned key = 40'000;
+    ServerFake& owner = ownerOf(key);
+    m_store.setMode(StoreFake::Mode::Unavailable);
+    m_deskA.stateLeaving("1");
+    owner.stateLeaving("1");
+    std::vector<Sent> sent = load(1s, key);
+    m_gateways[1]->signal(SIGSTOP);
+    (void)runUntil(800ms, [] { return false; });
+    m_gateways[1]->signal(SIGCONT);
+    const std::vector<Sent> later = load(3s, key);
+    sent.insert(sent.end(), later.begin(), later.end());
+    for (unsigned gateway = 0; gateway < 2; ++gateway) {
+        EXPECT_EQ(arrivalsAfterDrainTime(sent, m_deskA, gateway), 0U);
+        EXPECT_EQ(arrivalsAfterDrainTime(sent, owner, gateway), 0U);
+    }
+    m_store.setMode(StoreFake::Mode::Serving);
+    m_deskA.restart();
+    m_store.put("servers", "desk-a", m_deskA.storeEntry("desk"));
+    const std::size_t before = m_deskA.arrivals().size();
+    EXPECT_TRUE(runUntil(4s, [&] { return call(0, "/read/1").status == 200 && m_deskA.arrivals().size() > before; }));
+}
+
+/// Guards against requests to a server in the time for which it has asked for none.
+TEST_F(GatewayStatementTest, AServerGetsNothingInThePauseThatItAsksFor)
+{
+    constexpr unsigned key = 40'000;
+    ServerFake& owner = ownerOf(key);
+    const MonotonicTime lastRefusalAt = monotonicNow() + 300ms;
+    m_deskA.refuse("1.5", 300ms);
+    owner.refuse("1.5", 300ms);
+    const std::vector<Sent> sent = load(2500ms, key);
+    for (unsigned gateway = 0; gateway < 2; ++gateway) {
+        EXPECT_LE(arrivalsDuringPause(sent, m_deskA, gateway, lastRefusalAt, 1500ms), 2U);
+        EXPECT_LE(arrivalsDuringPause(sent, owner, gateway, lastRefusalAt, 1500ms), 2U);
+    }
+    for (const Sent& request : sent) {
+        ASSERT_TRUE(request.result->has_value()) << request.id;
+        const bool refused = request.result->value().status == 503;
+        EXPECT_TRUE(refused || request.result->value().status == 200) << request.result->value().status;
+        EXPECT_TRUE(!refused || findHeader(request.result->value().headers, "Retry-After")) << request.id;
+    }
+    // After the pause the server is used again when the other one leaves.
+    m_deskB.stateLeaving("1");
+    (void)call(0, "/read/1");
+    const std::size_t before = m_deskA.arrivals().size();
+    EXPECT_EQ(call(0, "/read/1").status, 200U);
+    EXPECT_GT(m_deskA.arrivals().size(), before);
+}
+
+/// Guards against a server that is lost because of a value that says nothing.
+TEST_F(GatewayStatementTest, OddStatementsChangeNothing)
+{
+    for (const char* odd : {"0", "true", "11"}) {
+        m_deskA.stateLeaving(odd);
+        m_deskB.stateLeaving(odd);
+        for (int i = 0; i < 20; ++i) {
+            EXPECT_EQ(call(i % 2, "/read/1").status, 200U);
+        }
+    }
+    for (const char* odd : {"-5", "Wed, 21 Oct 2026 07:28:00 GMT", "1e9"}) {
+        m_deskA.refuse(odd, 100ms);
+        m_deskB.refuse(odd, 100ms);
+        (void)call(0, "/read/1");
+        EXPECT_TRUE(runUntil(2s, [&] { return call(0, "/read/1").status == 200; })) << odd;
+    }
+}
+
 /// Guards against running a request whose caller had closed the connection before the gateway read the request.
 TEST_F(GatewayTest, DropsUnreadRequestsOfDisconnectedCallers)
 {
--- a/tests/integration/platform_fake.cpp
+++ b/tests/integration/platform_fake.cpp
@@ -35,16 +35,21 @@
     }
 }
 
-void runAfter(Milliseconds delay, std::function<void()> run)
+/// Calls @p run after @p delay unless @p owner has ended by then.
+void runAfter(Milliseconds delay, const std::weak_ptr<const bool>& owner, std::function<void()> run)
 {
+    const auto runIfAlive = [owner, run = std::move(run)] {
+        if (!owner.expired()) {
+            run();
+        }
+    };
     g_timeout_add_full(
         G_PRIORITY_DEFAULT, static_cast<guint>(delay.count()),
         [](gpointer data) -> gboolean {
             (*static_cast<std::function<void()>*>(data))();
             return G_SOURCE_REMOVE;
         },
-        new std::function<void()>(std::move(run)),
-        [](gpointer data) { delete static_cast<std::function<void()>*>(data); });
+        new std::function<void()>(runIfAlive), [](gpointer data) { delete static_cast<std::function<void()>*>(data); });
 }
 
 } // namespace
@@ -147,7 +152,7 @@
     m_watches.push_back(
         {request, kind, std::stoull(from), monotonicNow() + Milliseconds(std::stoll(queryValue(raw.query, "waitMs")))});
     answerWatches();
-    runAfter(Milliseconds(std::stoll(queryValue(raw.query, "waitMs")) + 1), [this] { answerWatches(); });
+    runAfter(Milliseconds(std::stoll(queryValue(raw.query, "waitMs")) + 1), m_alive, [this] { answerWatches(); });
 }
 
 void StoreFake::list(std::uint64_t request, const std::string& kind, const std::string& after)
@@ -239,7 +244,7 @@
 json::value ServerFake::storeEntry(const std::string& service, const std::string& state) const
 {
     return json::object {{"service", service}, {"address", m_address}, {"zone", "colombo-a"}, {"version", "v1"},
-        {"slots", 6}, {"state", state}, {"warmupLeftMs", 0}, {"sequence", 4}, {"born", 1789}};
+        {"slots", 6}, {"state", state}, {"warmupLeftMs", 0}, {"sequence", 4}, {"born", m_bornAt}};
 }
 
 bool ServerFake::holdsKey(std::uint32_t key) const
@@ -255,10 +260,27 @@
     CallerAnswer answer;
     answer.status = status;
     answer.headers = std::move(headers);
+    if (!m_leavingValue.empty()) {
+        answer.headers.push_back({"Server-Leaving", m_leavingValue});
+    }
     answer.body = body;
     m_server.answer(request, std::move(answer));
 }
 
+void ServerFake::refuse(const std::string& retryAfter, Milliseconds duration)
+{
+    m_retryAfter = retryAfter;
+    m_refusesUntil = monotonicNow() + duration;
+}
+
+void ServerFake::restart()
+{
+    ++m_bornAt;
+    m_heldRanges.clear();
+    m_leavingValue.clear();
+    m_refusesUntil = MonotonicTime();
+}
+
 void ServerFake::onRequest(std::uint64_t request, RawRequest&& raw)
 {
     const std::string id = headerOf(raw, "Request-Id");
@@ -271,11 +293,15 @@
     if (raw.path == "/api/release") {
         return release(request, raw);
     }
+    m_arrivals.push_back({id, monotonicNow()});
+    if (monotonicNow() < m_refusesUntil) {
+        return reply(request, 503, {{"Request-Id", id}, {"Not-Executed", "1"}, {"Retry-After", m_retryAfter}});
+    }
     if (m_keyed && !holdsKey(static_cast<std::uint32_t>(std::stoul(headerOf(raw, "Shard-Key"))))) {
         return reply(request, 421, {{"Request-Id", id}, {"Not-Executed", "1"}});
     }
     m_executedRequests.push_back(id);
-    runAfter(m_serviceTime, [this, request, id] {
+    runAfter(m_serviceTime, m_alive, [this, request, id] {
         reply(
             request, 200, {{"Request-Id", id}, {"Response-Seal", "seal-" + id}, {"Server", m_id}}, "answer of " + m_id);
     });
--- a/tests/integration/platform_fake.h
+++ b/tests/integration/platform_fake.h
@@ -76,6 +76,7 @@
     std::uint64_t m_oldestRevision = 0;
     std::uint64_t m_calls = 0;
     Mode m_mode = Mode::Serving;
+    std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true); ///< Ends with this object.
     HttpServer m_server;
 };
 
@@ -88,6 +89,18 @@
     [[nodiscard]] boost::json::value storeEntry(const std::string& service, const std::string& state = "ready") const;
     /// Delays the answer to each request by @p serviceTime.
     void setServiceTime(Milliseconds serviceTime) { m_serviceTime = serviceTime; }
+    /// Adds the field Server-Leaving with @p value to all answers; empty: to none.
+    void stateLeaving(const std::string& value) { m_leavingValue = value; }
+    /// Refuses requests with status 503 and the field Retry-After with @p retryAfter for @p duration from now.
+    void refuse(const std::string& retryAfter, Milliseconds duration);
+    /// Ends as a process and starts again with the same id: it holds no keys, and its entry has a later start.
+    void restart();
+    /// A request that arrived, executed or not.
+    struct Arrival {
+        std::string requestId;
+        MonotonicTime at;
+    };
+    [[nodiscard]] const std::vector<Arrival>& arrivals() const { return m_arrivals; }
     /// Ids of the requests that this server executed.
     [[nodiscard]] const std::vector<std::string>& executedRequests() const { return m_executedRequests; }
     /// Returns whether a granted range that has not expired contains @p key.
@@ -113,6 +126,12 @@
     std::vector<HeldRange> m_heldRanges;
     std::uint64_t m_highestFence = 0;
     std::vector<std::string> m_executedRequests; ///< Request ids.
+    std::vector<Arrival> m_arrivals;
+    std::string m_leavingValue;
+    std::string m_retryAfter;
+    MonotonicTime m_refusesUntil;
+    std::uint64_t m_bornAt = 1789;
+    std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true); ///< Ends with this object.
     HttpServer m_server;
 };
 
