A planned stop answers every request: late ones are refused, the others are answered before the process ends

It could happen here: a connection that was accepted before the listener closed may bring its first request later, and a request whose deadline lies after the end of the process was passed on; at the end the connection just closed. Change: from the time on at which callers are expected to use other instances (3 s after the signal), a request whose deadline lies after the end is refused at once, not run, and the rest is answered 100 ms before the end (504 if it was sent). Test: GatewayTest.AnswersRequestsThatComeLateInAStop; it failed before (both got no answer, the late one was passed on).

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -41,6 +41,8 @@
 constexpr Milliseconds balancerRemovalTime = 3000ms;
 /// The process exits this long before it would be killed.
 constexpr Milliseconds stopMargin = 300ms;
+/// All requests are answered this long before the process exits.
+constexpr Milliseconds lastAnswerTime = 100ms;
 constexpr Milliseconds drainIdleTimeout = 3000ms;
 /// After the last connection was accepted, its first request is awaited for this time.
 constexpr Milliseconds firstRequestWait = 500ms;
@@ -568,6 +570,8 @@
         m_stopRequestedAt = monotonicNow();
         logEvent(LogEvent::ProcessStopping, "unanswered=" + std::to_string(m_reducer.requestsInFlight()));
         m_callerServer.drain(drainIdleTimeout);
+        apply(InstanceStopping {m_stopRequestedAt + balancerRemovalTime,
+            m_stopRequestedAt + m_settings.stopTimeout - stopMargin - lastAnswerTime});
         applyRangeEvent(RangeStopRequested {});
     }
 
--- a/src/gateway/gateway_event.h
+++ b/src/gateway/gateway_event.h
@@ -85,11 +85,18 @@
     Milliseconds duration {0};
 };
 
+/// A stop of this instance was requested.
+struct InstanceStopping {
+    MonotonicTime lateFrom; ///< From here on callers are expected to use other instances.
+    MonotonicTime answersUntil; ///< All requests must be answered by then.
+};
+
 /// Lets timers expire; sent at GatewayReducer::nextWake().
 struct GatewayTick { };
 
-using GatewayEvent = std::variant<RequestReceived, CallerDisconnected, ServerAnswered, SendFailed, GatewayConfigured,
-    ServersListed, RangeTableChanged, ServerLoadsReported, InstanceCountChanged, MachineSuspended, GatewayTick>;
+using GatewayEvent
+    = std::variant<RequestReceived, CallerDisconnected, ServerAnswered, SendFailed, GatewayConfigured, ServersListed,
+        RangeTableChanged, ServerLoadsReported, InstanceCountChanged, MachineSuspended, InstanceStopping, GatewayTick>;
 /// @}
 
 /// @name Effects of the gateway's reducer
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -18,6 +18,8 @@
 /// After its start an instance loads configuration and server list within a few round trips. Requests of this time wait
 /// for them, later ones are refused at once.
 constexpr Milliseconds maxLoadTime = 300ms;
+/// Retry-After of a request that comes too late in a stop; other instances are ready for it.
+constexpr Milliseconds stoppingRetryAfter = 50ms;
 /// Highest number of requests that wait for the first configuration.
 constexpr std::size_t maxHeldRequests = 1000;
 /// A request is refused after more dispatches than this failed before a byte was written.
@@ -96,6 +98,9 @@
     if (!m_heldRequests.empty()) {
         next = std::min(next.value_or(MonotonicTime::max()), m_startedAt + maxLoadTime);
     }
+    if (m_stop && !m_jobsByCaller.empty()) {
+        next = std::min(next.value_or(MonotonicTime::max()), m_stop->answersUntil);
+    }
     return next;
 }
 
@@ -145,6 +150,12 @@
     if (keyed && !request.key) {
         return answerNow(event.caller, request, 400, "this service needs a key", 0ms);
     }
+    const MonotonicTime arrivedAt = std::min(request.arrivedAt.value_or(m_now), m_now);
+    const MonotonicTime deadline = arrivedAt + std::min(request.timeLeft.value_or(route->timeout), route->timeout);
+    if (m_stop && m_now >= m_stop->lateFrom && deadline > m_stop->answersUntil) {
+        return answerNow(
+            event.caller, request, serviceUnavailable, "this instance is about to end", stoppingRetryAfter);
+    }
     const std::uint64_t number = m_nextNumber++;
     std::unique_ptr<Job>& ownedJob = m_jobs[number];
     ownedJob = std::make_unique<Job>();
@@ -155,8 +166,8 @@
     job.route = route;
     job.service = service;
     job.keyed = keyed;
-    job.arrivedAt = std::min(request.arrivedAt.value_or(m_now), m_now);
-    job.deadline = job.arrivedAt + std::min(request.timeLeft.value_or(route->timeout), route->timeout);
+    job.arrivedAt = arrivedAt;
+    job.deadline = deadline;
     job.wakeAt = job.deadline;
     job.request = std::make_shared<const GatewayRequest>(std::move(request));
     m_jobsByCaller[event.caller] = number;
@@ -400,9 +411,27 @@
     }
 }
 
+void GatewayReducer::handle(InstanceStopping&& event) { m_stop = event; }
+
+void GatewayReducer::answerBeforeEnd()
+{
+    std::vector<std::uint64_t> unanswered;
+    for (const auto& [number, job] : m_jobs) {
+        if (job->caller != 0) {
+            unanswered.push_back(number);
+        }
+    }
+    for (const std::uint64_t number : unanswered) {
+        expire(*m_jobs.at(number));
+    }
+}
+
 void GatewayReducer::handle(GatewayTick&&)
 {
     handleHeldRequests();
+    if (m_stop && m_now >= m_stop->answersUntil) {
+        answerBeforeEnd();
+    }
     while (!m_wakes.empty() && m_wakes.begin()->first <= m_now) {
         Job& job = *m_jobs.at(m_wakes.begin()->second);
         if (job.deadline <= m_now) {
--- a/src/gateway/gateway_reducer.h
+++ b/src/gateway/gateway_reducer.h
@@ -118,6 +118,7 @@
     void handle(ServerLoadsReported&& event);
     void handle(InstanceCountChanged&& event);
     void handle(MachineSuspended&& event);
+    void handle(InstanceStopping&& event);
     void handle(GatewayTick&& event);
 
     /// @name Requests that arrived before the first configuration and server list
@@ -141,6 +142,8 @@
     void retry(Job& job, std::string_view message);
     void abandon(Job& job);
     void expire(Job& job);
+    /// Answers all requests when the time for that in a stop is over.
+    void answerBeforeEnd();
     void deliver(Job& job, ServerAnswer&& answer);
     void refuse(Job& job, std::string_view message, Milliseconds retryAfter);
     void fail(Job& job, unsigned status, std::string_view message);
@@ -179,6 +182,7 @@
     std::mt19937_64 m_random;
     MonotonicTime m_now;
     MonotonicTime m_startedAt; ///< First event.
+    std::optional<InstanceStopping> m_stop; ///< Set once a stop was requested.
     bool m_serversListed = false;
     std::vector<HeldRequest> m_heldRequests;
     GatewayEffects m_effects;
--- a/tests/backend_transport_test.cpp
+++ b/tests/backend_transport_test.cpp
@@ -104,6 +104,27 @@
     }
 }
 
+// Guards against an answer that is taken for complete although its server closed within the head: such an answer has no
+// length yet, and an answer without a length ends with its connection.
+TEST_F(BackendTransportTest, AnAnswerThatEndsWithinItsHeadIsBroken)
+{
+    const std::vector<std::string> heads {
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\nContent-Length: 5\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\nTransfer-Encoding: chunked\r\n\r\n",
+        "HTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\nConnection: close\r\n\r\n",
+        "HTTP/1.1 100 Continue\r\n\r\nHTTP/1.1 200 OK\r\nRequest-Id: r1\r\nResponse-Seal: s\r\n\r\n"};
+    for (const std::string& head : heads) {
+        for (std::size_t n = 0; n < head.size(); ++n) {
+            TestBackend backend([&](const std::string&) { return head.substr(0, n) + "<cut>"; });
+            BackendRequest request = makeRequest(backend.address());
+            request.acceptsCloseDelimitedAnswer = true;
+            const BackendResult result = exchange(std::move(request));
+            EXPECT_EQ(result.progress, BackendProgress::Broken) << head.substr(0, n);
+            EXPECT_TRUE(result.body.empty()) << head.substr(0, n);
+        }
+    }
+}
+
 // Guards against rejecting answers in the other framings of HTTP/1.1.
 TEST_F(BackendTransportTest, ReadsAllSelfDelimitingFramings)
 {
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -278,6 +278,52 @@
     EXPECT_EQ(unanswered, 0U) << "of " << sent.size();
 }
 
+/// Guards against a planned stop that cuts off a request without an answer: one that comes so late that it cannot be
+/// answered before the process ends is refused before a server gets it, an earlier one gets an answer at the end.
+TEST_F(GatewayTest, AnswersRequestsThatComeLateInAStop)
+{
+    m_deskA.setServiceTime(3500ms);
+    m_deskB.setServiceTime(3500ms);
+    const std::optional<SocketAddress> to = parseSocketAddress(address(21, 8381));
+    const auto open = [&to] {
+        const int fd = socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0);
+        EXPECT_EQ(connect(fd, to->get(), to->size), 0);
+        return fd;
+    };
+    const auto request = [](int fd, const std::string& id) {
+        const std::string text
+            = "GET /order/1 HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + id + "\r\nDeadline-Ms: 3000\r\n\r\n";
+        EXPECT_EQ(::send(fd, text.data(), text.size(), MSG_NOSIGNAL), static_cast<ssize_t>(text.size()));
+    };
+    m_gateways[0]->signal(SIGTERM);
+    (void)runUntil(2850ms, [] { return false; });
+    const int early = open();
+    const int late = open();
+    request(early, "early");
+    (void)runUntil(550ms, [] { return false; });
+    request(late, "late");
+    std::map<int, std::string> answers;
+    (void)runUntil(4s, [&] {
+        for (const int fd : {early, late}) {
+            char bytes[4096];
+            const ssize_t n = recv(fd, bytes, sizeof bytes, MSG_DONTWAIT);
+            answers[fd].append(bytes, n > 0 ? static_cast<std::size_t>(n) : 0);
+        }
+        return !m_gateways[0]->running();
+    });
+    EXPECT_TRUE(answers[early].starts_with("HTTP/1.1 504 ")) << answers[early];
+    EXPECT_TRUE(answers[late].starts_with("HTTP/1.1 503 ")) << answers[late];
+    EXPECT_NE(answers[late].find("Retry-After: "), std::string::npos);
+    const auto arrived = [](const ServerFake& desk, const std::string& id) {
+        return std::any_of(desk.arrivals().begin(), desk.arrivals().end(),
+            [&id](const ServerFake::Arrival& arrival) { return arrival.requestId == id; });
+    };
+    EXPECT_TRUE(arrived(m_deskA, "early") || arrived(m_deskB, "early"));
+    EXPECT_FALSE(arrived(m_deskA, "late") || arrived(m_deskB, "late"));
+    close(early);
+    close(late);
+}
+
 /// Guards against decisions by the time of day: it jumps ahead and back on one instance, the leader or another one.
 TEST_F(GatewayTest, ServesWhileTheTimeOfDayJumps)
 {
