A list of several pages does not confirm the server list as of its last page

Such a list is followed by a watch that returns at once and confirms the state. ObjectFeedTest.AListOfSeveralPagesIsConfirmedByTheNextWatch: without the change the list counts as confirmed.

--- a/tests/object_feed_test.cpp
+++ b/tests/object_feed_test.cpp
@@ -29,7 +29,11 @@
                    ++m_reports;
                },
                   [this](bool reachable) { m_reachable = reachable; },
-                  [this](FeedRevision revision, bool) { m_revision = revision; }, [](FeedChange&&) {}})
+                  [this](FeedRevision revision, bool byStore) {
+                      m_revision = revision;
+                      m_confirmedByStore = byStore;
+                  },
+                  [](FeedChange&&) {}})
     {
         m_transport.send = [this](const BackendRequest& request, BackendTransport::Callback callback) {
             m_targets.push_back(request.target);
@@ -102,6 +106,7 @@
     unsigned m_reports = 0;
     std::optional<bool> m_reachable;
     FeedRevision m_revision;
+    bool m_confirmedByStore = false; ///< As of the latest report of a revision.
     StoreClient m_store;
     ObjectFeed m_feed;
 };
@@ -217,5 +222,22 @@
     EXPECT_TRUE(isCallSentWithin(1100ms));
 }
 
+/// Guards against a state that counts as confirmed when the last page of a list arrives, long after the first one.
+TEST_F(ObjectFeedTest, AListOfSeveralPagesIsConfirmedByTheNextWatch)
+{
+    answerFirstList(R"({"items":[],"hasMore":false,"atRev":50})", 50);
+    m_feed.setSource(FeedSource::Store);
+    answerWith(410); // The watch that setSource() began: the history is gone.
+    answer(R"({"items":[)" + entry("a", 51) + R"(],"hasMore":true,"atRev":60})");
+    answer(R"({"items":[)" + entry("b", 52) + R"(],"hasMore":false,"atRev":70})");
+    EXPECT_EQ(names(), "a@51 b@52 ");
+    EXPECT_EQ(m_revision.asOf, 60U);
+    EXPECT_FALSE(m_confirmedByStore);
+    EXPECT_NE(m_targets.back().find("watch=60"), std::string::npos) << m_targets.back();
+    EXPECT_NE(m_targets.back().find("waitMs=0"), std::string::npos) << m_targets.back();
+    answer(R"({"events":[],"atRev":72})");
+    EXPECT_TRUE(m_confirmedByStore);
+}
+
 } // namespace
 } // namespace jasminespread::platform
