Seeded fuzz test of servers' answers: framings that break off, statements in all shapes

Answers with a length, in chunks or without a length, cut anywhere in head, chunk or body, of this request or another, with odd values of Server-Leaving and Retry-After.

--- a/tests/mutated_input_test.cpp
+++ b/tests/mutated_input_test.cpp
@@ -14,7 +14,10 @@
 
 #include <gtest/gtest.h>
 
+#include <array>
+#include <cstdlib>
 #include <optional>
+#include <string>
 #include <thread>
 
 // Feeds each reader of foreign input with seeded mutations of valid input. A failure names its seed.
@@ -167,6 +170,24 @@
     return done();
 }
 
+/// Sends a request with @p id to a server, as the gateway does, and waits for the result.
+BackendResult exchange(const BackendTransport& transport, const std::string& address, const std::string& id)
+{
+    GatewayRequest request;
+    request.id = id;
+    request.method = "GET";
+    request.target = "/";
+    request.headers = {{"Request-Id", id}};
+    SendToServer send;
+    send.server.address = address;
+    send.deadline = monotonicNow() + 5s;
+    send.request = std::make_shared<const GatewayRequest>(request);
+    std::optional<BackendResult> received;
+    transport.send(platform::encodeSend(send), [&](BackendResult result) { received = std::move(result); });
+    EXPECT_TRUE(runContextUntil([&] { return received.has_value(); }));
+    return received.value_or(BackendResult());
+}
+
 TEST(MutatedInputTest, AnswersOfServers)
 {
     std::uint64_t seed = 0;
@@ -177,30 +198,121 @@
         return mutates ? Mutation(seed).apply(valid) + "<cut>" : valid;
     });
     BackendTransport transport = makeBeastBackendTransport(100'000);
-    const auto exchange = [&](const std::string& id) {
-        GatewayRequest request;
-        request.id = id;
-        request.method = "GET";
-        request.target = "/";
-        request.headers = {{"Request-Id", id}};
-        SendToServer send;
-        send.server.address = backend.address();
-        send.deadline = monotonicNow() + 5s;
-        send.request = std::make_shared<const GatewayRequest>(request);
-        std::optional<BackendResult> received;
-        transport.send(platform::encodeSend(send), [&](BackendResult result) { received = std::move(result); });
-        EXPECT_TRUE(runContextUntil([&] { return received.has_value(); })) << "seed " << seed;
-        return received.value_or(BackendResult());
-    };
     for (seed = 1; seed <= seedCount; ++seed) {
         const int closed = backend.closedAfterCut();
         mutates = true;
-        EXPECT_NE(exchange("1").progress, BackendProgress::NotSent) << "seed " << seed;
+        EXPECT_NE(exchange(transport, backend.address(), "1").progress, BackendProgress::NotSent) << "seed " << seed;
         // A mutation can leave the answer valid. A request sent on its connection while the server closes that one
         // gets no answer.
         ASSERT_TRUE(runContextUntil([&] { return backend.closedAfterCut() > closed; })) << "seed " << seed;
         mutates = false;
-        EXPECT_EQ(exchange("2").body, "body 2") << "seed " << seed;
+        EXPECT_EQ(exchange(transport, backend.address(), "2").body, "body 2") << "seed " << seed;
+    }
+}
+
+/// An answer with random framing, status and statements, which may break off.
+struct RandomAnswer {
+    explicit RandomAnswer(std::uint64_t seed)
+        : random(seed)
+    {
+        constexpr std::array<unsigned, 4> statuses {200, 421, 500, 503};
+        constexpr std::array<const char*, 9> values {"1", "0", "11", " 1", "true", "", "2.5", "-3", "99999999999999"};
+        status = statuses[random.below(statuses.size())];
+        body = std::string(random.below(40), 'x') + "end";
+        id = random.below(4) == 0 ? "7" : "1";
+        std::string head = "HTTP/1.1 " + std::to_string(status) + " X\r\n";
+        const auto addField = [&](const std::string& name, const std::string& value) {
+            if (random.below(2) == 0) {
+                head += name + ": " + value + "\r\n";
+            }
+        };
+        head += "Request-Id: " + id + "\r\n";
+        addField("Response-Seal", "s");
+        addField("Not-Executed", "1");
+        leaving = values[random.below(values.size())];
+        head += "Server-Leaving: " + leaving + "\r\n";
+        addField("Retry-After", values[random.below(values.size())]);
+        addField("Retry-After", values[random.below(values.size())]);
+        text = random.below(4) == 0 ? "HTTP/1.1 100 Continue\r\n\r\n" : "";
+        switch (random.below(3)) {
+        case 0:
+            text += head + "Content-Length: " + std::to_string(body.size()) + "\r\n\r\n" + body;
+            break;
+        case 1:
+            text += head + "Transfer-Encoding: chunked\r\n\r\n" + chunked(body);
+            break;
+        default:
+            text += head + "\r\n" + body;
+            endsWithConnection = true;
+        }
+        headEnd = text.size() - (endsWithConnection ? body.size() : 0);
+        if (random.below(2) == 0) {
+            cutAt = random.below(text.size());
+        }
+    }
+
+    std::string chunked(const std::string& content)
+    {
+        std::string result;
+        for (std::size_t at = 0; at < content.size();) {
+            const std::size_t n = 1 + random.below(std::min<std::size_t>(9, content.size() - at));
+            result += std::to_string(n) + "\r\n" + content.substr(at, n) + "\r\n";
+            at += n;
+        }
+        return result + "0\r\n\r\n";
+    }
+
+    Mutation random;
+    unsigned status = 0;
+    std::string id; ///< Of the request that it answers.
+    std::string body;
+    std::string leaving; ///< Value of Server-Leaving.
+    std::string text;
+    bool endsWithConnection = false; ///< It has no length.
+    std::size_t headEnd = 0; ///< Length of what must have arrived for an answer without a length.
+    std::optional<std::size_t> cutAt; ///< The server closes the connection after as many bytes.
+};
+
+/// Guards against an incomplete body that counts as whole, the answer of another request, and statements that nobody
+/// made. Seeds for longer runs: JASMINESPREAD_FUZZ_FIRST and JASMINESPREAD_FUZZ_COUNT.
+TEST(MutatedInputTest, AnswersThatBreakOffOrStateOddThings)
+{
+    const char* first = std::getenv("JASMINESPREAD_FUZZ_FIRST");
+    const char* count = std::getenv("JASMINESPREAD_FUZZ_COUNT");
+    const std::uint64_t begin = first == nullptr ? 1 : std::stoull(first);
+    const std::uint64_t end = begin + (count == nullptr ? seedCount : std::stoull(count));
+    std::optional<RandomAnswer> answer;
+    test::TestBackend backend([&answer](const std::string&) {
+        return answer->text.substr(0, answer->cutAt.value_or(answer->text.size())) + "<cut>";
+    });
+    BackendTransport transport = makeBeastBackendTransport(100'000);
+    for (std::uint64_t seed = begin; seed < end; ++seed) {
+        answer.emplace(seed);
+        const int closed = backend.closedAfterCut();
+        BackendResult result = exchange(transport, backend.address(), "1");
+        ASSERT_TRUE(runContextUntil([&] { return backend.closedAfterCut() > closed; })) << "seed " << seed;
+        const bool isComplete = !answer->cutAt || (answer->endsWithConnection && *answer->cutAt >= answer->headEnd);
+        const bool isOwn = answer->id == "1";
+        ASSERT_EQ(result.progress, isComplete && isOwn ? BackendProgress::Answered : BackendProgress::Broken)
+            << "seed " << seed << "\n"
+            << answer->text;
+        if (result.progress != BackendProgress::Answered) {
+            EXPECT_TRUE(result.body.empty()) << "seed " << seed;
+            continue;
+        }
+        EXPECT_EQ(result.status, answer->status) << "seed " << seed;
+        EXPECT_EQ(result.body, answer->body.substr(0, result.body.size())) << "seed " << seed;
+        EXPECT_TRUE(answer->endsWithConnection || result.body == answer->body) << "seed " << seed;
+        const ServerAnswer decoded = platform::decodeServerAnswer(std::move(result));
+        const bool mayState = decoded.verified && decoded.execution != Execution::NotOwner;
+        // Spaces around a field's value do not belong to it.
+        const bool states = answer->leaving == "1" || answer->leaving == " 1";
+        EXPECT_EQ(decoded.statesLeaving, mayState && states) << "seed " << seed;
+        if (decoded.requestedPause) {
+            EXPECT_EQ(answer->status, 503U) << "seed " << seed;
+            EXPECT_GT(*decoded.requestedPause, 0ms) << "seed " << seed;
+            EXPECT_LE(*decoded.requestedPause, 1h) << "seed " << seed;
+        }
     }
 }
 
