The leader's work for a report does not grow with the number of servers

It now adds what is reported and keeps it for the term, which also covers a server that the leader's list does not have yet (AReportCountsBeforeTheServerIsListedAndAfterItsInstanceIsLost).

--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -289,29 +289,21 @@
     }
     m_ownLeavingServers = std::move(event.servers);
     if (m_term != 0) {
-        applyLeavingServers();
+        addLeavingServers(m_ownLeavingServers);
     } else {
         m_nextReportAt = m_now;
     }
 }
 
-/// Moves the ranges of servers that have stated to any instance that they are shutting down.
-void RangeAuthority::applyLeavingServers()
+/// Moves the ranges of @p servers, which have stated to an instance that they are shutting down. They are known until
+/// the end of the term, also if that instance is lost.
+void RangeAuthority::addLeavingServers(const std::set<ServerIdentity>& servers)
 {
-    std::set<ServerIdentity> leaving = m_leavingServers; // Still valid if the instance that reported it is lost.
-    leaving.insert(m_ownLeavingServers.begin(), m_ownLeavingServers.end());
-    for (const auto& [id, member] : m_members) {
-        leaving.insert(member.leavingServers.begin(), member.leavingServers.end());
-    }
-    std::set<ServerIdentity> listed;
-    for (const ListedServer& server : m_servers ? *m_servers : ServerList()) {
-        listed.insert(server.identity);
-    }
-    std::erase_if(leaving, [&listed](const ServerIdentity& server) { return !listed.contains(server); });
-    if (leaving == m_leavingServers) {
+    const std::size_t before = m_leavingServers.size();
+    m_leavingServers.insert(servers.begin(), servers.end());
+    if (m_leavingServers.size() == before) {
         return;
     }
-    m_leavingServers = std::move(leaving);
     for (auto& [service, keyedService] : m_services) {
         if (keyedService.keeper) {
             keyedService.keeper->setLeavingServers(m_leavingServers);
@@ -435,10 +427,6 @@
     for (const wire::ServerSpeed& speed : message.speeds()) {
         member.inFlight[speed.id()] = speed.in_flight();
     }
-    member.leavingServers.clear();
-    for (const wire::ServerReference& server : message.leaving_servers()) {
-        member.leavingServers.insert({server.id(), server.born_at()});
-    }
     m_tableSender.onReport(sender.id(), message, isNewProcess, m_now);
     // An earlier leader that reports this term or a later one has stopped granting, as has one that restarted.
     if (m_term != 0 && message.known_term() >= m_term && m_unconfirmedLeaders.erase(sender.id()) > 0) {
@@ -450,7 +438,11 @@
     }
     if (m_term != 0) {
         addReportedLoads(message);
-        applyLeavingServers();
+        std::set<ServerIdentity> leaving;
+        for (const wire::ServerReference& server : message.leaving_servers()) {
+            leaving.insert({server.id(), server.born_at()});
+        }
+        addLeavingServers(leaving);
         sendTableUpdates(sender.id());
     }
 }
@@ -525,8 +517,7 @@
     m_counters.term = m_term;
     m_services.clear();
     m_tableSender = RangeTableSender();
-    m_leavingServers.clear();
-    applyLeavingServers();
+    m_leavingServers = m_ownLeavingServers;
     const std::vector<std::string>& unconfirmed = m_leadership.leader()->unconfirmedLeaders;
     m_unconfirmedLeaders = {unconfirmed.begin(), unconfirmed.end()};
     m_earlierLeadersStoppedAt = m_now;
--- a/src/ranges/range_authority.h
+++ b/src/ranges/range_authority.h
@@ -45,7 +45,6 @@
         bool storeReachable = false;
         double fitness = 0; ///< Fitness to lead, from 0 to 1.
         std::map<std::string, std::uint32_t> inFlight; ///< Its requests in flight, by server id.
-        std::set<ServerIdentity> leavingServers; ///< Servers that have stated to it that they are shutting down.
         bool awaitsHeartbeat = false; ///< It is new, or the latest message to it was not sent.
     };
 
@@ -104,7 +103,7 @@
     void addReportedLoads(const wire::InstanceReport& report);
     [[nodiscard]] ServerLoads busyServers() const;
     void addSpeed(const ObservedSpeed& speed);
-    void applyLeavingServers();
+    void addLeavingServers(const std::set<ServerIdentity>& servers);
     void log(LogEvent event, std::string details) { m_effects.emplace_back(WriteRangeLog {event, std::move(details)}); }
 
     LeaderRecord m_self;
@@ -138,7 +137,7 @@
 
     std::map<std::string, std::shared_ptr<const RangeTable>> m_knownTables; ///< Newest table, by service.
     std::set<ServerIdentity> m_ownLeavingServers; ///< Servers that have stated so in answers to this instance.
-    std::set<ServerIdentity> m_leavingServers; ///< As the keepers know them; only while this instance leads.
+    std::set<ServerIdentity> m_leavingServers; ///< Stated to any instance, as known in the term that this one leads.
     std::map<std::string, std::uint32_t> m_ownInFlight; ///< Requests in flight of this instance, by server id.
     std::map<std::string, ObservedSpeed> m_unreportedSpeeds; ///< Not reported yet, by server id.
     std::map<std::string, std::map<std::uint16_t, std::uint32_t>>
--- a/tests/leaving_report_test.cpp
+++ b/tests/leaving_report_test.cpp
@@ -33,6 +33,20 @@
     EXPECT_FALSE(ownsKeys(*leader.table, leaving.id));
 }
 
+/// Guards against keys for a server that was reported as leaving before the leader's list had it, by an instance that
+/// is lost meanwhile.
+TEST(LeavingReportTest, AReportCountsBeforeTheServerIsListedAndAfterItsInstanceIsLost)
+{
+    test::LeadingAuthority leader;
+    leader.listServers(2);
+    leader.run(2s);
+    leader.report(2, 1, {{"i-1000002", 1}});
+    leader.run(4s);
+    leader.listServers(3);
+    leader.run(2s);
+    EXPECT_FALSE(ownsKeys(*leader.table, "i-1000002"));
+}
+
 /// Guards against a statement about an earlier run that takes the keys of the next one.
 TEST(LeavingReportTest, AReportOfAnEarlierRunMovesNothing)
 {
