--- a/review/standin/extra_answer.cc
+++ b/review/standin/extra_answer.cc
@@ -10,15 +10,17 @@
     }
     signal(SIGPIPE, SIG_IGN);
     const bool trouble = std::string(argv[4]) != "0";
+    const auto A = [&](int i, int d) { return argc > i ? std::atoi(argv[i]) : d; };
     FleetSettings settings;
     settings.program = argv[1];
     settings.folder = argv[2];
     settings.record = argv[3];
-    settings.behaviour.workMs = 220;
-    settings.requestsPerS = 140;
+    settings.endpoints = A(5, 12);
+    settings.behaviour.workMs = A(6, 220);
+    settings.requestsPerS = A(7, 160);
     std::mutex mutex;
     std::map<std::string, unsigned> answers;
-    std::string marked; ///< The endpoint that sent an answer twice last.
+    std::set<std::string> marked; ///< Endpoints that sent an answer twice.
     std::set<std::string> faulty;
     settings.behaviour.extraLate = [&](const Endpoint& endpoint, const Message& m) {
         const std::lock_guard lock(mutex);
@@ -30,22 +32,23 @@
         if (active && faulty.contains(endpoint.id) && count >= 34 && m.target() == "/api/release"
             && endpoint.releasesInProgress > 0) {
             count -= 34;
-            marked = endpoint.id;
+            marked.insert(endpoint.id);
             return trouble;
         }
         return false;
     };
     Fleet fleet(settings);
-    fleet.hotPercent = 60;
+    const unsigned hot = A(8, 30);
+    fleet.hotWidth = A(9, 3000);
     std::thread traffic([&] { fleet.traffic(95'000); });
     sleepMs(5000);
-    unsigned next = 0;
+    const auto cycle = [&](unsigned next, std::atomic<unsigned>& hotPercent, std::atomic<std::uint32_t>& hotKeys) {
     while (nowMs() < 88'000) {
         // The busy keys move to those of one endpoint, whose load is divided then. Every second endpoint is faulty.
         Endpoint& endpoint = *fleet.endpoints[next % fleet.endpoints.size()];
-        next += 2;
+        next += 4;
         if (!endpoint.alive || endpoint.state != "ready") {
-            next = next < 2 * fleet.endpoints.size() ? next : 0;
+            sleepMs(20);
             continue;
         }
         {
@@ -54,7 +57,7 @@
         }
         {
             const std::lock_guard lock(mutex);
-            marked.clear();
+            marked.erase(endpoint.id);
         }
         std::uint32_t widest = 0;
         {
@@ -62,30 +65,39 @@
             for (const Hold& h : endpoint.holds) {
                 if (h.end > nowMs() && h.to - h.from > widest) {
                     widest = h.to - h.from;
-                    fleet.hotKeys = h.from + (h.to - h.from) / 2 - std::min<std::uint32_t>(1500, (h.to - h.from) / 2);
+                    hotKeys = h.from + widest / 2 - std::min(fleet.hotWidth / 2, widest / 2);
                 }
             }
         }
-        const double until = nowMs() + 4000;
+        hotPercent = hot;
+        const double until = nowMs() + 3500;
         bool sentTwice = false;
         while (nowMs() < until && !sentTwice) {
             sleepMs(50);
             const std::lock_guard lock(mutex);
-            sentTwice = marked == endpoint.id;
+            sentTwice = marked.contains(endpoint.id);
         }
+        hotPercent = 0;
         if (!sentTwice) {
             continue;
         }
-        sleepMs(500);
+        sleepMs(A(10, 300));
         // It leaves as planned, and another one comes.
         fleet.record.line("endpoint " + endpoint.process() + " reports draining");
         endpoint.state = "draining";
         fleet.beat(endpoint);
         fleet.add();
-        sleepMs(5000);
-        endpoint.crash();
-        fleet.store.remove("servers", endpoint.id);
+        std::thread([&fleet, &endpoint] {
+            sleepMs(3000);
+            endpoint.crash();
+            fleet.store.remove("servers", endpoint.id);
+        }).detach();
+        sleepMs(1000);
     }
+    };
+    std::thread second([&] { cycle(2, fleet.hotPercent2, fleet.hotKeys2); });
+    cycle(0, fleet.hotPercent, fleet.hotKeys);
+    second.join();
     traffic.join();
     const std::vector<EarlyGrant> found = earlyGrants(fleet.allHolds(), fleet.allRuns());
     for (const EarlyGrant& e : found) {
--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -20,7 +20,7 @@
     explicit Fleet(const FleetSettings& settings)
         : record(settings.record)
         , net("127." + std::to_string(20 + getpid() % 200) + "." + std::to_string(1 + getpid() / 200 % 250) + ".")
-        , store(net + "1:8384", record)
+        , store(record)
         , m_settings(settings)
         , m_random(7)
     {
@@ -34,8 +34,10 @@
         }
         std::thread([this] { beats(); }).detach();
         for (unsigned i = 0; i < settings.gateways; ++i) {
+            const std::string door = net + "1:" + std::to_string(8384 + i);
+            store.listen(door);
             gateways.push_back(std::make_unique<Gateway>(settings.program, settings.folder,
-                "edge-colombo-a-" + std::to_string(i + 1), net + std::to_string(101 + i), net + "1:8384"));
+                "edge-colombo-a-" + std::to_string(i + 1), net + std::to_string(101 + i), door));
             gateways.back()->start();
         }
         for (auto& gateway : gateways) {
@@ -54,6 +56,7 @@
     /// A new endpoint registers.
     void add()
     {
+        const std::lock_guard lock(m_addMutex);
         const std::size_t i = endpoints.size();
         endpoints.push_back(std::make_unique<Endpoint>("i-" + hex(0x5a00 + i * 977).substr(8), "planner",
             net + std::to_string(11 + i) + ":8080", m_settings.behaviour, record));
@@ -103,6 +106,19 @@
         return runs;
     }
 
+    /// Name of the instance that leads according to the store.
+    std::string leader()
+    {
+        const std::string text = store.leader();
+        for (const auto& gateway : gateways) {
+            if (text.find("\\\"instance\\\":\\\"" + gateway->node + "\\\"") != std::string::npos
+                || text.find("\"instance\":\"" + gateway->node + "\"") != std::string::npos) {
+                return gateway->node;
+            }
+        }
+        return text;
+    }
+
     Record record;
     const std::string net;
     Store store;
@@ -110,7 +126,9 @@
     std::vector<std::unique_ptr<Gateway>> gateways;
     std::atomic<unsigned> sent {0};
     std::atomic<unsigned> served {0};
-    std::atomic<std::uint32_t> hotWidth {3000};
+    std::atomic<unsigned> hotPercent2 {0}; ///< The same for a second group of busy keys.
+    std::atomic<std::uint32_t> hotKeys2 {10000};
+    std::atomic<std::uint32_t> hotWidth {2000};
     std::atomic<unsigned> hotPercent {50}; ///< Share of the requests that are for the busy keys.
     std::atomic<std::uint32_t> hotKeys {30000}; ///< First of the busy keys, which are close to one another.
 
@@ -130,7 +148,9 @@
     void send(std::mt19937_64& random)
     {
         const bool hot = random() % 100 < hotPercent;
-        const std::uint32_t key = hot ? (hotKeys + random() % hotWidth) % 65536 : static_cast<std::uint32_t>(random() % 65536);
+        const bool hot2 = !hot && random() % 100 < hotPercent2;
+        const std::uint32_t first = hot ? hotKeys.load() : hotKeys2.load();
+        const auto key = static_cast<std::uint32_t>(hot || hot2 ? (first + random() % hotWidth) % 65536 : random() % 65536);
         const std::string rid = hex(random());
         ++sent;
         const double at = nowMs();
@@ -143,8 +163,40 @@
             + " answered " + std::to_string(answer.status()));
     }
 
+    std::mutex m_addMutex;
     FleetSettings m_settings;
     std::mt19937_64 m_random;
 };
 
+/// Lists spans of over half a second in which two endpoints that are up held the same keys, and ends everything. The
+/// rule is broken if there are any or, where `broken` is given, if that is above 0.
+inline int finish(Fleet& fleet, int broken = -1)
+{
+    const std::vector<Overlap> found = overlaps(fleet.allHolds(), 500);
+    const std::vector<Run> runs = fleet.allRuns();
+    for (const Overlap& o : found) {
+        const auto begun = [&](const std::string& process) {
+            return std::count_if(runs.begin(), runs.end(), [&](const Run& run) {
+                return run.process == process && o.from <= run.key && run.key <= o.to && o.start <= run.start
+                    && run.start < o.end;
+            });
+        };
+        char text[250];
+        std::snprintf(text, sizeof text,
+            "OWNER: keys %u-%u held by %s and %s from %.0f to %.0f ms; requests begun meanwhile: %ld and %ld", o.from,
+            o.to, o.a.c_str(), o.b.c_str(), o.start, o.end, static_cast<long>(begun(o.a)),
+            static_cast<long>(begun(o.b)));
+        fleet.record.line(text);
+        std::cout << text << std::endl;
+    }
+    std::cout << "sent " << fleet.sent << ", served " << fleet.served << ", spans of over 0.5 s with two holders: "
+              << found.size() << std::endl;
+    fleet.record.flush();
+    for (auto& gateway : fleet.gateways) {
+        gateway->kill(SIGKILL);
+    }
+    const bool usable = fleet.served * 2 > fleet.sent;
+    std::_Exit((broken < 0 ? !found.empty() : broken > 0) ? 1 : usable ? 0 : 2);
+}
+
 } // namespace world
--- a/review/standin/restart.cc
+++ b/review/standin/restart.cc
@@ -37,29 +37,5 @@
     }
     drift.join();
     traffic.join();
-    const std::vector<Overlap> found = overlaps(fleet.allHolds(), 500);
-    const std::vector<Run> runs = fleet.allRuns();
-    for (const Overlap& o : found) {
-        const auto begun = [&](const std::string& process) {
-            return std::count_if(runs.begin(), runs.end(), [&](const Run& run) {
-                return run.process == process && o.from <= run.key && run.key <= o.to && o.start <= run.start
-                    && run.start < o.end;
-            });
-        };
-        char text[250];
-        std::snprintf(text, sizeof text,
-            "OWNER: keys %u-%u held by %s and %s from %.0f to %.0f ms; requests begun meanwhile: %ld and %ld", o.from,
-            o.to, o.a.c_str(), o.b.c_str(), o.start, o.end, static_cast<long>(begun(o.a)),
-            static_cast<long>(begun(o.b)));
-        fleet.record.line(text);
-        std::cout << text << std::endl;
-    }
-    std::cout << "sent " << fleet.sent << ", served " << fleet.served << ", spans of over 0.5 s with two holders: "
-              << found.size() << std::endl;
-    fleet.record.flush();
-    for (auto& gateway : fleet.gateways) {
-        gateway->kill(SIGKILL);
-    }
-    const bool usable = fleet.served * 2 > fleet.sent;
-    std::_Exit(!found.empty() ? 1 : usable ? 0 : 2);
+    return finish(fleet);
 }
--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -248,11 +248,29 @@
 /// The platform's store.
 class Store {
 public:
-    Store(const std::string& address, Record& record)
+    /// How the store treats the machines that use one of its addresses: it serves them, answers 503, or resets.
+    enum Mode { Serving, Busy, Reset };
+
+    explicit Store(Record& record)
         : m_record(record)
-        , m_listener(address, [this](int fd) { serve(fd); })
     {
     }
+    /// Listens on an address; each gateway uses one of its own, so that the store can turn single machines away.
+    void listen(const std::string& address)
+    {
+        auto door = std::make_shared<Door>();
+        m_doors[address] = door;
+        door->listener = std::make_unique<Listener>(address, [this, door = door.get()](int fd) { serve(fd, *door); });
+    }
+    void turnAway(const std::string& address, Mode mode)
+    {
+        Door& door = *m_doors.at(address);
+        door.mode = mode;
+        door.listener->down = mode == Reset;
+        if (mode == Reset) {
+            door.listener->resetConnections();
+        }
+    }
     /// A write of the operator or of a server, without a condition.
     void put(const std::string& kind, const std::string& name, const json::value& spec)
     {
@@ -327,13 +345,17 @@
         const std::size_t begin = at + name.size() + 2;
         return text.substr(begin, text.find('&', begin) - begin);
     }
-    void serve(int fd)
+    struct Door {
+        std::atomic<Mode> mode {Serving};
+        std::unique_ptr<Listener> listener;
+    };
+    void serve(int fd, Door& door)
     {
         std::string buffer;
         Message m;
         while (readMessage(fd, buffer, m)) {
-            int status = 200;
-            const std::string body = handle(m, status);
+            int status = 503;
+            const std::string body = door.mode == Busy ? "{}" : handle(m, status = 200);
             sleepMs(4); // 4 ms an answer
             if (!sendAll(fd, answerText(status, {{"Content-Type", "application/json"}}, body))) {
                 return;
@@ -411,7 +433,7 @@
     std::map<std::string, std::map<std::string, Object>> m_objects;
     std::vector<Change> m_history;
     std::uint64_t m_revision = 100;
-    Listener m_listener;
+    std::map<std::string, std::shared_ptr<Door>> m_doors;
 };
 
 /// One span of time in which a life of an endpoint held keys.
@@ -507,6 +529,14 @@
         m_record.line("endpoint " + process() + " starts");
     }
 
+    /// Number of releases that it was told since `ms`.
+    std::size_t releasesSince(double ms)
+    {
+        const std::lock_guard lock(m_mutex);
+        return static_cast<std::size_t>(
+            std::count_if(m_releases.begin(), m_releases.end(), [ms](double at) { return at >= ms; }));
+    }
+
     std::string process() const { return id + "/" + std::to_string(born % 10000000); }
     void setWork(double ms) { m_behaviour.workMs = ms; }
 
@@ -623,6 +653,7 @@
         m_record.line("endpoint " + process() + " is told to release " + std::to_string(from) + "-" + std::to_string(to));
         endHolds(from, to, nowMs());
         ++releasesInProgress;
+        m_releases.push_back(nowMs());
         const auto busy = [&] {
             for (const auto& [id, key] : m_inWork) {
                 if (from <= key && key <= to) {
@@ -701,6 +732,7 @@
     std::uint64_t m_life = 1;
     std::uint64_t m_sequence = 0;
     std::uint64_t m_handovers = 0;
+    std::vector<double> m_releases;
     int m_running = 0;
     int m_queued = 0;
     std::map<std::string, std::uint32_t> m_inWork;
@@ -759,6 +791,7 @@
     }
     std::string front() const { return ip + ":8381"; }
     std::string ready() const { return ip + ":8388"; }
+    const std::string& store() const { return m_store; }
 
 private:
     std::string m_program;
@@ -867,6 +900,31 @@
     return found;
 }
 
+/// A first grant of keys with a fencing token that is not above the one with which another endpoint had them.
+struct LowGrant {
+    Hold grant;
+    Hold earlier;
+};
+
+inline std::vector<LowGrant> lowGrants(const std::vector<Hold>& holds)
+{
+    const auto endpointOf = [](const Hold& h) { return h.process.substr(0, h.process.find('/')); };
+    std::vector<LowGrant> found;
+    for (const Hold& grant : holds) {
+        if (grant.renewal) {
+            continue;
+        }
+        const auto earlier = std::find_if(holds.begin(), holds.end(), [&](const Hold& h) {
+            return endpointOf(h) != endpointOf(grant) && h.from <= grant.to && grant.from <= h.to
+                && h.start < grant.start && h.fence >= grant.fence;
+        });
+        if (earlier != holds.end()) {
+            found.push_back({grant, *earlier});
+        }
+    }
+    return found;
+}
+
 /// Grants of keys on which another endpoint was still at work, before that one's hold would have run out.
 struct EarlyGrant {
     Hold grant;
