--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -13,6 +13,8 @@
     unsigned gateways = 3;
     double requestsPerS = 80;
     Endpoint::Behaviour behaviour;
+    std::string method = "GET";
+    std::string kind = "idempotent";
 };
 
 class Fleet {
@@ -25,8 +27,8 @@
         , m_random(7)
     {
         store.put("config", "main",
-            json::object {{"version", 5}, {"routes", {{"plan", route("/plan/", "idempotent", "planner", 1500, 600)}}},
-                {"services", {{"planner", {{"healthPath", "/health"}, {"maxConns", 110}, {"sharded", true}, {"warmS", 2.0}}}}},
+            json::object {{"version", 5}, {"routes", {{"plan", route("/plan/", settings.kind, "planner", 1500, 600)}}},
+                {"services", {{"planner", {{"healthPath", "/health"}, {"maxConns", 110}, {"sharded", settings.behaviour.sharded}, {"warmS", 2.0}}}}},
                 {"limits", limits()}});
         endpoints.reserve(64);
         for (unsigned i = 0; i < settings.endpoints; ++i) {
@@ -126,6 +128,7 @@
     std::vector<std::unique_ptr<Gateway>> gateways;
     std::atomic<unsigned> sent {0};
     std::atomic<unsigned> served {0};
+    std::atomic<unsigned> failed {0}; ///< Answered 502.
     std::atomic<unsigned> hotPercent2 {0}; ///< The same for a second group of busy keys.
     std::atomic<std::uint32_t> hotKeys2 {10000};
     std::atomic<std::uint32_t> hotWidth {2000};
@@ -155,10 +158,11 @@
         ++sent;
         const double at = nowMs();
         const Message answer = call(gateways[random() % gateways.size()]->front(),
-            "GET /plan/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + rid
+            m_settings.method + " /plan/x HTTP/1.1\r\nHost: a.example\r\nRequest-Id: " + rid
                 + "\r\nDeadline-Ms: 1500\r\nShard-Key: " + std::to_string(key) + "\r\n",
             "", 1600);
         served += answer.status() == 200 ? 1 : 0;
+        failed += answer.status() == 502 ? 1 : 0;
         record.line("client " + rid + " key " + std::to_string(key) + " sent at " + std::to_string(static_cast<long>(at))
             + " answered " + std::to_string(answer.status()));
     }
--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -529,6 +529,18 @@
         m_record.line("endpoint " + process() + " starts");
     }
 
+    /// Number of ranges that it holds.
+    std::size_t rangesHeld()
+    {
+        const std::lock_guard lock(m_mutex);
+        std::set<std::uint32_t> first;
+        for (const Hold& h : holds) {
+            if (h.process == process() && h.end > nowMs()) {
+                first.insert(h.from);
+            }
+        }
+        return first.size();
+    }
     /// Number of releases that it was told since `ms`.
     std::size_t releasesSince(double ms)
     {
@@ -549,6 +561,7 @@
     std::atomic<int> releasesInProgress {0};
     std::vector<Hold> holds; ///< Guarded by the mutex; read at the end.
     std::vector<Run> runs;
+    std::vector<std::pair<double, std::string>> arrivals; ///< Times and ids of requests that arrived.
     std::mutex& mutex() { return m_mutex; }
 
 private:
@@ -682,6 +695,7 @@
         const std::string keyText = m.header("Shard-Key");
         const std::uint32_t key = keyText.empty() ? 0 : static_cast<std::uint32_t>(std::stoul(keyText));
         std::unique_lock lock(m_mutex);
+        arrivals.emplace_back(nowMs(), rid);
         const std::uint64_t life = m_life;
         const double until = nowMs() + std::stod(m.header("Deadline-Ms").empty() ? "2000" : m.header("Deadline-Ms"));
         if (m_running >= m_behaviour.slots) {
