--- a/review/standin/extra_answer.cc
+++ b/review/standin/extra_answer.cc
@@ -10,14 +10,13 @@
     }
     signal(SIGPIPE, SIG_IGN);
     const bool trouble = std::string(argv[4]) != "0";
-    const auto A = [&](int i, int d) { return argc > i ? std::atoi(argv[i]) : d; };
     FleetSettings settings;
     settings.program = argv[1];
     settings.folder = argv[2];
     settings.record = argv[3];
-    settings.endpoints = A(5, 8);
-    settings.behaviour.workMs = A(6, 280);
-    settings.requestsPerS = A(7, 100);
+    settings.endpoints = 8;
+    settings.behaviour.workMs = 220;
+    settings.requestsPerS = 110;
     std::mutex mutex;
     std::map<std::string, unsigned> answers;
     std::set<std::string> marked; ///< Endpoints that sent an answer twice.
@@ -26,8 +25,8 @@
         const std::lock_guard lock(mutex);
         unsigned& count = answers[endpoint.id];
         ++count;
-        // At most 3 of 100 answers (x = 0.03) of at most 60 of 100 endpoints, for 5 s at a time: here the answer to
-        // the release that ends first of several.
+        // At most 3 of 100 answers (x = 0.03) of at most 60 of 100 endpoints, for 5 s at a time: here the answer to a
+        // release that ends while another one goes on.
         const bool active = static_cast<long>(nowMs()) % 6000 < 5000;
         if (active && faulty.contains(endpoint.id) && count >= 34 && m.target() == "/api/release"
             && endpoint.releasesInProgress == 1) {
@@ -38,14 +37,15 @@
         return false;
     };
     Fleet fleet(settings);
-    const unsigned hot = A(8, 40);
-    fleet.hotWidth = A(9, 3000);
+    const unsigned hot = 40;
+    fleet.hotWidth = 3000;
     std::thread traffic([&] { fleet.traffic(108'000); });
     sleepMs(5000);
-    const auto cycle = [&](unsigned next, std::atomic<unsigned>& hotPercent, std::atomic<std::uint32_t>& hotKeys) {
+    unsigned next = 0;
     while (nowMs() < 104'000) {
         // The busy keys move to those of one endpoint, whose load is divided then. Every second endpoint is faulty.
-        Endpoint& endpoint = *fleet.endpoints[next % fleet.endpoints.size()];
+        next = next < fleet.endpoints.size() ? next : 0;
+        Endpoint& endpoint = *fleet.endpoints[next];
         next += 2;
         if (!endpoint.alive || endpoint.state != "ready") {
             sleepMs(20);
@@ -54,22 +54,20 @@
         {
             const std::lock_guard lock(mutex);
             faulty.insert(endpoint.id);
-        }
-        {
-            const std::lock_guard lock(mutex);
             marked.erase(endpoint.id);
         }
+        fleet.hotWidth = 3000;
         std::uint32_t widest = 0;
         {
             const std::lock_guard lock(endpoint.mutex());
             for (const Hold& h : endpoint.holds) {
                 if (h.end > nowMs() && h.to - h.from > widest) {
                     widest = h.to - h.from;
-                    hotKeys = h.from + widest / 2 - std::min(fleet.hotWidth / 2, widest / 2);
+                    fleet.hotKeys = h.from + widest / 2 - std::min(fleet.hotWidth / 2, widest / 2);
                 }
             }
         }
-        hotPercent = hot;
+        fleet.hotPercent = hot;
         const double until = nowMs() + 3500;
         bool sentTwice = false;
         while (nowMs() < until && !sentTwice) {
@@ -77,14 +75,22 @@
             const std::lock_guard lock(mutex);
             sentTwice = marked.contains(endpoint.id);
         }
-        hotPercent = 0;
         if (!sentTwice) {
             continue;
         }
-        sleepMs(A(10, 50));
+        // The busy keys change again: to the second of the ranges that it still has.
+        const std::vector<std::pair<std::uint32_t, std::uint32_t>> held = endpoint.heldRanges();
+        if (held.size() >= 2) {
+            fleet.hotKeys = held[1].first;
+            fleet.hotWidth = std::min<std::uint32_t>(3000, held[1].second - held[1].first + 1);
+        }
+        sleepMs(100);
         // It leaves as planned, and another one comes.
         fleet.record.line("endpoint " + endpoint.process() + " reports draining");
-        endpoint.state = "draining";
+        {
+            const std::lock_guard lock(endpoint.mutex());
+            endpoint.state = "draining";
+        }
         fleet.beat(endpoint);
         fleet.add();
         std::thread([&fleet, &endpoint] {
@@ -94,8 +100,6 @@
         }).detach();
         sleepMs(1000);
     }
-    };
-    cycle(0, fleet.hotPercent, fleet.hotKeys);
     traffic.join();
     const std::vector<EarlyGrant> found = earlyGrants(fleet.allHolds(), fleet.allRuns());
     for (const EarlyGrant& e : found) {
--- a/review/standin/fleet.hpp
+++ b/review/standin/fleet.hpp
@@ -24,7 +24,6 @@
         , net("127." + std::to_string(20 + getpid() % 200) + "." + std::to_string(1 + getpid() / 200 % 250) + ".")
         , store(record)
         , m_settings(settings)
-        , m_random(7)
     {
         store.put("config", "main",
             json::object {{"version", 5}, {"routes", {{"plan", route("/plan/", settings.kind, "planner", 1500, 600)}}},
@@ -129,9 +128,7 @@
     std::atomic<unsigned> sent {0};
     std::atomic<unsigned> served {0};
     std::atomic<unsigned> failed {0}; ///< Answered 502.
-    std::atomic<unsigned> hotPercent2 {0}; ///< The same for a second group of busy keys.
-    std::atomic<std::uint32_t> hotKeys2 {10000};
-    std::atomic<std::uint32_t> hotWidth {2000};
+    std::atomic<std::uint32_t> hotWidth {2000}; ///< Number of the busy keys.
     std::atomic<unsigned> hotPercent {50}; ///< Share of the requests that are for the busy keys.
     std::atomic<std::uint32_t> hotKeys {30000}; ///< First of the busy keys, which are close to one another.
 
@@ -151,9 +148,7 @@
     void send(std::mt19937_64& random)
     {
         const bool hot = random() % 100 < hotPercent;
-        const bool hot2 = !hot && random() % 100 < hotPercent2;
-        const std::uint32_t first = hot ? hotKeys.load() : hotKeys2.load();
-        const auto key = static_cast<std::uint32_t>(hot || hot2 ? (first + random() % hotWidth) % 65536 : random() % 65536);
+        const auto key = static_cast<std::uint32_t>(hot ? (hotKeys + random() % hotWidth) % 65536 : random() % 65536);
         const std::string rid = hex(random());
         ++sent;
         const double at = nowMs();
@@ -169,7 +164,6 @@
 
     std::mutex m_addMutex;
     FleetSettings m_settings;
-    std::mt19937_64 m_random;
 };
 
 /// Lists spans of over half a second in which two endpoints that are up held the same keys, and ends everything. The
--- a/review/standin/world.hpp
+++ b/review/standin/world.hpp
@@ -529,6 +529,24 @@
         m_record.line("endpoint " + process() + " starts");
     }
 
+    /// The ranges that it holds, as they were granted or renewed last, in order.
+    std::vector<std::pair<std::uint32_t, std::uint32_t>> heldRanges()
+    {
+        const std::lock_guard lock(m_mutex);
+        std::map<std::uint32_t, std::pair<double, std::uint32_t>> newest; ///< Start and last key by first key.
+        for (const Hold& h : holds) {
+            if (h.process == process() && h.end > nowMs()) {
+                newest[h.from] = std::max(newest[h.from], {h.start, h.to});
+            }
+        }
+        std::vector<std::pair<std::uint32_t, std::uint32_t>> ranges;
+        for (const auto& [from, range] : newest) {
+            if (ranges.empty() || from > ranges.back().second) {
+                ranges.emplace_back(from, range.second);
+            }
+        }
+        return ranges;
+    }
     /// Number of ranges that it holds.
     std::size_t rangesHeld()
     {
