A server that started again keeps its leases until it releases them

Cause: a grant names a server only by its id, so the process that started again takes a renewal that was meant for the earlier one. When the list showed the later start time, RangeKeeper::dropExpiredHolders took it as the end of all leases of the earlier process and granted the range elsewhere at once. The later start time proves that the earlier process has ended, not which of the two took a call.

Change: the process that runs now replaces the earlier one as holder with the same limits. It releases the range before another server gets it, or its lease ends; if it is ready, it keeps the range with a higher fencing token. Holders from the record of an earlier leader are treated alike.

Ruled out: dropping the holder only when the address differs (needless: a release to the new address costs one call).

--- a/src/ranges/range_keeper.cpp
+++ b/src/ranges/range_keeper.cpp
@@ -199,21 +199,70 @@
     const std::size_t otherHolderCount = rangeState.holders.size() - (rangeState.hasTarget ? 1 : 0);
     const auto end = rangeState.holders.begin() + static_cast<std::ptrdiff_t>(otherHolderCount);
     const auto isExpired = [this, &rangeState](const Holder& holder) {
-        const bool inCall = rangeState.callId != 0 && rangeState.callServer == holder.process;
-        const ListedServer* server = findListed(holder.process.identity);
-        // A restart of the server ends the process that held the lease.
-        const bool restarted = server != nullptr
-            && server->identity.startedAtUnixMs > holder.process.identity.startedAtUnixMs
-            && holder.process.identity.startedAtUnixMs != 0;
-        return !inCall && (holder.leaseEndBound <= m_now || restarted);
+        return !isInCall(rangeState, holder) && holder.leaseEndBound <= m_now;
     };
     const std::size_t before = rangeState.holders.size();
     rangeState.holders.erase(std::remove_if(rangeState.holders.begin(), end, isExpired), end);
     m_recordHasExpiredHolders = m_recordHasExpiredHolders || rangeState.holders.size() < before;
 }
 
+bool RangeKeeper::isInCall(const RangeState& rangeState, const Holder& holder)
+{
+    return rangeState.callId != 0 && rangeState.callServer == holder.process;
+}
+
+/// Replaces holders whose server has started again by the process that runs now. A call names a server only by its id,
+/// so the process that runs now may have taken grants that were sent to the earlier one: it has the lease until it
+/// releases the range or the lease expires.
+void RangeKeeper::replaceRestartedHolders(RangeState& rangeState)
+{
+    bool replaced = false;
+    for (Holder& holder : rangeState.holders) {
+        const ListedServer* server = findListed(holder.process.identity);
+        const bool restarted
+            = server != nullptr && server->identity.startedAtUnixMs > holder.process.identity.startedAtUnixMs;
+        if (!restarted || isInCall(rangeState, holder)) {
+            continue;
+        }
+        replaced = true;
+        holder.process = holderOf(*server);
+        holder.fence = 0;
+        holder.grantConfirmed = false;
+        holder.fencingAttempts = 0;
+        rangeState.requiredGeneration = ++m_generation;
+        rangeState.nextCallAt = m_now;
+        rangeState.failureScore = 0;
+    }
+    if (replaced) {
+        combineEqualHolders(rangeState);
+    }
+}
+
+/// Combines holders that are the same process into the last one of them.
+void RangeKeeper::combineEqualHolders(RangeState& rangeState)
+{
+    for (std::size_t i = rangeState.holders.size(); i-- > 1;) {
+        for (std::size_t j = i; j-- > 0;) {
+            Holder& last = rangeState.holders[i];
+            const Holder& other = rangeState.holders[j];
+            if (other.process != last.process) {
+                continue;
+            }
+            last.leaseEndBound = std::max(last.leaseEndBound, other.leaseEndBound);
+            last.unansweredGrantEnd = std::max(last.unansweredGrantEnd, other.unansweredGrantEnd);
+            last.fromEarlierTerm = last.fromEarlierTerm || other.fromEarlierTerm;
+            if (isInCall(rangeState, last)) {
+                rangeState.leaseEndBeforeCall = std::max(rangeState.leaseEndBeforeCall, other.leaseEndBound);
+            }
+            rangeState.holders.erase(rangeState.holders.begin() + static_cast<std::ptrdiff_t>(j));
+            --i;
+        }
+    }
+}
+
 void RangeKeeper::stepRange(RangeState& rangeState, bool mayGrant)
 {
+    replaceRestartedHolders(rangeState);
     if (rangeState.hasTarget && !mayKeepRanges(rangeState.holders.back().process.identity)) {
         rangeState.hasTarget = false;
     }
--- a/src/ranges/range_keeper.h
+++ b/src/ranges/range_keeper.h
@@ -137,6 +137,9 @@
     void sendGrant(RangeState& rangeState, Holder& holder);
     void sendRelease(RangeState& rangeState, Holder& holder);
     void dropExpiredHolders(RangeState& rangeState);
+    void replaceRestartedHolders(RangeState& rangeState);
+    static void combineEqualHolders(RangeState& rangeState);
+    [[nodiscard]] static bool isInCall(const RangeState& rangeState, const Holder& holder);
     void onGrantEnded(RangeState& rangeState, Holder& target, const RangeCallEnded& event);
     void onReleaseEnded(RangeState& rangeState, Holder& holder, const RangeCallEnded& event);
     void rebalance();
--- a/tests/range_authority_test.cpp
+++ b/tests/range_authority_test.cpp
@@ -233,6 +233,76 @@
     EXPECT_GT(find<GrantRange>(granting)->fence, fence);
 }
 
+/// Guards against two owners of a key: a server that started again under its id may have taken a renewal that was sent
+/// to its earlier process, so it must release the range before another server gets it.
+TEST_F(RangeKeeperTest, ARestartedServerReleasesBeforeItsKeysMove)
+{
+    m_keeper.adopt(std::nullopt, 0, start);
+    listServers({server("a")});
+    RangeEffects effects = stepAndStore();
+    ASSERT_NE(find<GrantRange>(effects), nullptr);
+    (void)finishCall(find<GrantRange>(effects)->callId, GrantResult::Done);
+    effects = stepAndStore(m_times.renewalInterval);
+    ASSERT_NE(find<GrantRange>(effects), nullptr);
+    (void)finishCall(find<GrantRange>(effects)->callId, GrantResult::Done); // Taken by the process that started again.
+    ListedServer restarted = server("a", ListedServerState::Draining);
+    restarted.identity.startedAtUnixMs = 2;
+    listServers({restarted, server("b")});
+    effects = stepAndStore(50ms);
+    EXPECT_EQ(find<GrantRange>(effects), nullptr);
+    ASSERT_NE(find<ReleaseRange>(effects), nullptr);
+    EXPECT_EQ(find<ReleaseRange>(effects)->server.identity, restarted.identity);
+    effects = finishCall(find<ReleaseRange>(effects)->callId, GrantResult::Done);
+    ASSERT_NE(find<GrantRange>(effects), nullptr);
+    EXPECT_EQ(find<GrantRange>(effects)->server, holder("b"));
+}
+
+/// The same for a server that does not answer after its restart, and for a leader that took over meanwhile.
+TEST_F(RangeKeeperTest, TheLeaseOfARestartedServerThatDoesNotAnswerExpiresFirst)
+{
+    const MonotonicTime earlierLeaseEnd = start + 3s;
+    m_keeper.adopt(RangesRecord {2, {{{0, maxKey}, {holder("a")}}}}, 5, earlierLeaseEnd);
+    ListedServer restarted = server("a", ListedServerState::Draining);
+    restarted.identity.startedAtUnixMs = 2;
+    listServers({restarted, server("b")});
+    MonotonicTime grantedAt;
+    for (int i = 0; i < 200 && grantedAt == MonotonicTime(); ++i) {
+        for (const RangeEffect& effect : stepAndStore(50ms)) {
+            if (const auto* grant = std::get_if<GrantRange>(&effect)) {
+                if (grant->server == holder("b")) {
+                    grantedAt = m_now;
+                } else {
+                    (void)m_keeper.onCallEnded({grant->callId, GrantResult::NoAnswer, ""}, m_now, true);
+                }
+            } else if (const auto* release = std::get_if<ReleaseRange>(&effect)) {
+                (void)m_keeper.onCallEnded({release->callId, GrantResult::NoAnswer, ""}, m_now, true);
+            }
+        }
+    }
+    EXPECT_GE(grantedAt, earlierLeaseEnd);
+}
+
+/// Guards against keys that change hands after a restart although the server is ready: it gets them again with a higher
+/// fencing token, once the process that runs now is recorded.
+TEST_F(RangeKeeperTest, ARestartedServerKeepsItsKeysWithAHigherFence)
+{
+    m_keeper.adopt(std::nullopt, 0, start);
+    listServers({server("a")});
+    RangeEffects effects = stepAndStore();
+    ASSERT_NE(find<GrantRange>(effects), nullptr);
+    const std::uint64_t fence = find<GrantRange>(effects)->fence;
+    (void)finishCall(find<GrantRange>(effects)->callId, GrantResult::Done);
+    ListedServer restarted = server("a");
+    restarted.identity.startedAtUnixMs = 2;
+    listServers({restarted, server("b")});
+    effects = stepAndStore(50ms);
+    ASSERT_NE(find<WriteRecord>(effects), nullptr);
+    EXPECT_NE(find<WriteRecord>(effects)->value.find("\"born\":2"), std::string::npos);
+    ASSERT_NE(find<GrantRange>(effects), nullptr);
+    EXPECT_EQ(find<GrantRange>(effects)->server.identity, restarted.identity);
+    EXPECT_GT(find<GrantRange>(effects)->fence, fence);
+}
+
 /// Guards against keys that stay with a server which has said itself that it leaves while the store lists it as ready.
 TEST_F(RangeKeeperTest, MovesTheKeysOfAServerThatStatesThatItLeaves)
 {
--- a/tests/range_simulation.cpp
+++ b/tests/range_simulation.cpp
@@ -182,9 +182,10 @@
 {
     const std::string name = instance.name;
     const std::uint64_t incarnation = instance.incarnation;
+    // A call names only the server's id, so the process that runs now takes it.
     const auto find = [this](const RangeHolder& holder) {
         return std::find_if(m_servers.begin(), m_servers.end(),
-            [&](const Server& server) { return server.listed.identity == holder.identity; });
+            [&](const Server& server) { return server.listed.identity.id == holder.identity.id; });
     };
     const auto answer = [this, name, incarnation, call = effect.callId](GrantResult result, Milliseconds delay) {
         schedule(delay, [this, name, incarnation, call, result] {
@@ -202,13 +203,14 @@
     }
     const MonotonicTime arrivesAt = m_now + 2ms;
     if (random() < m_lateGrantRate) {
-        schedule(Milliseconds(2000 + static_cast<int>(random() * 10'000)), [this, effect, find, arrivesAt] {
-            const auto late = find(effect.server);
-            if (late != m_servers.end() && late->running) {
-                (void)applyGrant(*late, effect, arrivesAt);
-                checkLeases();
-            }
-        });
+        schedule(Milliseconds(2000 + static_cast<int>(random() * 10'000)),
+            [this, effect, find, arrivesAt, startedAt = server->listed.identity.startedAtUnixMs] {
+                const auto late = find(effect.server);
+                if (late != m_servers.end() && late->running && late->listed.identity.startedAtUnixMs == startedAt) {
+                    (void)applyGrant(*late, effect, arrivesAt);
+                    checkLeases();
+                }
+            });
         return answer(GrantResult::NoAnswer, 400ms);
     }
     schedule(2ms, [this, effect, find, answer, arrivesAt] {
@@ -227,7 +229,7 @@
     const std::string name = instance.name;
     const std::uint64_t incarnation = instance.incarnation;
     const auto server = std::find_if(m_servers.begin(), m_servers.end(),
-        [&](const Server& candidate) { return candidate.listed.identity == effect.server.identity; });
+        [&](const Server& candidate) { return candidate.listed.identity.id == effect.server.identity.id; });
     const bool reached = server != m_servers.end() && server->running && !server->unreachable;
     if (!reached) {
         return schedule(400ms, [this, name, incarnation, call = effect.callId] {
@@ -324,10 +326,11 @@
         m_servers[serverIndex].running = false;
         m_servers[serverIndex].leases.clear();
         m_servers[serverIndex].highestFences.assign(keyCount, 0);
-        schedule(length, [this, serverIndex] {
+        schedule(random() < 0.5 ? length / 10 : length, [this, serverIndex] {
             m_servers[serverIndex].running = true;
             ++m_servers[serverIndex].listed.identity.startedAtUnixMs;
-            publishServerList();
+            // The instances learn of the new process later than the first calls can reach it.
+            schedule(Milliseconds(static_cast<int>(random() * 300)), [this] { publishServerList(); });
         });
         schedule(2600ms, [this] { publishServerList(); });
         break;
