An earlier leader learns of its successor without the store

Cause: a leader that the store turns away grants for 12 s. It named a successor that took over, but the new leader had no connection to it, ignored its heartbeats, and all instances went on reporting to it. A refused grant only made it read the record, which it could not. A server that had started again knew no fencing token and took its grants.

Change: a heartbeat of an earlier term is answered with the present leader (OutdatedLeaders), and a refused grant with a new fencing token, which is above all others of the term, stops all grants until the store confirms this leader.

With this change taken out RangeSuccessionTest.ALeaderOfAnEarlierTermIsToldWhoLeads and .ALeaderStopsGrantingWhenAServerHasALaterTerm failed (run). .ALeaderWithoutTheStoreFollowsItsSuccessor passed without it and guards the way on from there.

Ruled out: no moves until the earlier leader has confirmed its stop, which would leave keys of lost servers without an owner for up to 15 s.

--- a/include/jasminespread/log_event.h
+++ b/include/jasminespread/log_event.h
@@ -44,6 +44,7 @@
     StandbyChanged = 406,
     GrantRefused = 407,
     RangeRecordUnreadable = 408,
+    OutdatedLeaderFound = 409,
     RequestRejected = 500,
     BackendFailed = 501,
     LateAnswerDropped = 502,
@@ -64,7 +65,7 @@
     std::string_view meaning;
 };
 
-inline constexpr std::array<LogEventInfo, 34> logEventCatalogue {{
+inline constexpr std::array<LogEventInfo, 35> logEventCatalogue {{
     {LogEvent::ProcessStarted, LogLevel::Info, "process-started", "The process listens on all its addresses."},
     {LogEvent::ProcessStopping, LogLevel::Info, "process-stopping",
         "A stop was requested; requests in flight are drained."},
@@ -99,6 +100,8 @@
     {LogEvent::GrantRefused, LogLevel::Warning, "grant-refused", "A backend server refused a grant."},
     {LogEvent::RangeRecordUnreadable, LogLevel::Error, "range-record-unreadable",
         "The stored owners of a service's keys cannot be read."},
+    {LogEvent::OutdatedLeaderFound, LogLevel::Warning, "outdated-leader-found",
+        "An instance acts as leader of an earlier term; it is told who leads now."},
     {LogEvent::RequestRejected, LogLevel::Warning, "request-rejected", "A malformed request was refused."},
     {LogEvent::BackendFailed, LogLevel::Warning, "backend-failed", "A request to a backend server failed."},
     {LogEvent::LateAnswerDropped, LogLevel::Info, "late-answer-dropped",
--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -59,7 +59,7 @@
     const bool wasSuspended = m_now != MonotonicTime() && event.now - m_now > maxTickGap;
     m_now = event.now;
     if (wasSuspended) {
-        m_leadership.onResumed(m_now);
+        m_leadership.suspendGrants(m_now);
     }
     std::visit([this](auto& alternative) { handle(std::move(alternative)); }, event.event);
     return std::exchange(m_effects, {});
@@ -106,6 +106,10 @@
     } else if (m_now >= m_nextReportAt) {
         sendReport();
     }
+    if (m_outdatedLeaders.removeSilent(m_now)) {
+        connectPeers();
+    }
+    tellOutdatedLeaders();
     updateFeedSource();
 }
 
@@ -226,14 +230,23 @@
 void RangeAuthority::handle(RangeCallEnded&& event)
 {
     for (auto& [service, keyedService] : m_services) {
-        if (keyedService.adopted && keyedService.keeper->onCallEnded(event, m_now, m_leadership.mayGrant(m_now))) {
-            if (event.result == GrantResult::Fenced) {
-                log(LogEvent::GrantRefused,
-                    "service=" + service + " why=\"the server has accepted a higher fencing token\"");
-                m_leadership.verifyNow(m_now);
-            }
-            return publishTable(service, keyedService);
+        if (!keyedService.adopted) {
+            continue;
+        }
+        const RangeKeeper::CallEnd end = keyedService.keeper->onCallEnded(event, m_now, m_leadership.mayGrant(m_now));
+        if (end == RangeKeeper::CallEnd::OtherKeeper) {
+            continue;
         }
+        if (event.result == GrantResult::Fenced) {
+            log(LogEvent::GrantRefused,
+                "service=" + service + " why=\"the server has accepted a higher fencing token\"");
+            m_leadership.verifyNow(m_now);
+        }
+        if (end == RangeKeeper::CallEnd::LaterTerm) {
+            m_superseded = true;
+            m_leadership.suspendGrants(m_now);
+        }
+        return publishTable(service, keyedService);
     }
 }
 
@@ -369,6 +382,7 @@
 
 void RangeAuthority::handle(RangeMessageDropped&& event)
 {
+    m_outdatedLeaders.onMessageDropped(event.to);
     if (m_term == 0) {
         m_nextReportAt = std::min(m_nextReportAt, m_now + droppedReportInterval);
         return;
@@ -384,6 +398,15 @@
 {
     m_leadership.onHeartbeat(message.term(), sender.id(), sender.incarnation(), message.address(), m_now);
     applyLeadership();
+    if (message.term() < term() && sender.id() != m_self.instance) {
+        if (m_outdatedLeaders.onHeartbeat(sender.id(), message.address(), m_now)) {
+            log(LogEvent::OutdatedLeaderFound,
+                "instance=" + sender.id() + " term=" + std::to_string(message.term())
+                    + " known-term=" + std::to_string(term()));
+            connectPeers();
+        }
+        return tellOutdatedLeaders();
+    }
     const bool isFromCurrentLeader
         = m_term == 0 && m_leadership.leader() && m_leadership.leader()->term == message.term();
     if (!isFromCurrentLeader) {
@@ -518,6 +541,7 @@
     m_services.clear();
     m_tableSender = RangeTableSender();
     m_leavingServers = m_ownLeavingServers;
+    m_superseded = false;
     const std::vector<std::string>& unconfirmed = m_leadership.leader()->unconfirmedLeaders;
     m_unconfirmedLeaders = {unconfirmed.begin(), unconfirmed.end()};
     m_earlierLeadersStoppedAt = m_now;
@@ -559,17 +583,35 @@
     if (!next || next->term <= m_term) {
         return;
     }
-    wire::Envelope envelope;
-    wire::RangeLeaderChange& change = *envelope.mutable_range_leader_change();
-    change.set_term(next->term);
-    change.mutable_leader()->set_id(next->instance);
-    change.mutable_leader()->set_incarnation(next->incarnation);
-    change.set_address(next->address);
+    const wire::Envelope envelope = makeLeaderChange(*next);
     for (const auto& [id, member] : m_members) {
         m_effects.emplace_back(SendRangePeerMessage {id, envelope});
     }
 }
 
+wire::Envelope RangeAuthority::makeLeaderChange(const LeaderRecord& leader) const
+{
+    wire::Envelope envelope;
+    wire::RangeLeaderChange& change = *envelope.mutable_range_leader_change();
+    change.set_term(leader.term);
+    change.mutable_leader()->set_id(leader.instance);
+    change.mutable_leader()->set_incarnation(leader.incarnation);
+    change.set_address(leader.address);
+    return envelope;
+}
+
+/// A leader that cannot read its record would otherwise grant until its leader lease expires.
+void RangeAuthority::tellOutdatedLeaders()
+{
+    const std::optional<LeaderRecord>& leader = m_leadership.leader();
+    if (!leader) {
+        return;
+    }
+    for (const std::string& instance : m_outdatedLeaders.takeUntold()) {
+        m_effects.emplace_back(SendRangePeerMessage {instance, makeLeaderChange(*leader)});
+    }
+}
+
 /// Latest end of a lease that an earlier leader may have granted.
 MonotonicTime RangeAuthority::earlierLeaseEnd() const
 {
@@ -717,8 +759,10 @@
     if (fittest == m_members.end()) {
         return {};
     }
-    // A leader without the store does not learn of leaving servers and cannot move ranges.
-    const bool mustStop = m_stopping || m_now - m_leadership.verifiedAt() > storeLossTimeout;
+    // A leader without the store does not learn of leaving servers and cannot move ranges. The successor of one that
+    // was superseded finds the leader of the later term in the store.
+    const bool isSuperseded = m_superseded && !m_leadership.mayGrant(m_now);
+    const bool mustStop = m_stopping || isSuperseded || m_now - m_leadership.verifiedAt() > storeLossTimeout;
     const double ownFitness = m_leadershipTimes.fitness;
     const bool isMuchLessFit
         = fittest->second.fitness > ownFitness && fittest->second.fitness >= ownFitness * handoverFitnessRatio;
@@ -848,6 +892,7 @@
     } else if (m_leadership.leader() && m_leadership.leader()->instance != m_self.instance) {
         peers.push_back({m_leadership.leader()->instance, m_leadership.leader()->address});
     }
+    m_outdatedLeaders.addTo(peers);
     if (peers != m_peers) {
         m_peers = peers;
         m_effects.emplace_back(ConnectRangePeers {std::move(peers)});
--- a/src/ranges/range_authority.h
+++ b/src/ranges/range_authority.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "ranges/outdated_leaders.h"
 #include "ranges/range_event.h"
 #include "ranges/range_keeper.h"
 #include "ranges/range_leadership.h"
@@ -82,6 +83,8 @@
     void beginTerm();
     void endTerm();
     void announceNextLeader();
+    [[nodiscard]] wire::Envelope makeLeaderChange(const LeaderRecord& leader) const;
+    void tellOutdatedLeaders();
     void onEarlierLeaderStopped();
     void stepServices();
     void stepService(const std::string& service, KeyedService& keyedService);
@@ -124,12 +127,14 @@
     RangeTableSender m_tableSender; ///< Of the term in which this instance leads.
     std::map<std::string, Member> m_members; ///< By instance id, without this instance.
     std::set<std::string> m_unconfirmedLeaders; ///< Earlier leaders that may still grant.
+    bool m_superseded = false; ///< A server has accepted a grant of a later term; its leader is not known yet.
     MonotonicTime m_earlierLeadersStoppedAt; ///< When the latest of them was confirmed to have stopped.
     MonotonicTime m_nextHeartbeatAt;
     MonotonicTime m_nextReportAt;
     MonotonicTime m_nextStepAt;
     MonotonicTime m_nextSuccessionCheckAt;
     std::vector<RangePeer> m_peers;
+    OutdatedLeaders m_outdatedLeaders;
     FeedSourceSelector m_feedSelector;
     bool m_tableBaseMissing = false; ///< Table changes did not apply to the known table; set in the next report.
     FeedSource m_feedSource = FeedSource::Store;
--- a/src/ranges/range_keeper.cpp
+++ b/src/ranges/range_keeper.cpp
@@ -342,7 +342,8 @@
 
 void RangeKeeper::sendGrant(RangeState& rangeState, Holder& target)
 {
-    if (target.fence == 0) {
+    rangeState.callHasNewFence = target.fence == 0;
+    if (rangeState.callHasNewFence) {
         target.fence = m_counters.nextFence();
         target.grantConfirmed = false;
     }
@@ -369,14 +370,18 @@
     m_effects.emplace_back(ReleaseRange {rangeState.callId, holder.process, rangeState.range, holder.fence});
 }
 
-bool RangeKeeper::onCallEnded(const RangeCallEnded& event, MonotonicTime now, bool mayGrant)
+RangeKeeper::CallEnd RangeKeeper::onCallEnded(const RangeCallEnded& event, MonotonicTime now, bool mayGrant)
 {
     m_now = now;
     const auto rangeState = std::find_if(
         m_ranges.begin(), m_ranges.end(), [&](const RangeState& range) { return range.callId == event.callId; });
     if (rangeState == m_ranges.end()) {
-        return false;
+        return CallEnd::OtherKeeper;
     }
+    // A new fencing token is above all others of this term and of the earlier ones.
+    const bool showsLaterTerm
+        = event.result == GrantResult::Fenced && !rangeState->callIsRelease && rangeState->callHasNewFence;
+    mayGrant = mayGrant && !showsLaterTerm;
     m_placement.reset();
     applyCallResult(*rangeState, event);
     stepRange(*rangeState, mayGrant);
@@ -384,7 +389,7 @@
     if (now - m_publishedAt >= publishInterval && !isPublished(*rangeState)) {
         publish();
     }
-    return true;
+    return showsLaterTerm ? CallEnd::LaterTerm : CallEnd::Applied;
 }
 
 void RangeKeeper::applyCallResult(RangeState& rangeState, const RangeCallEnded& event)
--- a/src/ranges/range_keeper.h
+++ b/src/ranges/range_keeper.h
@@ -72,10 +72,15 @@
     /// Does all work that is due. Sends grants and releases only if @p mayGrant, and moves ranges only if also
     /// @p storeAvailable.
     void step(MonotonicTime now, bool mayGrant, bool storeAvailable);
+    /// What a call that has ended shows.
+    enum class CallEnd : std::uint8_t {
+        OtherKeeper, ///< The call does not belong to this keeper.
+        Applied, ///< Its result was applied.
+        LaterTerm ///< The same, and the server has accepted a grant of a leader of a later term.
+    };
+
     /// Applies the result of a call and continues with its range only. Sends grants and releases only if @p mayGrant.
-    /// Returns true if the call belongs to this keeper. A Fenced result means that another leader may have a higher
-    /// term.
-    bool onCallEnded(const RangeCallEnded& event, MonotonicTime now, bool mayGrant);
+    CallEnd onCallEnded(const RangeCallEnded& event, MonotonicTime now, bool mayGrant);
     void onRecordWritten(const StoreWriteResult& result);
     /// Term of the stored record compared with this term.
     enum class ReadBackResult : std::uint8_t {
@@ -111,6 +116,7 @@
         std::string handover; ///< State of the previous owner, sent with the next grant.
         std::uint64_t callId = 0; ///< Call in flight; 0: none.
         bool callIsRelease = false;
+        bool callHasNewFence = false; ///< It is the first one with its fencing token.
         RangeHolder callServer;
         MonotonicTime callSentAt;
         MonotonicTime leaseEndBeforeCall; ///< `leaseEndBound` of `callServer` without the grant in flight.
--- a/src/ranges/range_leadership.cpp
+++ b/src/ranges/range_leadership.cpp
@@ -131,7 +131,7 @@
         m_role = Role::Leader;
         m_leader = record;
         m_verifiedAt = std::max(m_verifiedAt, now);
-        m_mustVerify = m_mustVerify && now < m_resumedAt; // A call that started before the suspension confirms nothing.
+        m_mustVerify = m_mustVerify && now < m_suspendedAt; // A call that started earlier confirms nothing.
         return;
     }
     if (m_role == Role::Leader) {
@@ -157,7 +157,7 @@
             m_tookOverAt = event.startedAt;
             m_earlierLeadersStopped = false;
         }
-        m_mustVerify = m_mustVerify && event.startedAt < m_resumedAt;
+        m_mustVerify = m_mustVerify && event.startedAt < m_suspendedAt;
         m_leader = m_writingRecord;
         m_role = Role::Leader;
         m_version = event.result.version;
@@ -197,10 +197,10 @@
 
 void RangeLeadership::verifyNow(MonotonicTime now) { m_nextCallAt = std::min(m_nextCallAt, now); }
 
-void RangeLeadership::onResumed(MonotonicTime now) noexcept
+void RangeLeadership::suspendGrants(MonotonicTime now) noexcept
 {
     m_mustVerify = true;
-    m_resumedAt = now;
+    m_suspendedAt = now;
     verifyNow(now);
 }
 
--- a/src/ranges/range_leadership.h
+++ b/src/ranges/range_leadership.h
@@ -47,8 +47,9 @@
     /// A heartbeat of a leader arrived.
     void onHeartbeat(std::uint64_t term, const std::string& instance, std::uint64_t incarnation,
         const std::string& address, MonotonicTime now);
-    /// The process was suspended for a while: it may not grant until the stored record confirms it as leader.
-    void onResumed(MonotonicTime now) noexcept;
+    /// The process was suspended for a while, or a server has accepted a grant of a later term: this instance may not
+    /// grant until a read of the stored record that begins at @p now or later confirms it as leader.
+    void suspendGrants(MonotonicTime now) noexcept;
     /// The leader hands over and named this instance as its successor.
     void onNamedSuccessor(MonotonicTime now);
     /// There are signs of another leader: makes the next read of the record due at once.
@@ -86,7 +87,7 @@
     MonotonicTime m_lastHeartbeatAt; ///< Last heartbeat of the leader, or when it became known.
     MonotonicTime m_verifiedAt; ///< Start of the latest store call that confirmed this instance as leader.
     MonotonicTime m_tookOverAt;
-    MonotonicTime m_resumedAt;
+    MonotonicTime m_suspendedAt; ///< Last call of suspendGrants().
     MonotonicTime m_nextCallAt;
     bool m_callInFlight = false;
     LeaderRecord m_writingRecord; ///< Record of the write in flight.
--- a/tests/range_authority_test.cpp
+++ b/tests/range_authority_test.cpp
@@ -521,7 +521,7 @@
 {
     becomeLeader();
     m_now += 5s;
-    m_leadership.onResumed(m_now);
+    m_leadership.suspendGrants(m_now);
     EXPECT_FALSE(m_leadership.mayGrant(m_now));
     ASSERT_TRUE(m_leadership.step(m_now).read);
     m_leadership.onRead(readAnswer({1, "self", 9, "10.0.0.1:7200", {}}, 8));
--- a/tests/range_succession_test.cpp
+++ b/tests/range_succession_test.cpp
@@ -2,6 +2,7 @@
 
 #include <gtest/gtest.h>
 
+#include <algorithm>
 #include <set>
 
 namespace jasminespread {
@@ -89,6 +90,88 @@
     EXPECT_EQ(told, 2U);
 }
 
+/// Guards against two leaders that grant: one that the store turns away learns of its successor from a server that has
+/// accepted a grant of a later term, and grants nothing more until the store confirms it as leader.
+TEST(RangeSuccessionTest, ALeaderStopsGrantingWhenAServerHasALaterTerm)
+{
+    LeadingAuthority leader;
+    leader.listServers(3);
+    leader.run(10s);
+    leader.storeAvailable = false;
+    leader.run(1s);
+    for (int i = 0; i < 20; ++i) { // The renewals of all ranges, and the attempts with new fencing tokens.
+        leader.now += 50ms;
+        leader.reduce(RangeTick {});
+        leader.answerGrants(GrantResult::Fenced);
+    }
+    leader.answeredGrants = 0;
+    leader.run(3s);
+    EXPECT_EQ(leader.answeredGrants, 0U);
+    leader.storeAvailable = true;
+    leader.run(2s);
+    EXPECT_GT(leader.answeredGrants, 0U);
+}
+
+/// Guards against an earlier leader that grants for its whole leader lease because nobody tells it of its successor.
+TEST(RangeSuccessionTest, ALeaderOfAnEarlierTermIsToldWhoLeads)
+{
+    LeadingAuthority leader;
+    leader.run(10s);
+    leader.messages.clear();
+    wire::Envelope envelope;
+    envelope.mutable_sender()->set_id("edge-2");
+    envelope.mutable_sender()->set_incarnation(2);
+    envelope.mutable_range_leader_heartbeat()->set_term(leader.term() - 1);
+    envelope.mutable_range_leader_heartbeat()->set_address("10.0.0.2:7200");
+    const auto told = [&leader] {
+        return std::count_if(leader.messages.begin(), leader.messages.end(), [&](const wire::Envelope& message) {
+            return message.has_range_leader_change() && message.range_leader_change().leader().id() == "edge-1"
+                && message.range_leader_change().term() == leader.term();
+        });
+    };
+    leader.unreachableInstances = {"edge-2"}; // The connection to it opens after the first attempt.
+    leader.reduce(RangePeerMessage {envelope});
+    leader.run(100ms);
+    EXPECT_EQ(told(), 0);
+    leader.unreachableInstances.clear();
+    leader.run(100ms);
+    EXPECT_EQ(told(), 1);
+    leader.run(3s);
+    EXPECT_EQ(told(), 1);
+}
+
+/// Guards against a leader that goes on after it was told of its successor, and against followers that stay with it.
+TEST(RangeSuccessionTest, ALeaderWithoutTheStoreFollowsItsSuccessor)
+{
+    LeadingAuthority leader;
+    leader.listServers(3);
+    leader.run(10s);
+    leader.report(3);
+    leader.storeAvailable = false;
+    leader.run(1s);
+    leader.messages.clear();
+    const std::uint64_t term = leader.term();
+    wire::Envelope envelope;
+    envelope.mutable_sender()->set_id("edge-2");
+    envelope.mutable_sender()->set_incarnation(2);
+    envelope.mutable_range_leader_change()->set_term(term + 1);
+    envelope.mutable_range_leader_change()->mutable_leader()->set_id("edge-2");
+    envelope.mutable_range_leader_change()->set_address("10.0.0.2:7200");
+    leader.reduce(RangePeerMessage {envelope});
+    leader.answerGrants();
+    leader.answeredGrants = 0;
+    leader.run(1s);
+    EXPECT_EQ(leader.answeredGrants, 0U);
+    unsigned announced = 0;
+    unsigned reportedTerm = 0;
+    for (const wire::Envelope& message : leader.messages) {
+        announced += message.has_range_leader_change() ? 1 : 0;
+        reportedTerm += message.has_instance_report() && message.instance_report().known_term() == term + 1 ? 1 : 0;
+    }
+    EXPECT_EQ(announced, 1U);
+    EXPECT_GT(reportedTerm, 0U);
+}
+
 /// Guards against following an instance that led before the present leader.
 TEST(RangeSuccessionTest, AnInstanceFollowsTheAnnouncedLeaderOfALaterTerm)
 {
--- a/tests/support/leading_authority.h
+++ b/tests/support/leading_authority.h
@@ -73,7 +73,9 @@
         for (RangeEffect& effect : m_authority.reduce({now, std::move(event)})) {
             if (auto* read = std::get_if<ReadRecord>(&effect)) {
                 reduce(RecordRead {read->name, now, readRecord(read->name)});
-            } else if (auto* write = std::get_if<WriteRecord>(&effect)) {
+            } else if (auto* write = std::get_if<WriteRecord>(&effect); write != nullptr && !storeAvailable) {
+                reduce(RecordWritten {write->name, now, {StoreStatus::Unavailable, 0}});
+            } else if (write != nullptr) {
                 m_records[write->name] = {write->name, ++m_version, write->value};
                 reduce(RecordWritten {write->name, now, {StoreStatus::Ok, m_version}});
             } else if (auto* grant = std::get_if<GrantRange>(&effect)) {
@@ -101,10 +103,10 @@
         }
     }
 
-    void answerGrants()
+    void answerGrants(GrantResult result = GrantResult::Done)
     {
         for (const std::uint64_t call : std::exchange(unansweredGrants, {})) {
-            reduce(RangeCallEnded {call, GrantResult::Done, "", false});
+            reduce(RangeCallEnded {call, result, "", false});
             ++answeredGrants;
         }
     }
@@ -116,6 +118,7 @@
     std::vector<wire::Envelope> messages; ///< Sent to other instances.
     std::size_t answeredGrants = 0;
     std::set<std::string> unreachableInstances; ///< Messages to them are dropped.
+    bool storeAvailable = true; ///< Otherwise the store turns all calls of this instance away.
 
 private:
     static LeadershipTimes timesWithFitness(double fitness)
@@ -127,6 +130,9 @@
 
     [[nodiscard]] StoreReadResult readRecord(const std::string& name) const
     {
+        if (!storeAvailable) {
+            return {StoreStatus::Unavailable, {}};
+        }
         const auto it = m_records.find(name);
         if (it == m_records.end()) {
             return {StoreStatus::NotFound, {}};
