An older registration of a server changes nothing

Cause: the store may carry out a write without an answer seconds later. The entry then has an older registration with a higher revision; `sequence` was not read, and `ready` after `draining` counted as the end of the draining.

Change: ServerRegistration orders what a server writes of itself by start time and sequence. ServerDirectory, which all lists, watches and forwarded changes pass through, keeps the newest one, also for a while after the server is gone. An earlier start time that stays in the store for longer than the entry of a server that does not run is accepted: its clock was set back.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -3,7 +3,6 @@
 #include "base/deadline_timer.h"
 #include "base/loop_monitor.h"
 #include "gateway/gateway_metrics.h"
-#include "gateway/server_directory.h"
 #include "peer/peer_transport.h"
 #include "ranges/range_authority.h"
 #include "ranges/range_call_proof.h"
@@ -90,7 +89,7 @@
         , m_reducer(settings.reducer, randomSeed())
         , m_authority(LeaderRecord {0, settings.instance, m_incarnation, settings.controlAddress, {}},
               rangeTimes(settings), leadershipTimes(settings), randomSeed())
-        , m_directory(serverGracePeriod)
+        , m_directory({serverGracePeriod, settings.registrationExpiry})
         , m_reducerTimer([this] { onReducerTimer(); })
         , m_callerServer(callerServerLimits(settings),
               {[this](std::uint64_t caller, RawRequest&& raw) { onRequest(caller, std::move(raw)); },
@@ -118,7 +117,7 @@
         g_unix_signal_add(SIGHUP, onReloadSignal, this);
         g_timeout_add(static_cast<guint>(rangeTickInterval.count()), onRangeTick, this);
         m_ports.start({[this](GatewayConfiguration&& configuration) { onConfiguration(std::move(configuration)); },
-            [this](ServerList&& servers) { onServers(servers); },
+            [this](ServerRegistrations&& servers) { onServers(servers); },
             [this](bool reachable) { onStoreReachability(reachable); },
             [this](const std::string& feed, FeedRevision revision, bool byStore) {
                 // Upper bound on how long the message that was just read had been waiting.
@@ -207,7 +206,7 @@
         applyRangeEvent(RangeServicesConfigured {m_configuration});
     }
 
-    void onServers(const ServerList& servers)
+    void onServers(const ServerRegistrations& servers)
     {
         m_directory.update(servers, monotonicNow());
         publishServers();
@@ -543,7 +542,7 @@
             const std::vector<ServerIdentity> leaving = m_reducer.leavingServers();
             applyRangeEvent(LeavingServersObserved {{leaving.begin(), leaving.end()}});
         }
-        if (m_directory.removeExpired(now)) {
+        if (m_directory.applyTimeouts(now)) {
             publishServers();
         }
         applyRangeEvent(RangeTick {});
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -2,6 +2,7 @@
 
 #include "gateway/gateway_ports.h"
 #include "gateway/gateway_reducer.h"
+#include "gateway/server_directory.h"
 
 #include <jasminespread/backend_transport.h>
 #include <jasminespread/error.h>
@@ -24,6 +25,8 @@
     std::uint32_t maxPipelinedBytes = HttpServerLimits().maxPipelinedBytes; ///< Per caller's connection.
     GatewayReducerSettings reducer;
     Milliseconds stopTimeout {6000}; ///< From the stop signal until the process is killed.
+    /// How long service discovery lists a server that writes nothing more.
+    Milliseconds registrationExpiry = ServerDirectoryTimes().registrationExpiry;
     Milliseconds maxHold {10'000}; ///< Longest time that a grant of a key range may last.
     double processorShare = 1; ///< Processor time that the process may use, in cores.
 };
--- a/src/gateway/gateway_ports.h
+++ b/src/gateway/gateway_ports.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/gateway_event.h"
+#include "gateway/server_registration.h"
 #include "http/http_server.h"
 #include "ranges/range_event.h"
 
@@ -19,7 +20,7 @@
     struct Callbacks {
         std::function<void(GatewayConfiguration&&)> configurationReceived;
         /// The list changed. Called before feedRevisionKnown() for the same change.
-        std::function<void(ServerList&&)> serversListed;
+        std::function<void(ServerRegistrations&&)> serversListed;
         /// The store became reachable (true) or unreachable, as seen by calls for the server list.
         std::function<void(bool)> storeReachabilityChanged;
         /// The state of a feed is up to date as of a revision. @p byStore is true when an answer of the store showed
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -1,60 +1,106 @@
 #include "gateway/server_directory.h"
 
-#include <algorithm>
+#include <set>
 
 namespace jasminespread {
+namespace {
 
-void ServerDirectory::update(const ServerList& servers, MonotonicTime now)
+using namespace std::chrono_literals;
+
+/// A write may be carried out late by up to this time, after its server is gone.
+constexpr Milliseconds maxWriteDelay = 60s;
+
+} // namespace
+
+void ServerDirectory::update(const ServerRegistrations& registrations, MonotonicTime now)
 {
-    const bool retainMissing = m_hasList && now < m_graceEndsAt;
+    std::set<std::string> ids;
+    for (const ServerRegistration& registration : registrations) {
+        ids.insert(registration.server.identity.id);
+        listed(registration, now);
+    }
+    for (auto& [id, entry] : m_entries) {
+        if (!ids.contains(id)) {
+            notListed(entry, now);
+        }
+    }
+    std::erase_if(m_entries,
+        [now](const auto& entry) { return !entry.second.used && now - entry.second.goneAt > maxWriteDelay; });
     m_hasList = true;
-    std::map<std::string, Entry> entries;
-    for (const ListedServer& server : servers) {
-        entries[server.identity.id] = Entry {server, std::nullopt};
-    }
-    if (retainMissing) {
-        for (auto& [id, entry] : m_entries) {
-            if (!entries.contains(id)) {
-                entries[id] = Entry {std::move(entry.server), m_graceEndsAt};
-            }
+}
+
+void ServerDirectory::listed(const ServerRegistration& registration, MonotonicTime now)
+{
+    const auto [it, isNew] = m_entries.try_emplace(registration.server.identity.id);
+    Entry& entry = it->second;
+    if (!isNew && precedes(registration, entry.latest)) {
+        if (!entry.outdated || entry.outdated->server.identity != registration.server.identity) {
+            entry.outdatedSince = now;
         }
+        entry.outdated = registration;
+        return;
     }
-    m_entries = std::move(entries);
+    entry = Entry();
+    entry.latest = registration;
 }
 
-void ServerDirectory::setStoreReachable(bool reachable, MonotonicTime now)
+void ServerDirectory::notListed(Entry& entry, MonotonicTime now) const
 {
-    m_graceEndsAt = reachable ? now + m_gracePeriod : MonotonicTime::max();
+    entry.outdated.reset();
+    if (!entry.used) {
+        return;
+    }
+    if (m_hasList && now < m_graceEndsAt) {
+        entry.missingUntil = m_graceEndsAt;
+    } else {
+        entry.used = false;
+        entry.missingUntil.reset();
+        entry.goneAt = now;
+    }
 }
 
-bool ServerDirectory::removeExpired(MonotonicTime now)
+void ServerDirectory::setStoreReachable(bool reachable, MonotonicTime now)
 {
-    return std::erase_if(m_entries, [now](const auto& entry) {
-        return entry.second.missingUntil && *entry.second.missingUntil <= now;
-    }) > 0;
+    m_storeReachable = reachable;
+    m_graceEndsAt = reachable ? now + m_times.gracePeriod : MonotonicTime::max();
+    for (auto& [id, entry] : m_entries) {
+        entry.outdatedSince = now; // The registration may have been replaced during the outage.
+    }
 }
 
-std::shared_ptr<const ServerList> ServerDirectory::servers() const
+bool ServerDirectory::applyTimeouts(MonotonicTime now)
 {
-    auto list = std::make_shared<ServerList>();
-    for (const auto& [id, entry] : m_entries) {
-        list->push_back(entry.server);
-        if (entry.missingUntil && entry.server.state == ListedServerState::Ready) {
-            list->back().state = ListedServerState::Missing;
+    bool changed = false;
+    for (auto& [id, entry] : m_entries) {
+        if (entry.missingUntil && *entry.missingUntil <= now) {
+            entry.missingUntil.reset();
+            entry.used = false;
+            entry.goneAt = now;
+            changed = true;
+        }
+        if (entry.outdated && m_storeReachable && now - entry.outdatedSince > m_times.registrationExpiry) {
+            ServerRegistration registration = std::move(*entry.outdated);
+            entry = Entry();
+            entry.latest = std::move(registration);
+            changed = true;
         }
     }
-    return list;
+    return changed;
 }
 
-std::optional<MonotonicTime> ServerDirectory::nextExpiry() const
+std::shared_ptr<const ServerList> ServerDirectory::servers() const
 {
-    std::optional<MonotonicTime> next;
+    auto list = std::make_shared<ServerList>();
     for (const auto& [id, entry] : m_entries) {
-        if (entry.missingUntil && (!next || *entry.missingUntil < *next)) {
-            next = entry.missingUntil;
+        if (!entry.used) {
+            continue;
+        }
+        list->push_back(entry.latest.server);
+        if (entry.missingUntil && entry.latest.server.state == ListedServerState::Ready) {
+            list->back().state = ListedServerState::Missing;
         }
     }
-    return next;
+    return list;
 }
 
 } // namespace jasminespread
--- a/tests/mutated_input_test.cpp
+++ b/tests/mutated_input_test.cpp
@@ -129,7 +129,7 @@
         "trafficSplit":[{"service":"a","weight":90},{"service":"b","weight":10}]}},
         "services":{"a":{"healthPath":"/h","maxConns":110,"warmS":2.0},"b":{"maxConns":110}},
         "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})";
-    const std::optional<ListedServer> server = platform::decodeServer("i-1", json::parse(serverSpec), {});
+    const std::optional<ServerRegistration> server = platform::decodeServer("i-1", json::parse(serverSpec), {});
     std::size_t accepted = 0;
     for (std::uint64_t seed = 1; seed <= seedCount; ++seed) {
         Mutation mutation(seed);
@@ -144,7 +144,7 @@
         GatewayReducer reducer({"z", "west", {0.2, 10s, 100}}, seed);
         MonotonicTime now {1h};
         (void)reducer.reduce({now, GatewayConfigured {std::make_shared<const GatewayConfiguration>(*decoded)}});
-        (void)reducer.reduce({now, ServersListed {std::make_shared<const ServerList>(ServerList {*server})}});
+        (void)reducer.reduce({now, ServersListed {std::make_shared<const ServerList>(ServerList {server->server})}});
         GatewayRequest request;
         request.host = "a";
         request.path = "/x/";
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -97,8 +97,10 @@
 
 TEST(PlatformServerTest, DecodesAnEntry)
 {
-    const std::optional<ListedServer> server = decodeServer("i-1", json::parse(serverText), regions);
-    ASSERT_TRUE(server);
+    const std::optional<ServerRegistration> decoded = decodeServer("i-1", json::parse(serverText), regions);
+    ASSERT_TRUE(decoded);
+    EXPECT_EQ(decoded->sequence, 4U);
+    const ListedServer* server = &decoded->server;
     EXPECT_EQ(server->identity, (ServerIdentity {"i-1", 1789}));
     EXPECT_EQ(server->region, "western");
     EXPECT_EQ(server->warmUpLeft, 120ms);
@@ -143,7 +145,7 @@
     }
     json::object fields = valid;
     fields["warmupLeftMs"] = 9'000'000'000'000'000'000;
-    EXPECT_LE(decodeServer("i-1", fields, regions).value().warmUpLeft, 24h);
+    EXPECT_LE(decodeServer("i-1", fields, regions).value().server.warmUpLeft, 24h);
 }
 
 /// Guards against names that end a header field or a log line.
--- a/tests/range_simulation.cpp
+++ b/tests/range_simulation.cpp
@@ -54,7 +54,10 @@
     configuration->services[service] = GatewayService {service, "/health", 10, true, 0ms};
     deliver(instance.name, instance.incarnation, RangeServicesConfigured {configuration});
     deliver(instance.name, instance.incarnation, StoreReachabilityChanged {true});
+    instance.directory = ServerDirectory(ServerDirectoryTimes());
+    instance.directory.setStoreReachable(true, m_now);
     publishServerList();
+    instance.peers.clear();
     const std::string name = instance.name;
     const std::uint64_t incarnation = instance.incarnation;
     schedule(1ms, [this, name, incarnation] { tick(name, incarnation); });
@@ -78,6 +81,11 @@
 
 void RangeSimulation::tick(const std::string& name, std::uint64_t incarnation)
 {
+    Instance& instance = *std::find_if(
+        m_instances.begin(), m_instances.end(), [&](const Instance& candidate) { return candidate.name == name; });
+    if (instance.incarnation == incarnation && instance.directory.applyTimeouts(m_now)) {
+        deliver(name, incarnation, RangeServersListed {instance.directory.servers()});
+    }
     deliver(name, incarnation, RangeTick {});
     schedule(tickInterval, [this, name, incarnation] { tick(name, incarnation); });
 }
@@ -94,9 +102,21 @@
         release(instance, *releasing);
     } else if (auto* sending = std::get_if<SendRangePeerMessage>(&effect)) {
         send(instance, *sending);
+    } else if (const auto* connecting = std::get_if<ConnectRangePeers>(&effect)) {
+        connect(instance, *connecting);
     }
 }
 
+void RangeSimulation::connect(Instance& instance, const ConnectRangePeers& effect)
+{
+    std::map<std::string, MonotonicTime> peers;
+    for (const RangePeer& peer : effect.peers) {
+        const auto it = instance.peers.find(peer.id);
+        peers[peer.id] = it == instance.peers.end() ? m_now + 3ms : it->second;
+    }
+    instance.peers = std::move(peers);
+}
+
 void RangeSimulation::read(Instance& instance, const ReadRecord& effect)
 {
     const MonotonicTime startedAt = m_now;
@@ -259,7 +279,13 @@
 {
     const auto to = std::find_if(
         m_instances.begin(), m_instances.end(), [&](const Instance& peer) { return peer.name == effect.to; });
-    if (to == m_instances.end() || instance.cutFromPeers || to->cutFromPeers) {
+    const auto peer = instance.peers.find(effect.to);
+    if (to == m_instances.end() || peer == instance.peers.end() || m_now < peer->second) {
+        return schedule(0ms, [this, name = instance.name, incarnation = instance.incarnation, dropped = effect.to] {
+            deliver(name, incarnation, RangeMessageDropped {dropped});
+        });
+    }
+    if (instance.cutFromPeers || to->cutFromPeers) {
         return;
     }
     effect.envelope.mutable_sender()->set_id(instance.name);
@@ -272,25 +298,43 @@
 
 void RangeSimulation::publishServerList()
 {
-    auto list = std::make_shared<ServerList>();
+    ServerRegistrations registrations;
     for (const Server& server : m_servers) {
-        if (server.running) {
-            list->push_back(server.listed);
+        if (server.lateWrite) {
+            registrations.push_back(*server.lateWrite);
+        } else if (server.running) {
+            registrations.push_back({server.listed, server.sequence});
         }
     }
     for (Instance& instance : m_instances) {
         if (!instance.cutFromStore && !m_storeDown) {
-            deliver(instance.name, instance.incarnation, RangeServersListed {list});
+            instance.directory.update(registrations, m_now);
+            deliver(instance.name, instance.incarnation, RangeServersListed {instance.directory.servers()});
         }
     }
 }
 
+/// The store carries out the present registration of a server seconds later, and has it until the next one.
+void RangeSimulation::writeLate(std::size_t serverIndex)
+{
+    const Server& server = m_servers[serverIndex];
+    const auto delay = Milliseconds(1000 + static_cast<int>(random() * 5000));
+    schedule(delay, [this, serverIndex, registration = ServerRegistration {server.listed, server.sequence}] {
+        m_servers[serverIndex].lateWrite = registration;
+        publishServerList();
+    });
+    schedule(delay + Milliseconds(static_cast<int>(random() * 870)), [this, serverIndex] {
+        m_servers[serverIndex].lateWrite.reset();
+        publishServerList();
+    });
+}
+
 void RangeSimulation::injectFault()
 {
     const auto length = Milliseconds(300 + static_cast<int>(random() * 6000));
     const std::size_t instanceIndex = choose(m_instances.size());
     const std::size_t serverIndex = choose(m_servers.size());
-    switch (choose(11)) {
+    switch (choose(12)) {
     case 0: // An instance is killed and restarts.
         m_instances[instanceIndex].authority.reset();
         schedule(1000ms, [this, instanceIndex] { start(m_instances[instanceIndex]); });
@@ -329,6 +373,7 @@
         schedule(random() < 0.5 ? length / 10 : length, [this, serverIndex] {
             m_servers[serverIndex].running = true;
             ++m_servers[serverIndex].listed.identity.startedAtUnixMs;
+            m_servers[serverIndex].sequence = 1;
             // The instances learn of the new process later than the first calls can reach it.
             schedule(Milliseconds(static_cast<int>(random() * 300)), [this] { publishServerList(); });
         });
@@ -340,9 +385,11 @@
         break;
     case 6:
         m_servers[serverIndex].listed.state = ListedServerState::Draining;
+        ++m_servers[serverIndex].sequence;
         publishServerList();
         schedule(length, [this, serverIndex] {
             m_servers[serverIndex].listed.state = ListedServerState::Ready;
+            ++m_servers[serverIndex].sequence;
             publishServerList();
         });
         break;
@@ -361,6 +408,9 @@
         m_lateGrantRate = 0.4;
         schedule(length, [this] { m_lateGrantRate = 0; });
         break;
+    case 10:
+        writeLate(serverIndex);
+        break;
     default: // All instances are killed at once.
         if (random() < 0.3) {
             for (std::size_t i = 0; i < m_instances.size(); ++i) {
--- a/tests/range_simulation.h
+++ b/tests/range_simulation.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/server_directory.h"
 #include "ranges/range_authority.h"
 
 #include <cstdint>
@@ -45,6 +46,8 @@
 
     struct Server {
         ListedServer listed;
+        std::uint64_t sequence = 1; ///< Of its latest registration.
+        std::optional<ServerRegistration> lateWrite; ///< An earlier registration, which the store has now.
         bool running = true;
         bool unreachable = false; ///< Calls to it get no answer.
         double clockRate = 1;
@@ -56,6 +59,8 @@
         std::string name;
         std::uint64_t incarnation = 0;
         std::unique_ptr<RangeAuthority> authority; ///< Null while the process is not running.
+        ServerDirectory directory {ServerDirectoryTimes()};
+        std::map<std::string, MonotonicTime> peers; ///< When the connection to each one opens, by instance.
         bool cutFromStore = false;
         bool cutFromPeers = false;
         MonotonicTime pausedUntil;
@@ -89,6 +94,8 @@
     void send(Instance& instance, SendRangePeerMessage& effect);
     [[nodiscard]] StoreWriteResult store(const WriteRecord& effect);
     [[nodiscard]] GrantResult applyGrant(Server& server, const GrantRange& effect, MonotonicTime arrivedAt);
+    void connect(Instance& instance, const ConnectRangePeers& effect);
+    void writeLate(std::size_t serverIndex);
     void publishServerList();
     void injectFault();
     void checkLeases();
