What peers send without end takes bounded memory

Callers saw: one faulty server of a service sent bytes without end; the gateway kept them, ran out of memory, and the requests of other callers ended with it (report of other operators).

Cause: Beast limits the head and the body of a message, not a line of a chunked body's framing or of its trailer; and nothing limited all answers, or all requests, together: connections times 64 MiB.

Change: BeastTransport limits what is received and not consumed in every state, and the bytes of all answers in progress; beyond that the longest answer ends (Broken: its request may have run), others go on. HttpServer does the same for callers: the longest incomplete request gets 503, which is true, or the caller with the most unread bytes is disconnected. Event 506 names each.

Ruled out: one budget for servers and callers together; a faulty server would then cause refusals of new requests. Ending the answer that exceeds the total, which may be a short one.

The settings of GatewayTest now state the memory (120 MB), as the platform does.

--- a/include/jasminespread/backend_transport.h
+++ b/include/jasminespread/backend_transport.h
@@ -6,6 +6,7 @@
 #include <array>
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <string>
 #include <string_view>
 #include <utility>
@@ -36,6 +37,8 @@
     bool needsNewConnection = false;
     /// Accepts an answer whose body ends with the connection; otherwise such an answer is Broken.
     bool acceptsCloseDelimitedAnswer = false;
+    /// Longest body of its answer, if that is less than the transport's own limit.
+    std::uint64_t maxAnswerBytes = std::numeric_limits<std::uint64_t>::max();
     /// Returns whether a complete answer belongs to this request; @p connectionReused tells whether its connection had
     /// carried another request before. Any other answer is dropped and the next one awaited. Empty: every answer
     /// belongs to it.
--- a/include/jasminespread/log_event.h
+++ b/include/jasminespread/log_event.h
@@ -51,6 +51,7 @@
     ForwardRejected = 503,
     RequestDecided = 504,
     SendDelayed = 505,
+    MemoryLimitReached = 506,
     StoreUnavailable = 600,
     StoreAvailable = 601,
     StoreOutcomeUnknown = 602,
@@ -65,7 +66,7 @@
     std::string_view meaning;
 };
 
-inline constexpr std::array<LogEventInfo, 35> logEventCatalogue {{
+inline constexpr std::array<LogEventInfo, 36> logEventCatalogue {{
     {LogEvent::ProcessStarted, LogLevel::Info, "process-started", "The process listens on all its addresses."},
     {LogEvent::ProcessStopping, LogLevel::Info, "process-stopping",
         "A stop was requested; requests in flight are drained."},
@@ -112,6 +113,8 @@
         "How a request was handled, by which server, and why."},
     {LogEvent::SendDelayed, LogLevel::Warning, "send-delayed",
         "A request waited for a connection to its backend server."},
+    {LogEvent::MemoryLimitReached, LogLevel::Warning, "memory-limit-reached",
+        "An answer or a request was ended, because it or all in progress took too much memory."},
     {LogEvent::StoreUnavailable, LogLevel::Warning, "store-unavailable", "The platform's store stopped answering."},
     {LogEvent::StoreAvailable, LogLevel::Info, "store-available", "The platform's store answers again."},
     {LogEvent::StoreOutcomeUnknown, LogLevel::Warning, "store-outcome-unknown",
--- a/src/daemon/worker.cpp
+++ b/src/daemon/worker.cpp
@@ -120,7 +120,7 @@
 Result<void> Worker::open()
 {
     m_transport = std::make_unique<BackendTransport>(
-        m_hooks.makeTransport ? m_hooks.makeTransport() : makeBeastBackendTransport(m_settings.maxBodyBytes));
+        m_hooks.makeTransport ? m_hooks.makeTransport() : makeBeastBackendTransport({m_settings.maxBodyBytes}));
     m_sockets = std::make_unique<ForwardSockets>(m_zmqContext, m_settings.maxBodyBytes,
         ForwardSockets::Hooks {
             [this](wire::Envelope&& envelope, const std::string& ip) { onEnvelope(std::move(envelope), ip); },
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -27,6 +27,9 @@
 using namespace std::chrono_literals;
 
 constexpr std::string_view recordKind = "jasminespread";
+/// What one other instance can make this one keep: 32 MiB. The largest messages are route tables, of some 100 kB.
+constexpr std::uint32_t maxPeerMessageBytes = 1'048'576;
+constexpr int peerReceiveQueueMessages = 32;
 constexpr std::string_view metricsPath = "/metrics"; ///< On the readiness address.
 /// Tick interval of the range authority: a tenth of its shortest timeout.
 constexpr Milliseconds rangeTickInterval = 50ms;
@@ -83,7 +86,7 @@
               [](Milliseconds iteration, const std::string& steps) {
                   logEvent(LogEvent::LoopStalled, "turn-ms=" + std::to_string(iteration.count()) + " steps=" + steps);
               })
-        , m_transport(makeBeastBackendTransport(settings.maxAnswerBytes))
+        , m_transport(makeBeastBackendTransport(settings.answers))
         , m_adapterTransport(monitored(m_transport))
         , m_ports(makePorts(m_adapterTransport))
         , m_reducer(settings.reducer, randomSeed())
@@ -147,6 +150,7 @@
         HttpServerLimits limits;
         limits.maxPipelinedRequests = settings.maxPipelinedRequests;
         limits.maxPipelinedBytes = settings.maxPipelinedBytes;
+        limits.maxTotalBytes = settings.maxCallerBytes;
         return limits;
     }
 
@@ -181,6 +185,7 @@
             applyRangeEvent(RangePeerMessage {std::move(envelope)});
         });
         m_peers->acceptUnlistedSenders();
+        m_peers->setLimits({maxPeerMessageBytes, peerReceiveQueueMessages});
         return m_peers->start(nullptr);
     }
 
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -4,7 +4,7 @@
 #include "gateway/gateway_reducer.h"
 #include "gateway/server_directory.h"
 
-#include <jasminespread/backend_transport.h>
+#include <jasminespread/backend_transports.h>
 #include <jasminespread/error.h>
 #include <jasminespread/time.h>
 
@@ -20,7 +20,8 @@
     std::string callerAddress; ///< IP address and port.
     std::string readinessAddress; ///< Answers the load balancer's readiness checks.
     std::string controlAddress; ///< Receives messages from other instances.
-    std::uint64_t maxAnswerBytes = 67'108'864; ///< Largest response body that is accepted from a backend server.
+    AnswerLimits answers; ///< Of backend servers and of the platform.
+    std::uint64_t maxCallerBytes = HttpServerLimits().maxTotalBytes; ///< Of all callers' requests in progress.
     std::uint32_t maxPipelinedRequests = HttpServerLimits().maxPipelinedRequests; ///< Per caller's connection.
     std::uint32_t maxPipelinedBytes = HttpServerLimits().maxPipelinedBytes; ///< Per caller's connection.
     GatewayReducerSettings reducer;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -6,6 +6,8 @@
 #include "http/request_queue.h"
 #include "http/request_reader.h"
 
+#include <jasminespread/log_event.h>
+
 #include <boost/beast/http/status.hpp>
 
 #include <glib-unix.h>
@@ -53,6 +55,7 @@
     bool lingering = false; ///< The last answer is written; input is discarded until the caller closes.
     bool processing = false; ///< process() runs; it removes the connection if it is lost meanwhile.
     bool lost = false;
+    std::size_t heldBytes = 0; ///< Of its requests and answers, as counted in the total.
     MonotonicTime idleDeadline;
     MonotonicTime writeDeadline; ///< Also the end of lingering.
     MonotonicTime deadline = MonotonicTime::max(); ///< The earliest that applies, as registered.
@@ -68,6 +71,11 @@
         }
     }
 
+    /// Bytes of a request that is refused, if it must be.
+    [[nodiscard]] std::size_t partialRequestBytes() const
+    {
+        return reader.hasPartialRequest() && !lastRequestRead ? reader.heldBytes() : 0;
+    }
     [[nodiscard]] bool isIdle() const { return queue.empty() && output.empty() && !reader.hasPartialRequest(); }
 };
 
@@ -105,6 +113,8 @@
     DeadlineTimer timer;
     std::uint64_t nextNumber = 1;
     std::optional<Milliseconds> drainIdleTimeout;
+    std::uint64_t heldBytes = 0; ///< Of all connections.
+    bool limitingBytes = false; ///< limitTotalBytes() runs.
     std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections; ///< By number.
     std::unordered_map<std::uint64_t, std::uint64_t> requests; ///< Connections of unanswered requests.
     std::set<std::pair<MonotonicTime, std::uint64_t>> deadlines;
@@ -215,6 +225,7 @@
         }
         const auto it = connections.find(connection.number);
         const std::unique_ptr<Connection> closed = std::move(it->second);
+        heldBytes -= closed->heldBytes;
         connections.erase(it);
         deadlines.erase({closed->deadline, closed->number});
         armTimer();
@@ -275,6 +286,43 @@
         }
         watchSocket(connection);
         updateDeadline(connection);
+        const std::size_t bytes = connection.reader.heldBytes() + connection.queue.heldBytes()
+            + connection.queue.takenBytes() + connection.output.size();
+        heldBytes = heldBytes - connection.heldBytes + bytes;
+        connection.heldBytes = bytes;
+        limitTotalBytes();
+    }
+
+    /// Ends what takes the most memory, while all together take too much. Requests in work are left alone.
+    void limitTotalBytes()
+    {
+        if (limitingBytes) {
+            return;
+        }
+        limitingBytes = true;
+        while (heldBytes > limits.maxTotalBytes) {
+            const auto endable = [](const Connection& connection) {
+                return std::max(connection.partialRequestBytes(), connection.output.size());
+            };
+            const auto largest = std::max_element(connections.begin(), connections.end(),
+                [&](const auto& a, const auto& b) { return endable(*a.second) < endable(*b.second); });
+            Connection& connection = *largest->second;
+            const std::size_t bytes = endable(connection);
+            if (bytes == 0) {
+                break;
+            }
+            const bool refuses = connection.output.size() < bytes;
+            logEvent(LogEvent::MemoryLimitReached,
+                std::string(refuses ? "request" : "unread-answer") + "-bytes=" + std::to_string(bytes)
+                    + " all-bytes=" + std::to_string(heldBytes));
+            if (refuses) {
+                refuse(connection, 503, "the instance has no memory for the request; send it again later");
+                process(connection);
+            } else {
+                closeConnection(connection);
+            }
+        }
+        limitingBytes = false;
     }
 
     /// Returns whether a request or refusal was added to the queue.
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -7,6 +7,7 @@
 
 #include <cstdint>
 #include <functional>
+#include <limits>
 #include <memory>
 #include <string>
 #include <vector>
@@ -20,6 +21,9 @@
     Milliseconds headerTimeout {3000}; ///< From the first byte of a request to the end of its head.
     Milliseconds bodyTimeout {30'000}; ///< From the first byte of a request to its last byte.
     Milliseconds idleTimeout {15'000}; ///< Between requests.
+    /// Bytes of all requests and answers that are in progress. While they exceed it, the longest incomplete request is
+    /// refused with 503, or the connection whose caller has left the most unread is closed.
+    std::uint64_t maxTotalBytes = std::numeric_limits<std::uint64_t>::max();
     bool acceptChunked = true; ///< Otherwise a request body needs a Content-Length.
     /// @name Pipelining
     /// While a connection reaches one of these limits, no further request is read from it.
--- a/src/http/request_queue.cpp
+++ b/src/http/request_queue.cpp
@@ -54,6 +54,8 @@
             }
             Delivery delivery {entry.request, std::move(*entry.raw)};
             entry.raw.reset();
+            entry.takenBytes = entry.heldBytes;
+            m_takenBytes += entry.takenBytes;
             hold(entry, 0);
             return delivery;
         }
@@ -71,6 +73,7 @@
     if (it == m_entries.end()) {
         return false;
     }
+    m_takenBytes -= std::exchange(it->takenBytes, 0);
     hold(*it, sizeOf(answer));
     it->answer = std::move(answer);
     return true;
--- a/src/http/request_queue.h
+++ b/src/http/request_queue.h
@@ -45,6 +45,8 @@
     [[nodiscard]] bool empty() const noexcept { return m_entries.empty(); }
     /// Bytes of requests that were not taken and of answers that wait.
     [[nodiscard]] std::size_t heldBytes() const noexcept { return m_heldBytes; }
+    /// Bytes of requests that were taken and not answered.
+    [[nodiscard]] std::size_t takenBytes() const noexcept { return m_takenBytes; }
 
 private:
     struct Entry {
@@ -52,6 +54,7 @@
         std::optional<RawRequest> raw; ///< Absent once it was taken.
         std::optional<CallerAnswer> answer;
         std::size_t heldBytes = 0;
+        std::size_t takenBytes = 0;
         bool isHead = false;
         bool closes = false;
         bool overlaps = false; ///< Others may be handled before it is answered.
@@ -61,6 +64,7 @@
 
     std::deque<Entry> m_entries;
     std::size_t m_heldBytes = 0;
+    std::size_t m_takenBytes = 0;
 };
 
 } // namespace jasminespread
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -43,6 +43,8 @@
 
 bool RequestReader::hasPartialBody() const { return m_parser && m_parser->is_header_done(); }
 
+std::size_t RequestReader::heldBytes() const { return m_input.size() + (m_parser ? m_parser->get().body().size() : 0); }
+
 void RequestReader::discard()
 {
     m_parser.reset();
@@ -89,7 +91,8 @@
     }
     if (ec == http::error::need_more) {
         ec = {};
-        if (!parser.is_header_done() && m_input.size() > limits.maxHeaderBytes) {
+        // The parser limits the head only, not the lines of a chunked body's framing and of its trailer.
+        if (m_input.size() > limits.maxHeaderBytes) {
             ec = http::error::header_limit;
         }
     }
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -57,6 +57,8 @@
     [[nodiscard]] bool expectsContinue() const noexcept { return m_expectsContinue; }
     /// Notes that the interim answer was sent.
     void confirmContinue() noexcept { m_expectsContinue = false; }
+    /// Number of bytes that are kept: of the partial request's body, and those that were not read.
+    [[nodiscard]] std::size_t heldBytes() const;
     /// Number of bytes that arrived and were not read.
     [[nodiscard]] std::size_t unreadBytes() const noexcept { return m_input.size(); }
 
--- a/src/peer/peer_transport.cpp
+++ b/src/peer/peer_transport.cpp
@@ -16,10 +16,8 @@
 
 namespace {
 
-constexpr std::size_t maxMessageBytes = 4'194'304;
 /// Queue length per peer. Each heartbeat supersedes the earlier ones, so a longer queue has no value.
 constexpr int sendQueueMessages = 128;
-constexpr int receiveQueueMessages = 4096;
 constexpr int reconnectIntervalMs = 50;
 constexpr int reconnectIntervalMaxMs = 200;
 constexpr int connectTimeoutMs = 500;
@@ -134,6 +132,7 @@
     };
     using ByteCounters = std::map<wire::Envelope::MessageCase, MetricsRegistry::Counter*>;
 
+    Limits limits;
     std::string self;
     std::uint64_t incarnation;
     std::string controlAddress;
@@ -234,7 +233,7 @@
             return;
         }
         const std::size_t size = zmq_msg_size(message);
-        if (zmq_msg_more(message) != 0 || size > maxMessageBytes) {
+        if (zmq_msg_more(message) != 0 || size > limits.maxMessageBytes) {
             dropRemainingParts(message);
             reject(address, "size");
             return;
@@ -299,14 +298,16 @@
 
 PeerTransport::~PeerTransport() = default;
 
+void PeerTransport::setLimits(const Limits& limits) { m_state->limits = limits; }
+
 Result<void> PeerTransport::start(GMainContext* context)
 {
     State& state = *m_state;
     state.pullSocket.reset(zmq_socket(state.context.get(), ZMQ_PULL));
     setConnectionOptions(state.pullSocket.get(), state.controlAddress);
-    setOption(state.pullSocket.get(), ZMQ_RCVHWM, receiveQueueMessages);
+    setOption(state.pullSocket.get(), ZMQ_RCVHWM, state.limits.receiveQueueMessages);
     // A larger message closes the connection before it is buffered.
-    const std::int64_t limit = maxMessageBytes;
+    const std::int64_t limit = state.limits.maxMessageBytes;
     zmq_setsockopt(state.pullSocket.get(), ZMQ_MAXMSGSIZE, &limit, sizeof(limit));
     if (zmq_bind(state.pullSocket.get(), ("tcp://" + state.controlAddress).c_str()) != 0) {
         const int code = errno;
@@ -370,7 +371,7 @@
     envelope.mutable_sender()->set_id(state.self);
     envelope.mutable_sender()->set_incarnation(state.incarnation);
     const std::string bytes = envelope.SerializeAsString();
-    if (bytes.size() > maxMessageBytes
+    if (bytes.size() > state.limits.maxMessageBytes
         || zmq_send(it->second.socket.get(), bytes.data(), bytes.size(), ZMQ_DONTWAIT) < 0) {
         state.droppedSendCounter.add();
         return false;
--- a/src/peer/peer_transport.h
+++ b/src/peer/peer_transport.h
@@ -25,6 +25,12 @@
 /// thread.
 class PeerTransport {
 public:
+    /// Limits on what the transport keeps of received messages, for each connection. The sender waits beyond them.
+    struct Limits {
+        std::uint32_t maxMessageBytes = 4'194'304; ///< A larger message is neither sent nor received.
+        int receiveQueueMessages = 4096;
+    };
+
     using Receiver = std::function<void(wire::Envelope)>;
 
     /// @param incarnation random number of this process start, set as sender incarnation of every message.
@@ -36,6 +42,8 @@
     PeerTransport(const PeerTransport&) = delete;
     PeerTransport& operator=(const PeerTransport&) = delete;
 
+    /// Precondition: called before start().
+    void setLimits(const Limits& limits);
     /// Binds the control address and starts to receive on @p context. Fails with AddressInUse or InvalidInput.
     [[nodiscard]] Result<void> start(GMainContext* context);
     /// Replaces the set of peers. Connections to peers with an unchanged address stay open.
--- a/src/transport/beast_backend_transport.cpp
+++ b/src/transport/beast_backend_transport.cpp
@@ -1,4 +1,5 @@
 #include <jasminespread/backend_transports.h>
+#include <jasminespread/log_event.h>
 
 #include "base/deadline_timer.h"
 #include "base/glib_pointer.h"
@@ -26,6 +27,7 @@
 using ErrorCode = boost::system::error_code;
 using ResponseParser = http::response_parser<http::string_body>;
 
+/// Limits the head of an answer, and each line in its body's framing and its trailer.
 constexpr std::uint32_t maxHeaderBytes = 65'536;
 constexpr std::size_t readBufferBytes = 16'384;
 /// Idle time after which a connection is no longer reused if the server states no limit of its own.
@@ -73,6 +75,7 @@
     Milliseconds connectTimeout {0};
     bool acceptsCloseDelimitedAnswer = false;
     bool needsNewConnection = false;
+    std::uint64_t maxAnswerBytes = 0;
     std::string poolKey; ///< Key of its ConnectionPool.
     MonotonicTime deadline; ///< The earlier of requestDeadline and the limit on opening its connection.
     MonotonicTime requestDeadline;
@@ -103,6 +106,7 @@
     BackendTransport::Handle exchange = 0; ///< Handle of its exchange; 0 while idle.
     std::unique_ptr<ResponseParser> parser;
     std::string input; ///< Received bytes that the parser has not consumed.
+    std::uint64_t heldBytes = 0; ///< Bytes of the answer that are kept.
     MonotonicTime reusableUntil; ///< No longer reused after this time.
 };
 
@@ -152,8 +156,8 @@
 
 class BeastTransport {
 public:
-    explicit BeastTransport(std::uint64_t maxBodyBytes)
-        : m_maxBodyBytes(maxBodyBytes)
+    explicit BeastTransport(AnswerLimits limits)
+        : m_limits(limits)
         , m_readBuffer(readBufferBytes)
         , m_deadlineTimer([this] { expireExchanges(); })
         , m_failureTimer([this] { runFailureCallbacks(); })
@@ -172,6 +176,7 @@
         exchange->connectTimeout = request.connectTimeout;
         exchange->acceptsCloseDelimitedAnswer = request.acceptsCloseDelimitedAnswer;
         exchange->needsNewConnection = request.needsNewConnection;
+        exchange->maxAnswerBytes = std::min(request.maxAnswerBytes, m_limits.maxBodyBytes);
         exchange->poolKey = poolKeyOf(request);
         exchange->deadline = request.deadline;
         exchange->requestDeadline = request.deadline;
@@ -335,6 +340,7 @@
     void closeConnection(std::uint64_t number)
     {
         const auto it = m_connections.find(number);
+        setHeldBytes(*it->second, 0);
         ConnectionPool& connectionPool = m_pools[it->second->poolKey];
         --connectionPool.openCount;
         std::erase(connectionPool.idleConnections, number);
@@ -393,7 +399,7 @@
     void resetParser(Connection& connection)
     {
         connection.parser = std::make_unique<ResponseParser>();
-        connection.parser->body_limit(m_maxBodyBytes);
+        connection.parser->body_limit(m_exchanges.at(connection.exchange)->maxAnswerBytes);
         connection.parser->header_limit(maxHeaderBytes);
         connection.parser->eager(true);
         connection.parser->skip(m_exchanges.at(connection.exchange)->isHeadRequest);
@@ -450,8 +456,11 @@
             if (ec == http::error::need_more) {
                 break;
             }
+            if (ec == http::error::body_limit || ec == http::error::header_limit) {
+                return failOversized(connection, ec.message());
+            }
             if (ec) {
-                return failAndClose(connection, "malformed or too large answer: " + ec.message());
+                return failAndClose(connection, "malformed answer: " + ec.message());
             }
             if (connection.parser->is_done() && !isExpected(connection)) {
                 resetParser(connection);
@@ -459,11 +468,41 @@
         }
         connection.input.erase(0, consumed);
         if (connection.parser->is_done()) {
-            finish(connection);
-        } else if (connection.parser->is_header_done() && connection.parser->need_eof()
+            return finish(connection);
+        }
+        if (connection.input.size() > maxHeaderBytes) {
+            return failOversized(connection, "a line of the answer is too long");
+        }
+        if (connection.parser->is_header_done() && connection.parser->need_eof()
             && !m_exchanges.at(connection.exchange)->acceptsCloseDelimitedAnswer) {
-            failAndClose(connection, "the answer has neither Content-Length nor chunked encoding");
+            return failAndClose(connection, "the answer has neither Content-Length nor chunked encoding");
         }
+        setHeldBytes(connection, connection.input.size() + connection.parser->get().body().size());
+        limitTotalBytes();
+    }
+
+    void setHeldBytes(Connection& connection, std::uint64_t bytes)
+    {
+        m_heldBytes = m_heldBytes - connection.heldBytes + bytes;
+        connection.heldBytes = bytes;
+    }
+
+    /// Ends the longest answers while all together exceed the limit.
+    void limitTotalBytes()
+    {
+        while (m_heldBytes > m_limits.maxTotalBytes) {
+            const auto longest = std::max_element(m_connections.begin(), m_connections.end(),
+                [](const auto& a, const auto& b) { return a.second->heldBytes < b.second->heldBytes; });
+            failOversized(*longest->second, "the answers in progress take too much memory");
+        }
+    }
+
+    void failOversized(Connection& connection, const std::string& reason)
+    {
+        logEvent(LogEvent::MemoryLimitReached,
+            "address=" + connection.poolKey + " answer-bytes=" + std::to_string(connection.heldBytes)
+                + " all-bytes=" + std::to_string(m_heldBytes) + " why=\"" + reason + "\"");
+        failAndClose(connection, reason);
     }
 
     /// Returns false for interim (1xx) answers and for answers to another request.
@@ -523,6 +562,7 @@
         if (reusable) {
             connection.reusableUntil = monotonicNow() + idleLimitOf(connection);
             connection.parser.reset();
+            setHeldBytes(connection, 0);
             connection.reused = true;
             m_pools[poolKey].idleConnections.push_back(connection.number);
         } else {
@@ -633,7 +673,8 @@
 
     static inline GSourceFuncs connectionFunctions {nullptr, nullptr, dispatch, nullptr, nullptr, nullptr};
 
-    std::uint64_t m_maxBodyBytes;
+    AnswerLimits m_limits;
+    std::uint64_t m_heldBytes = 0; ///< Of all connections.
     std::vector<char> m_readBuffer;
     DeadlineTimer m_deadlineTimer;
     DeadlineTimer m_failureTimer; ///< Runs the callbacks of m_failedExchanges.
@@ -648,9 +689,9 @@
 
 } // namespace
 
-BackendTransport makeBeastBackendTransport(std::uint64_t maxBodyBytes)
+BackendTransport makeBeastBackendTransport(AnswerLimits limits)
 {
-    const std::shared_ptr<BeastTransport> transport = std::make_shared<BeastTransport>(maxBodyBytes);
+    const std::shared_ptr<BeastTransport> transport = std::make_shared<BeastTransport>(limits);
     BackendTransport hooks;
     hooks.send = [transport](BackendRequest request, BackendTransport::Callback callback) {
         return transport->send(std::move(request), std::move(callback));
--- a/tests/backend_transport_test.cpp
+++ b/tests/backend_transport_test.cpp
@@ -20,7 +20,7 @@
         : context(g_main_context_new())
     {
         g_main_context_push_thread_default(context);
-        transport = makeBeastBackendTransport(100'000);
+        transport = makeBeastBackendTransport({100'000});
     }
     ~BackendTransportTest() override
     {
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -8,6 +8,7 @@
 #include <gtest/gtest.h>
 
 #include <algorithm>
+#include <atomic>
 #include <csignal>
 #include <ctime>
 #include <deque>
@@ -15,6 +16,7 @@
 #include <fstream>
 #include <optional>
 #include <sys/socket.h>
+#include <thread>
 #include <unistd.h>
 
 namespace jasminespread::test {
@@ -23,13 +25,70 @@
 using namespace std::chrono_literals;
 namespace json = boost::json;
 
+/// Memory that a gateway may use.
+constexpr unsigned memoryMb = 120;
+
+/// Listens on an address, and answers each request with a prefix and then bytes without end. The prefixes take turns.
+class EndlessServer {
+public:
+    EndlessServer(const std::string& address, std::vector<std::string> prefixes)
+        : m_prefixes(std::move(prefixes))
+        , m_listener(socket(AF_INET, SOCK_STREAM | SOCK_CLOEXEC, 0))
+    {
+        const std::optional<SocketAddress> at = parseSocketAddress(address);
+        EXPECT_EQ(bind(m_listener, at->get(), at->size), 0);
+        EXPECT_EQ(listen(m_listener, 128), 0);
+        m_acceptor = std::thread([this] {
+            for (int fd = 0; (fd = accept4(m_listener, nullptr, nullptr, SOCK_CLOEXEC)) >= 0;) {
+                const std::string prefix = m_prefixes[m_requests++ % m_prefixes.size()];
+                m_writers.emplace_back([fd, prefix] { serve(fd, prefix); });
+            }
+        });
+    }
+    ~EndlessServer()
+    {
+        shutdown(m_listener, SHUT_RDWR);
+        m_acceptor.join();
+        close(m_listener);
+        for (std::thread& writer : m_writers) {
+            writer.join();
+        }
+    }
+    EndlessServer(const EndlessServer&) = delete;
+    EndlessServer& operator=(const EndlessServer&) = delete;
+
+    /// Number of requests that it got.
+    [[nodiscard]] unsigned requests() const { return m_requests; }
+
+private:
+    static void serve(int fd, const std::string& prefix)
+    {
+        std::string bytes(65'536, 'a');
+        (void)recv(fd, bytes.data(), bytes.size(), 0);
+        std::fill(bytes.begin(), bytes.end(), 'a');
+        // Longer than a process may take, in case that nobody closes the connection.
+        constexpr std::size_t maxWrites = 4000;
+        bool open = ::send(fd, prefix.data(), prefix.size(), MSG_NOSIGNAL) > 0;
+        for (std::size_t i = 0; i < maxWrites && open; ++i) {
+            open = ::send(fd, bytes.data(), bytes.size(), MSG_NOSIGNAL) > 0;
+        }
+        close(fd);
+    }
+
+    std::vector<std::string> m_prefixes;
+    int m_listener;
+    std::atomic<unsigned> m_requests = 0;
+    std::vector<std::thread> m_writers;
+    std::thread m_acceptor;
+};
+
 /// Two gateway processes and a fake store, with one pooled and one keyed service of two servers each.
 class GatewayTest : public testing::Test {
 protected:
     GatewayTest()
         : m_networkPrefix("127.83." + std::to_string(getpid() % 250 + 1) + ".")
         , m_folder(std::string(BINARY_DIR) + "/integration/gateway-" + std::to_string(getpid()))
-        , m_transport(makeBeastBackendTransport(1 << 20))
+        , m_transport(makeBeastBackendTransport({1 << 20}))
         , m_store(address(1, 8384))
         , m_deskA("desk-a", address(11, 8080), false)
         , m_deskB("desk-b", address(12, 8080), false)
@@ -82,7 +141,7 @@
         shiftClock(index, 0s);
         std::ofstream(file) << "self.node=edge-" << index
                             << "\nself.zone=colombo-a\nself.region=western\nself.ip=" << m_networkPrefix << host
-                            << "\nnetwork.listen.front=" << address(host, 8381)
+                            << "\nself.limits.memoryMb=" << memoryMb << "\nnetwork.listen.front=" << address(host, 8381)
                             << "\nnetwork.listen.ready=" << address(host, 8388)
                             << "\nnetwork.internalPorts=7200,7215\nplatform.platform.address=" << address(1, 8384)
                             << "\nterms.bounds.budgetSlack=50\nterms.bounds.graceS=6\n";
@@ -167,6 +226,17 @@
         return jumps;
     }
 
+    static double peakMemoryMb(int pid)
+    {
+        std::ifstream status("/proc/" + std::to_string(pid) + "/status");
+        for (std::string line; std::getline(status, line);) {
+            if (line.starts_with("VmHWM:")) {
+                return std::stod(line.substr(sizeof("VmHWM:") - 1)) / 1000;
+            }
+        }
+        return 1e9; // The process has ended.
+    }
+
     bool isReady(unsigned gateway) { return call(gateway, "/api/readiness", std::nullopt, 8388).status == 200; }
 
     std::string m_networkPrefix;
@@ -181,6 +251,37 @@
     unsigned m_requestCount = 0;
 };
 
+/// Guards against a gateway that runs out of memory, and the loss of other callers' requests, because one server of
+/// three sends bytes without end: in a line of the body's framing, or in a body.
+TEST_F(GatewayTest, KeepsServingBesideAServerThatSendsWithoutEnd)
+{
+    const std::string head = "HTTP/1.1 200 X\r\nTransfer-Encoding: chunked\r\n\r\n";
+    EndlessServer endless(address(15, 8080),
+        {head + "5;a=", head + "7fffffff\r\n", head + "0\r\nA: ", "HTTP/1.1 200 X\r\nContent-Length: 60000000\r\n\r\n",
+            "HTTP/1.1 200 X\r\nA: "});
+    json::object entry = m_deskA.storeEntry("desk").as_object();
+    entry["address"] = address(15, 8080);
+    m_store.put("servers", "desk-c", entry);
+    for (ServerFake* server : {&m_deskA, &m_deskB}) {
+        server->setServiceTime(200ms); // The third one would get no requests beside faster ones.
+    }
+    std::deque<std::shared_ptr<std::optional<BackendResult>>> results;
+    for (unsigned i = 0; i < 200; ++i) {
+        results.push_back(send(0, "/read/1"));
+        (void)runUntil(20ms, [] { return false; });
+    }
+    EXPECT_TRUE(runUntil(5s, [&] {
+        return std::all_of(results.begin(), results.end(), [](const auto& result) { return result->has_value(); });
+    }));
+    EXPECT_GT(endless.requests(), 0U);
+    for (const auto& result : results) {
+        ASSERT_TRUE(result->has_value());
+        EXPECT_EQ((*result)->status, 200U); // The other servers answer what may be repeated.
+    }
+    EXPECT_LT(peakMemoryMb(m_gateways[0]->id()), memoryMb / 2);
+    EXPECT_TRUE(isReady(0));
+}
+
 /// Guards against breaks anywhere between store and server: discovery, configuration and grants, for both gateways and
 /// both kinds of services.
 TEST_F(GatewayTest, ServesPooledAndKeyedRequests)
--- a/tests/integration/process.h
+++ b/tests/integration/process.h
@@ -19,6 +19,7 @@
     Process& operator=(const Process&) = delete;
 
     void signal(int number) const;
+    [[nodiscard]] pid_t id() const { return m_pid; }
     /// Kills the process and waits until it has ended.
     void kill();
     /// Returns whether the process is still running.
--- a/tests/mutated_input_test.cpp
+++ b/tests/mutated_input_test.cpp
@@ -197,7 +197,7 @@
         const std::string valid = test::TestBackend::answer("body " + id, "Request-Id: " + id + "\r\n");
         return mutates ? Mutation(seed).apply(valid) + "<cut>" : valid;
     });
-    BackendTransport transport = makeBeastBackendTransport(100'000);
+    BackendTransport transport = makeBeastBackendTransport({100'000});
     for (seed = 1; seed <= seedCount; ++seed) {
         const int closed = backend.closedAfterCut();
         mutates = true;
@@ -285,7 +285,7 @@
     test::TestBackend backend([&answer](const std::string&) {
         return answer->text.substr(0, answer->cutAt.value_or(answer->text.size())) + "<cut>";
     });
-    BackendTransport transport = makeBeastBackendTransport(100'000);
+    BackendTransport transport = makeBeastBackendTransport({100'000});
     for (std::uint64_t seed = begin; seed < end; ++seed) {
         answer.emplace(seed);
         const int closed = backend.closedAfterCut();
--- a/tools/path-benchmark.cpp
+++ b/tools/path-benchmark.cpp
@@ -320,7 +320,7 @@
 {
     FixedAnswerServer server(bodyBytes);
     BenchmarkEntry soup(server.port(), workers, [] { return makeSoupBackendTransport(); });
-    BenchmarkEntry beast(server.port(), workers, [] { return makeBeastBackendTransport(1'048'576); });
+    BenchmarkEntry beast(server.port(), workers, [] { return makeBeastBackendTransport({1'048'576}); });
     BOOST_LEAF_CHECK(soup.start());
     BOOST_LEAF_CHECK(beast.start());
     const std::vector<std::pair<std::string, std::uint16_t>> paths {
