A stalled reader of the log stops nothing

Cause: log4cplus's AsyncAppender blocks the logging thread, here the event loop, while its queue of 8,192 lines is full.

Change: LogWriter has a queue of 4 MiB of its own and writes through log4cplus's file and console appenders on its own thread. Lines beyond the queue, and lines that a file does not take, are lost and counted: event 105 says how many once the log is read again, and jasminespread_log_lines_lost_total has the total. The gateway waits 20 ms at most for its last lines; a regular exit 0.5 s.

Not tried: a real full disk.

--- a/daemons/jasminespread-gateway.cpp
+++ b/daemons/jasminespread-gateway.cpp
@@ -18,8 +18,8 @@
 namespace {
 
 constexpr const char* program = "jasminespread-gateway";
-/// Time for the logging thread to write its last lines before the process exits.
-constexpr unsigned long logFlushUs = 20'000;
+/// Time for the last lines of the log before the process exits.
+constexpr Milliseconds logFlushTime {20};
 constexpr const char* settingsVariable = "JASMINESPREAD_NODE_FILE";
 /// Bounds of the options for pipelined requests.
 constexpr std::uint32_t maxPipelinedRequestsLimit = 1000;
@@ -63,9 +63,8 @@
             BOOST_LEAF_AUTO(changed, platform::loadPlatformSettings(path));
             return platform::gatewaySettings(changed);
         }));
-    // Skips the shutdown of the logging thread: it does not always stop on request, and the process then hung until it
-    // was killed.
-    g_usleep(logFlushUs);
+    // Skips what runs at a regular exit, which can wait for a reader of the log.
+    (void)flushLog(logFlushTime);
     std::quick_exit(Success);
 }
 
--- a/include/jasminespread/log_event.h
+++ b/include/jasminespread/log_event.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include <jasminespread/enum_names.h>
+#include <jasminespread/time.h>
 
 #include <cstdint>
 #include <string>
@@ -26,6 +27,7 @@
     ProcessStopped = 102,
     StartFailed = 103,
     LoopStalled = 104,
+    LogLinesLost = 105,
     ConfigurationInForce = 200,
     ConfigurationRejected = 201,
     ConfigurationUnconfirmed = 202,
@@ -66,7 +68,7 @@
     std::string_view meaning;
 };
 
-inline constexpr std::array<LogEventInfo, 36> logEventCatalogue {{
+inline constexpr std::array<LogEventInfo, 37> logEventCatalogue {{
     {LogEvent::ProcessStarted, LogLevel::Info, "process-started", "The process listens on all its addresses."},
     {LogEvent::ProcessStopping, LogLevel::Info, "process-stopping",
         "A stop was requested; requests in flight are drained."},
@@ -74,6 +76,8 @@
     {LogEvent::StartFailed, LogLevel::Error, "start-failed", "The process cannot start."},
     {LogEvent::LoopStalled, LogLevel::Warning, "loop-stalled",
         "The event loop read no input for a while; which steps took the time."},
+    {LogEvent::LogLinesLost, LogLevel::Warning, "log-lines-lost",
+        "The log was not read, or could not be written, for a while; how many lines are missing."},
     {LogEvent::ConfigurationInForce, LogLevel::Info, "configuration-in-force",
         "A revision of the configuration came into force."},
     {LogEvent::ConfigurationRejected, LogLevel::Warning, "configuration-rejected",
@@ -128,7 +132,12 @@
 /// Sets up log4cplus. @p level is a name from logLevelNames; an empty @p file logs to standard error.
 /// Precondition: called once, before other threads start.
 void setUpLogging(std::string_view level, const std::string& file, const std::string& process);
-/// Writes one numbered event. Thread-safe.
+/// Writes one numbered event. Never waits for the reader of the log or for the disk: lines beyond a queue of 4 MiB are
+/// lost, and counted. Thread-safe.
 void logEvent(LogEvent event, std::string_view details);
+/// Number of log lines of this process that were lost. Thread-safe.
+[[nodiscard]] std::uint64_t lostLogLines();
+/// Waits until the lines that were logged are written, for up to @p maxWait. Returns whether they are. Thread-safe.
+bool flushLog(Milliseconds maxWait);
 
 } // namespace jasminespread
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -312,6 +312,7 @@
         CallerAnswer answer;
         if (request.path == metricsPath) {
             answer.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
+            m_gatewayMetrics.setLostLogLines(lostLogLines());
             answer.body = m_metrics.exposition();
             return m_readinessServer.answer(caller, std::move(answer));
         }
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -33,6 +33,15 @@
     counter->add();
 }
 
+void GatewayMetrics::setLostLogLines(std::uint64_t lines)
+{
+    if (m_lostLogLines == nullptr) {
+        m_lostLogLines = &m_registry.counter("jasminespread_log_lines_lost_total", "",
+            "Log lines that were lost, because the log was not read or could not be written.");
+    }
+    m_lostLogLines->add(lines - std::exchange(m_knownLostLogLines, lines));
+}
+
 void GatewayMetrics::recordStoreCall(std::string_view purpose)
 {
     auto it = m_storeCalls.find(purpose);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -23,11 +23,15 @@
     void recordDecision(const RecordDecision& decision);
     /// Counts an answer in which a server asks for a pause, or first states that it is shutting down.
     void recordServerStatement(const RecordServerStatement& statement);
+    /// Sets the number of log lines of this process that were lost.
+    void setLostLogLines(std::uint64_t lines);
     /// Counts a call to the platform's store.
     void recordStoreCall(std::string_view purpose);
 
 private:
     MetricsRegistry& m_registry;
+    MetricsRegistry::Counter* m_lostLogLines = nullptr;
+    std::uint64_t m_knownLostLogLines = 0;
     std::map<std::pair<std::string, std::string_view>, MetricsRegistry::Counter*>
         m_decisions; ///< By service, decision.
     MetricsRegistry::Counter* m_requestedPauses = nullptr;
--- a/src/log/log_event.cpp
+++ b/src/log/log_event.cpp
@@ -1,14 +1,17 @@
 #include <jasminespread/log_event.h>
 
-#include <log4cplus/asyncappender.h>
+#include "log/log_writer.h"
+
 #include <log4cplus/consoleappender.h>
 #include <log4cplus/fileappender.h>
 #include <log4cplus/initializer.h>
 #include <log4cplus/layout.h>
-#include <log4cplus/logger.h>
+#include <log4cplus/spi/loggingevent.h>
 
 #include <algorithm>
 #include <atomic>
+#include <cstdlib>
+#include <functional>
 #include <memory>
 #include <utility>
 
@@ -16,22 +19,48 @@
 
 namespace {
 
-// Lines queued for a slow log file or reader; log4cplus blocks the logging thread only while the queue is full.
-constexpr unsigned maxQueuedLines = 8192;
+/// Text of the lines that wait for a slow log file or reader.
+constexpr std::size_t maxQueuedBytes = 4'194'304;
+/// A process that ends by returning from main waits this long for its last lines.
+constexpr Milliseconds exitFlushTime {500};
+constexpr const char* loggerName = "jasminespread";
 
 struct LogState {
     log4cplus::Initializer initializer;
-    log4cplus::Logger logger = log4cplus::Logger::getInstance("jasminespread");
+    LogLevel level = LogLevel::Info;
     std::string process = "jasminespread";
+    std::unique_ptr<LogWriter> writer;
     std::atomic<bool> ready {false};
 };
 
+/// Never destroyed, because the writer's thread may be within a write at the end of the process.
 LogState& logState()
 {
-    static LogState state;
+    static LogState& state = *new LogState();
     return state;
 }
 
+/// A file appender that tells whether its last line was written, e.g. whether the disk had room.
+class CheckedFileAppender : public log4cplus::FileAppender {
+public:
+    using FileAppender::FileAppender;
+
+    [[nodiscard]] bool lastLineWritten() const { return m_lastLineWritten; }
+
+protected:
+    void append(const log4cplus::spi::InternalLoggingEvent& event) override
+    {
+        m_lastLineWritten = out.good() || reopen();
+        if (m_lastLineWritten) {
+            FileAppender::append(event);
+            m_lastLineWritten = out.good();
+        }
+    }
+
+private:
+    bool m_lastLineWritten = false;
+};
+
 log4cplus::LogLevel toLog4cplus(LogLevel level) noexcept
 {
     switch (level) {
@@ -56,47 +85,81 @@
     }
 }
 
+std::string lineOf(const LogEventInfo& info, std::string_view details)
+{
+    std::string line = std::to_string(static_cast<unsigned>(info.event));
+    line += ' ';
+    line += info.name;
+    line += ' ';
+    line += logState().process;
+    line += ' ';
+    appendSingleLine(line, details);
+    return line;
+}
+
+const LogEventInfo* findInfo(LogEvent event)
+{
+    const auto it = std::find_if(logEventCatalogue.begin(), logEventCatalogue.end(),
+        [&](const LogEventInfo& info) { return info.event == event; });
+    return it == logEventCatalogue.end() ? nullptr : &*it;
+}
+
+LogLine makeLossReport(std::uint64_t lostLines)
+{
+    const LogEventInfo& info = *findInfo(LogEvent::LogLinesLost);
+    return {info.level, std::chrono::system_clock::now(), lineOf(info, "lines=" + std::to_string(lostLines))};
+}
+
+log4cplus::spi::InternalLoggingEvent toLog4cplus(const LogLine& line)
+{
+    const auto at = std::chrono::time_point_cast<log4cplus::helpers::Time::duration>(line.at);
+    return {loggerName, toLog4cplus(line.level), "", {}, line.text, "", "", at, "", 0};
+}
+
+/// Returns a function that writes a line to @p appender, and returns whether @p isWritten of it.
+template <typename Appender, typename IsWritten>
+std::function<bool(const LogLine&)> writeTo(std::unique_ptr<Appender> appender, IsWritten isWritten)
+{
+    appender->setLayout(std::make_unique<log4cplus::PatternLayout>("%d{%Y-%m-%dT%H:%M:%S.%q}Z %-5p %m%n"));
+    const log4cplus::helpers::SharedObjectPtr<Appender> shared(appender.release());
+    return [shared, isWritten](const LogLine& line) {
+        shared->doAppend(toLog4cplus(line));
+        return isWritten(*shared);
+    };
+}
+
 } // namespace
 
 void setUpLogging(std::string_view level, const std::string& file, const std::string& process)
 {
     LogState& state = logState();
     state.process = process;
-    log4cplus::SharedAppenderPtr destination;
+    state.level = enumValue(logLevelNames, level).value_or(LogLevel::Info);
+    LogWriter::Hooks hooks;
+    hooks.makeLossReport = makeLossReport;
     if (file.empty()) {
-        destination = log4cplus::SharedAppenderPtr(new log4cplus::ConsoleAppender(true, true));
+        hooks.write = writeTo(std::make_unique<log4cplus::ConsoleAppender>(true, true),
+            [](const log4cplus::ConsoleAppender&) { return true; });
     } else {
-        destination = log4cplus::SharedAppenderPtr(new log4cplus::FileAppender(file, std::ios_base::app, true, true));
+        hooks.write = writeTo(std::make_unique<CheckedFileAppender>(file, std::ios_base::app, true, true),
+            [](const CheckedFileAppender& appender) { return appender.lastLineWritten(); });
     }
-    destination->setLayout(std::make_unique<log4cplus::PatternLayout>("%d{%Y-%m-%dT%H:%M:%S.%q}Z %-5p %m%n"));
-    log4cplus::SharedAppenderPtr asyncAppender(new log4cplus::AsyncAppender(destination, maxQueuedLines));
-    state.logger.removeAllAppenders();
-    state.logger.setAdditivity(false);
-    state.logger.addAppender(asyncAppender);
-    state.logger.setLogLevel(toLog4cplus(enumValue(logLevelNames, level).value_or(LogLevel::Info)));
+    state.writer = std::make_unique<LogWriter>(maxQueuedBytes, std::move(hooks));
+    std::atexit([] { (void)flushLog(exitFlushTime); });
     state.ready.store(true);
 }
 
 void logEvent(LogEvent event, std::string_view details)
 {
-    const auto it = std::find_if(logEventCatalogue.begin(), logEventCatalogue.end(),
-        [&](const LogEventInfo& info) { return info.event == event; });
-    LogState& state = logState();
-    if (it == logEventCatalogue.end() || !state.ready.load()) {
-        return;
-    }
-    const log4cplus::LogLevel level = toLog4cplus(it->level);
-    if (!state.logger.isEnabledFor(level)) {
-        return;
+    const LogEventInfo* info = findInfo(event);
+    const LogState& state = logState();
+    if (info != nullptr && state.ready.load() && info->level >= state.level) {
+        state.writer->append({info->level, std::chrono::system_clock::now(), lineOf(*info, details)});
     }
-    std::string line = std::to_string(static_cast<unsigned>(event));
-    line += ' ';
-    line += it->name;
-    line += ' ';
-    line += state.process;
-    line += ' ';
-    appendSingleLine(line, details);
-    state.logger.forcedLog(level, line, __FILE__, __LINE__, "logEvent");
 }
 
+std::uint64_t lostLogLines() { return logState().ready.load() ? logState().writer->lostLines() : 0; }
+
+bool flushLog(Milliseconds maxWait) { return !logState().ready.load() || logState().writer->flush(maxWait); }
+
 } // namespace jasminespread
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -12,10 +12,12 @@
 #include <csignal>
 #include <ctime>
 #include <deque>
+#include <fcntl.h>
 #include <filesystem>
 #include <fstream>
 #include <optional>
 #include <sys/socket.h>
+#include <sys/stat.h>
 #include <thread>
 #include <unistd.h>
 
@@ -154,6 +156,9 @@
 
     [[nodiscard]] std::string logFile(unsigned index) const
     {
+        if (m_logPipes.contains(index)) {
+            return m_logPipes.at(index);
+        }
         return m_folder + "/gateway-" + std::to_string(index) + ".log";
     }
 
@@ -248,6 +253,7 @@
     ServerFake m_plannerA;
     ServerFake m_plannerB;
     std::map<unsigned, std::unique_ptr<Process>> m_gateways;
+    std::map<unsigned, std::string> m_logPipes; ///< Log to a named pipe, by gateway.
     unsigned m_requestCount = 0;
 };
 
@@ -282,6 +288,73 @@
     EXPECT_TRUE(isReady(0));
 }
 
+/// Guards against a gateway that answers nothing more while nobody reads its log, and against missing lines that nobody
+/// learns of.
+TEST_F(GatewayTest, ServesWhileNobodyReadsItsLog)
+{
+    constexpr unsigned requestCount = 30'000;
+    constexpr unsigned atOnce = 50;
+    m_logPipes[0] = m_folder + "/log-pipe";
+    ASSERT_EQ(mkfifo(m_logPipes[0].c_str(), 0600), 0);
+    const int pipe = open(m_logPipes[0].c_str(), O_RDWR | O_NONBLOCK | O_CLOEXEC);
+    ASSERT_GE(pipe, 0);
+    start(0);
+    ASSERT_TRUE(runUntil(10s, [this] { return isReady(0); }));
+    unsigned served = 0;
+    for (unsigned sent = 0; sent < requestCount; sent += atOnce) {
+        std::vector<std::shared_ptr<std::optional<BackendResult>>> results;
+        for (unsigned i = 0; i < atOnce; ++i) {
+            results.push_back(send(0, "/nowhere/")); // Each answer of the gateway's own writes a line.
+        }
+        ASSERT_TRUE(runUntil(10s,
+            [&] {
+                return std::all_of(
+                    results.begin(), results.end(), [](const auto& result) { return result->has_value(); });
+            }))
+            << "after " << sent;
+        for (const auto& result : results) {
+            served += (*result)->status == 404 ? 1 : 0;
+        }
+        ASSERT_EQ(served, sent + atOnce);
+    }
+    EXPECT_EQ(call(0, "/read/1").status, 200U);
+    EXPECT_LT(peakMemoryMb(m_gateways[0]->id()), memoryMb / 2);
+    const std::string metrics = call(0, "/metrics", std::nullopt, 8388).body;
+    const std::string name = "\njasminespread_log_lines_lost_total ";
+    ASSERT_NE(metrics.find(name), std::string::npos);
+    const unsigned long lost = std::stoul(metrics.substr(metrics.find(name) + name.size()));
+    EXPECT_GT(lost, 0U);
+
+    // Once the log is read again, it has the lines that were queued, and says how many are missing.
+    std::string log;
+    const auto readLog = [&] {
+        char bytes[65'536];
+        for (ssize_t n = 0; (n = read(pipe, bytes, sizeof bytes)) > 0;) {
+            log.append(bytes, static_cast<std::size_t>(n));
+        }
+        return log.find("105 log-lines-lost") != std::string::npos;
+    };
+    EXPECT_TRUE(runUntil(10s, readLog));
+    (void)runUntil(500ms, [&] { return readLog() && false; }); // The report comes before the end of the queue.
+    EXPECT_NE(log.find("105 log-lines-lost jasminespread-gateway lines=" + std::to_string(lost)), std::string::npos);
+    const std::string decision = " route= ";
+    unsigned long decisions = 0;
+    for (std::size_t at = 0; (at = log.find(decision, at)) != std::string::npos; at += decision.size()) {
+        ++decisions;
+    }
+    EXPECT_LE(requestCount, decisions + lost);
+    EXPECT_LE(decisions + lost, requestCount + 1000) << "lines of other events";
+
+    // A stop does not wait for a reader either.
+    for (unsigned i = 0; i < 2000; ++i) {
+        (void)send(0, "/nowhere/");
+    }
+    (void)runUntil(500ms, [] { return false; });
+    m_gateways[0]->signal(SIGTERM);
+    EXPECT_TRUE(runUntil(6s, [this] { return !m_gateways[0]->running(); }));
+    close(pipe);
+}
+
 /// Guards against breaks anywhere between store and server: discovery, configuration and grants, for both gateways and
 /// both kinds of services.
 TEST_F(GatewayTest, ServesPooledAndKeyedRequests)
