A copy of any earlier answer does not end a release

Cause: RangeCallProof compared the handover of a release's answer with the latest one of the address only. Releases on several connections end in any order, so a late copy of an earlier answer looked new; and the answer of a repeated call was not noted at all.

Evidence: RangeCallProofTest.ACopyOfAnyEarlierAnswerDoesNotEndALease fails without the change (run) and passes with it.

Ruled out: a new connection for every release, which costs a connection each and proves no more.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -493,8 +493,12 @@
                 if (m_callProof.accepts(repeated.address, isRelease, ended, result.connectionReused)) {
                     return applyRangeEvent(std::move(ended));
                 }
-                m_transport.send(std::move(repeated), [this, call](const BackendResult& confirmed) {
-                    applyRangeEvent(m_ports.decodeGrantAnswer(call, confirmed));
+                const std::string address = repeated.address;
+                m_transport.send(std::move(repeated), [this, call, isRelease, address](const BackendResult& confirmed) {
+                    RangeCallEnded confirmedEnd = m_ports.decodeGrantAnswer(call, confirmed);
+                    // Notes its handover; an answer on a new connection is accepted.
+                    (void)m_callProof.accepts(address, isRelease, confirmedEnd, confirmed.connectionReused);
+                    applyRangeEvent(std::move(confirmedEnd));
                 });
             });
     }
--- a/tests/range_call_proof_test.cpp
+++ b/tests/range_call_proof_test.cpp
@@ -29,6 +29,20 @@
     }
 }
 
+/// Guards against the same when the copy is not of the latest answer: releases end in any order, on several
+/// connections.
+TEST(RangeCallProofTest, ACopyOfAnyEarlierAnswerDoesNotEndALease)
+{
+    RangeCallProof proof;
+    EXPECT_TRUE(proof.accepts(server, true, ended(GrantResult::Done, "h1"), true));
+    EXPECT_TRUE(proof.accepts(server, true, ended(GrantResult::Done, "h2"), true));
+    EXPECT_TRUE(proof.accepts(server, true, ended(GrantResult::Done, "h3"), false)); // Of a repeated call.
+    for (const char* earlier : {"h1", "h2", "h3"}) {
+        EXPECT_FALSE(proof.accepts(server, true, ended(GrantResult::Done, earlier), true)) << earlier;
+    }
+    EXPECT_TRUE(proof.accepts("10.0.0.2:80", true, ended(GrantResult::Done, "h1"), true));
+}
+
 TEST(RangeCallProofTest, AnswersOnANewConnectionAndHarmlessOutcomesCount)
 {
     RangeCallProof proof;
