A stop answers requests that were read behind an unanswered one

Cause: while it drained, HttpServer took bytes behind an unanswered request from the socket but read no request from them, made the next answer the last one, and discarded the rest.

Change: requests behind unanswered ones are read and handled while it drains as at other times, and the answer behind which no request has arrived closes the connection. A request that was read in part is not answered; the close tells the caller.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -261,8 +261,7 @@
             return false;
         }
         const bool mayBegin = connection.queue.size() < limits.maxPipelinedRequests
-            && connection.queue.heldBytes() + connection.output.size() < limits.maxPipelinedBytes
-            && (!drainIdleTimeout || connection.queue.empty());
+            && connection.queue.heldBytes() + connection.output.size() < limits.maxPipelinedBytes;
         const bool nothingHeld = connection.queue.empty() && connection.output.empty();
         return nothingHeld || connection.reader.hasPartialRequest() || mayBegin;
     }
@@ -379,7 +378,9 @@
     {
         const bool wasEmpty = connection.output.empty();
         while (std::optional<RequestQueue::Ready> ready = connection.queue.takeReady()) {
-            connection.closing = ready->closes || (drainIdleTimeout && connection.queue.empty());
+            // A request that has arrived, and was not read because of the limits, is answered as well.
+            const bool mayHaveRequest = connection.reader.unreadBytes() > 0 && !connection.reader.hasPartialRequest();
+            connection.closing = ready->closes || (drainIdleTimeout && connection.queue.empty() && !mayHaveRequest);
             appendAnswer(connection.output, *ready, connection.closing);
         }
         if (connection.closing) {
