--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -72,7 +72,8 @@
     /// Replaces the limits for input that arrives from now on.
     void setLimits(const HttpServerLimits& limits);
     /// Makes the answer to the last request that was read from a connection close it, and closes idle connections after
-    /// @p maxIdleTime. Every request that was read whole before that answer is answered; one that was read in part is not.
+    /// @p maxIdleTime. Every request that was read whole before that answer is answered; one that was read in part is
+    /// not.
     void drain(Milliseconds maxIdleTime);
     /// Accepts the connections that wait, then stops accepting connections.
     void stopListening();
