--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -30,7 +30,8 @@
 /// Share of the memory for the answers in progress, and again for callers' requests and the answers that they have not
 /// read. An answer that grows takes up to three times its length for a moment; a request is copied for its server.
 constexpr std::uint64_t memoryDivisor = 6;
-/// What one other instance can make this one keep: 32 MiB. The largest messages are route tables, of some 100 kB.
+/// What one other instance can make this one keep: 32 MiB. The largest messages are route tables; one of about 25,000
+/// ranges would be too large.
 constexpr std::uint32_t maxPeerMessageBytes = 1'048'576;
 constexpr int peerReceiveQueueMessages = 32;
 constexpr std::string_view metricsPath = "/metrics"; ///< On the readiness address.
