--- a/tests/endless_input_test.cpp
+++ b/tests/endless_input_test.cpp
@@ -22,6 +22,13 @@
 constexpr std::uint64_t maxTotalBytes = 300'000;
 constexpr std::size_t manyBytes = 8'000'000;
 
+std::string longBody(std::size_t length, char c)
+{
+    std::string body;
+    body.resize(length, c);
+    return body;
+}
+
 class EndlessInputTest : public testing::Test {
 protected:
     EndlessInputTest()
@@ -115,7 +122,7 @@
     for (const std::string& start : {std::string("5;a="), std::string("0\r\nA: ")}) {
         RequestReader reader;
         const HttpServerLimits limits;
-        reader.append(head + start + std::string(2 * limits.maxHeaderBytes, 'a'), monotonicNow());
+        reader.append(head + start + std::string(2UL * limits.maxHeaderBytes, 'a'), monotonicNow());
         const auto next = reader.next(limits, monotonicNow());
         ASSERT_TRUE(std::holds_alternative<RequestReader::Refusal>(next)) << start;
         EXPECT_EQ(std::get<RequestReader::Refusal>(next).status, 431U);
@@ -169,12 +176,12 @@
     test::Connection silent(port);
     silent.write(get);
     ASSERT_TRUE(runUntil([&] { return requests.size() == 1; }));
-    server.answer(requests[0], {200, {}, std::string(30'000'000, 'a')});
+    server.answer(requests[0], {200, {}, longBody(30'000'000, 'a')});
     test::Connection reading(port);
     reading.write(get);
     ASSERT_TRUE(runUntil([&] { return requests.size() == 2; }));
     EXPECT_EQ(server.pending(), 2U);
-    server.answer(requests[1], {200, {}, std::string(20'000'000, 'b')});
+    server.answer(requests[1], {200, {}, longBody(20'000'000, 'b')});
     EXPECT_EQ(server.pending(), 1U);
     std::string received;
     std::thread reader([&] { received = reading.read(); });
@@ -197,7 +204,7 @@
         {[&](std::uint64_t request, RawRequest&& raw) {
              requests[raw.path] = request;
              if (raw.path == "/second") {
-                 running->answer(requests.at("/other"), {200, {}, std::string(10'000'000, 'b')});
+                 running->answer(requests.at("/other"), {200, {}, longBody(10'000'000, 'b')});
              }
          },
             [](std::uint64_t) {}, {}, [](const RawRequest&) { return true; }});
@@ -208,7 +215,7 @@
     test::Connection silent(port);
     silent.write(get("/first"));
     ASSERT_TRUE(runUntil([&] { return requests.contains("/first"); }));
-    server.answer(requests.at("/first"), {200, {}, std::string(17'000'000, 'a')});
+    server.answer(requests.at("/first"), {200, {}, longBody(17'000'000, 'a')});
     test::Connection other(port);
     other.write(get("/other"));
     ASSERT_TRUE(runUntil([&] { return requests.contains("/other"); }));
