--- a/src/gateway/execution_record.h
+++ b/src/gateway/execution_record.h
@@ -19,6 +19,12 @@
     {NotRunProof::Stated, "stated"},
 }};
 
+/// Whether an answer with this HTTP status promises that the request has not been executed and never will be.
+[[nodiscard]] constexpr bool promisesNotRun(unsigned status) noexcept
+{
+    return status == 408 || status == 421 || status == 429 || status == 503;
+}
+
 /// What is known of whether a request was executed. A dispatch may have been executed until there is proof of the
 /// opposite. Not thread-safe.
 class ExecutionRecord {
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -47,6 +47,12 @@
 
 bool isServerFailure(unsigned status) { return status >= 500; }
 
+/// Text for logs.
+std::string describe(const ServerAnswer& answer)
+{
+    return "status " + std::to_string(answer.status) + ", " + std::string(enumName(executionNames, answer.execution));
+}
+
 } // namespace
 
 GatewayReducer::GatewayReducer(GatewayReducerSettings settings, std::uint64_t seed)
@@ -209,18 +215,21 @@
     if (server.run == dispatch.serverRun) {
         observeStatements(job, dispatch, server, answer);
     }
+    if (answer.execution != Execution::MayHaveRun) {
+        job.execution.onNotRun(NotRunProof::Stated);
+    }
     if (answer.execution == Execution::NotOwner) {
         job.notOwnerTableVersion
             = job.keyed && serviceOf(job.service).ranges ? serviceOf(job.service).ranges->version : 0;
         if (!job.keyed && server.run == dispatch.serverRun) {
             server.availability.onUnreachable(m_now);
         }
-        recordDecision(job, dispatch.server, "not-owner", "status " + std::to_string(answer.status));
+        recordDecision(job, dispatch.server, "not-owner", describe(answer));
         return retry(job, "the backend server does not own the key");
     }
     if (answer.execution == Execution::NotRun) {
         server.observation.recordRefusal(m_now);
-        recordDecision(job, dispatch.server, "server-refused", "status " + std::to_string(answer.status));
+        recordDecision(job, dispatch.server, "server-refused", describe(answer));
         if (job.keyed && server.observation.slowness(m_now) > overloadedOwnerSlowness) {
             // Only the owner can serve the key, and it is overloaded.
             return refuse(
@@ -231,15 +240,14 @@
     if (!answer.verified) {
         server.observation.recordFailure(m_now);
         job.mayHaveRun = true;
-        recordDecision(job, dispatch.server, "unusable-answer", "status " + std::to_string(answer.status));
+        recordDecision(job, dispatch.server, "unusable-answer", describe(answer));
         return retry(job, "the backend server's answer was unusable");
     }
     if (isServerFailure(answer.status)) {
         server.observation.recordFailure(m_now);
         job.mayHaveRun = true;
         job.lastServerFailure = std::move(answer);
-        recordDecision(
-            job, dispatch.server, "server-failed", "status " + std::to_string(job.lastServerFailure->status));
+        recordDecision(job, dispatch.server, "server-failed", describe(*job.lastServerFailure));
         return retry(job, "the backend server failed the request");
     }
     server.observation.recordAnswer(latency, typicalLatencyOf(job), m_now);
@@ -275,6 +283,9 @@
     Server& server = m_servers.at(dispatch.server);
     const bool sameRun = server.run == dispatch.serverRun;
     recordDecision(job, dispatch.server, enumName(sendFailureNames, event.failure), event.cause);
+    if (event.failure != SendFailure::MayHaveRun) {
+        job.execution.onNotRun(NotRunProof::NotSent);
+    }
     switch (event.failure) {
     case SendFailure::MayHaveRun:
         server.observation.recordFailure(m_now);
@@ -646,6 +657,7 @@
         {number, server.listed.identity.id, server.run, m_now, server.availability.onDispatched(m_now)});
     const bool repeated = !job.triedServers.insert(server.listed.identity.id).second;
     ++job.sendCount;
+    job.execution.onDispatched();
     m_jobsByDispatch.emplace(number, job.number);
     server.observation.recordStart();
     if (const std::optional<Milliseconds> leavingFor = server.availability.leavingFor(m_now)) {
@@ -773,7 +785,7 @@
     effect.status = answer.status;
     effect.headers = std::move(answer.headers);
     effect.body = std::move(answer.body);
-    finish(job, std::move(effect), answeredDecision, "status " + std::to_string(answer.status));
+    finish(job, std::move(effect), answeredDecision, describe(answer));
 }
 
 void GatewayReducer::refuse(Job& job, std::string_view message, Milliseconds retryAfter)
@@ -800,6 +812,9 @@
 
 void GatewayReducer::finish(Job& job, AnswerRequest&& answer, std::string_view decision, std::string reason)
 {
+    if (promisesNotRun(answer.status)) {
+        reason += "; " + job.execution.summary();
+    }
     recordDecision(job, "", decision, std::move(reason));
     cancelDispatches(job);
     if (job.caller != 0) {
--- a/src/gateway/gateway_reducer.h
+++ b/src/gateway/gateway_reducer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/execution_record.h"
 #include "gateway/gateway_event.h"
 #include "gateway/route_latency.h"
 #include "gateway/server_availability.h"
@@ -94,6 +95,7 @@
         std::set<std::string> triedServers; ///< Servers that it was dispatched to.
         std::uint32_t sendCount = 0; ///< Dispatches, excluding unsent and withheld ones.
         std::uint32_t unsentCount = 0; ///< Dispatches that failed before a byte was written.
+        ExecutionRecord execution; ///< Of all its dispatches.
         bool mayHaveRun = false; ///< An earlier dispatch may have been executed.
         std::optional<ServerAnswer> lastServerFailure; ///< Latest answer of a server that reports a failure.
         MonotonicTime waitingForOwnerSince; ///< When its key was first found without a usable owner; zero before.
--- a/src/transport/beast_backend_transport.cpp
+++ b/src/transport/beast_backend_transport.cpp
@@ -463,6 +463,7 @@
                 return failAndClose(connection, "malformed answer: " + ec.message());
             }
             if (connection.parser->is_done() && !isExpected(connection)) {
+                logDroppedAnswer(connection);
                 resetParser(connection);
             }
         }
@@ -516,6 +517,17 @@
         return !exchange.isMatchingAnswer || exchange.isMatchingAnswer(headersOf(connection), connection.reused);
     }
 
+    /// Precondition: !isExpected().
+    static void logDroppedAnswer(const Connection& connection)
+    {
+        const unsigned status = connection.parser->get().result_int();
+        if (status >= 200) {
+            logEvent(LogEvent::LateAnswerDropped,
+                "address=" + connection.poolKey + " status=" + std::to_string(status)
+                    + " connection-reused=" + (connection.reused ? "yes" : "no"));
+        }
+    }
+
     static std::vector<HeaderField> headersOf(const Connection& connection)
     {
         std::vector<HeaderField> headers;
@@ -545,6 +557,7 @@
     {
         const bool answersOtherRequest = !isExpected(connection);
         if (answersOtherRequest) {
+            logDroppedAnswer(connection);
             return failAndClose(connection, "the connection ended after an answer to another request");
         }
         std::unique_ptr<Exchange> exchange = removeExchange(std::exchange(connection.exchange, 0));
