--- a/tests/gateway_reducer_test.cpp
+++ b/tests/gateway_reducer_test.cpp
@@ -249,6 +249,35 @@
     EXPECT_EQ(find<AnswerRequest>(effects)->body, "whole");
 }
 
+/// Guards against passing on the status of a server that executed the request as a promise that it did not.
+TEST_F(GatewayReducerTest, AStatusThatPromisesNotRunNeedsTheServersStatement)
+{
+    std::uint64_t caller = 0;
+    for (const unsigned status : {408U, 429U, 503U}) {
+        const GatewayEffects sent = sendRequest(++caller, "/order/x");
+        ServerAnswer executed = answer(status);
+        executed.headers = {{"Response-Seal", "s"}};
+        const GatewayEffects effects = apply(ServerAnswered {find<SendToServer>(sent)->dispatch, executed});
+        EXPECT_EQ(find<SendToServer>(effects), nullptr) << status;
+        ASSERT_NE(find<AnswerRequest>(effects), nullptr) << status;
+        EXPECT_EQ(find<AnswerRequest>(effects)->origin, AnswerOrigin::Failure) << status;
+        EXPECT_EQ(find<AnswerRequest>(effects)->status, 502U) << status;
+        EXPECT_TRUE(find<AnswerRequest>(effects)->headers.empty()) << status;
+    }
+}
+
+/// Guards against the same for an idempotent request that another server may have executed before.
+TEST_F(GatewayReducerTest, AnUnprovenPromiseOfTheLastServerIsNotPassedOn)
+{
+    const GatewayEffects first = sendRequest(1, "/read/x");
+    const GatewayEffects second = apply(ServerAnswered {find<SendToServer>(first)->dispatch, answer(503)});
+    ASSERT_NE(find<SendToServer>(second), nullptr);
+    const GatewayEffects effects
+        = apply(ServerAnswered {find<SendToServer>(second)->dispatch, answer(503, Execution::NotRun)});
+    ASSERT_NE(find<AnswerRequest>(effects), nullptr);
+    EXPECT_EQ(find<AnswerRequest>(effects)->status, 502U);
+}
+
 /// Guards against unneeded work after a caller has disconnected, and against cancelling a non-idempotent request
 /// halfway.
 TEST_F(GatewayReducerTest, CancelsIdempotentRequestsOfADisconnectedCaller)
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -777,6 +777,23 @@
     }
 }
 
+/// Guards against refusing a request, with the promise that it was not executed, that a server has executed.
+TEST_F(GatewayTest, ARequestThatAServerExecutedIsNotRefused)
+{
+    for (const unsigned status : {408U, 429U, 503U}) {
+        m_deskA.failAfterExecution(status);
+        m_deskB.failAfterExecution(status);
+        for (unsigned i = 0; i < 4; ++i) {
+            const std::string id = "order-" + std::to_string(status) + "-" + std::to_string(i);
+            const auto result = send(i % 2, "/order/1", id);
+            ASSERT_TRUE(runUntil(5s, [&] { return result->has_value(); }));
+            EXPECT_EQ((*result)->status, 502U) << "a server executed " << id << " and answered " << status;
+            EXPECT_FALSE(findHeader((*result)->headers, "Response-Seal")) << id;
+        }
+    }
+    EXPECT_EQ(m_deskA.executedRequests().size() + m_deskB.executedRequests().size(), 12U);
+}
+
 /// Guards against running a request whose caller had closed the connection before the gateway read the request.
 TEST_F(GatewayTest, DropsUnreadRequestsOfDisconnectedCallers)
 {
--- a/tests/integration/platform_fake.cpp
+++ b/tests/integration/platform_fake.cpp
@@ -302,8 +302,8 @@
     }
     m_executedRequests.push_back(id);
     runAfter(m_serviceTime, m_alive, [this, request, id] {
-        reply(
-            request, 200, {{"Request-Id", id}, {"Response-Seal", "seal-" + id}, {"Server", m_id}}, "answer of " + m_id);
+        reply(request, m_statusAfterExecution, {{"Request-Id", id}, {"Response-Seal", "seal-" + id}, {"Server", m_id}},
+            "answer of " + m_id);
     });
 }
 
--- a/tests/integration/platform_fake.h
+++ b/tests/integration/platform_fake.h
@@ -93,6 +93,8 @@
     void stateLeaving(const std::string& value) { m_leavingValue = value; }
     /// Refuses requests with status 503 and the field Retry-After with @p retryAfter for @p duration from now.
     void refuse(const std::string& retryAfter, Milliseconds duration);
+    /// Executes requests and answers them with @p status and without a statement that they were not executed.
+    void failAfterExecution(unsigned status) { m_statusAfterExecution = status; }
     /// Ends as a process and starts again with the same id: it holds no keys, and its entry has a later start.
     void restart();
     /// A request that arrived, executed or not.
@@ -130,6 +132,7 @@
     std::string m_leavingValue;
     std::string m_retryAfter;
     MonotonicTime m_refusesUntil;
+    unsigned m_statusAfterExecution = 200;
     std::uint64_t m_bornAt = 1789;
     std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true); ///< Ends with this object.
     HttpServer m_server;
