A promise that a request was not executed needs proof for each dispatch

What callers saw: an order that a server had executed was answered 503 (429, 408), a status that promises that it was not executed and never will be; a caller that tries again then orders twice.

Cause: the execution of a request was known in one flag, mayHaveRun, that single paths had to set and to ask. The path of a server's own answer asked nobody: deliver() returned the status of the server unchanged, also where the server made no statement, and for 408 and 429 the flag was not even set. The status speaks for the gateway towards the caller, but only the statement of the server is evidence.

Change: ExecutionRecord counts the dispatches of a request and the proofs that one was not executed (not sent, or stated by the server); without a proof a dispatch may have been executed. finish(), through which each answer to a dispatched request goes, replaces an answer with a status that promises (408, 421, 429, 503) by 502, without the server's headers, unless all dispatches are proven. An answer 408 or 429 without statement counts as a failure of its server.

Ruled out: passing the status on where the request may be repeated.

--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -43,9 +43,24 @@
 constexpr unsigned gatewayTimeout = 504;
 /// @}
 
+constexpr std::string_view failedDecision = "failed";
+
 std::string latencyKey(const std::string& route, const std::string& service) { return route + '/' + service; }
 
-bool isServerFailure(unsigned status) { return status >= 500; }
+/// A server that did not execute a request states so; its other answers with such a status are failures.
+bool isServerFailure(unsigned status) { return status >= 500 || promisesNotRun(status); }
+
+/// Replaces an answer with a status that promises that the request was not executed.
+AnswerRequest withoutPromise(AnswerRequest&& answer)
+{
+    AnswerRequest failure;
+    failure.origin = AnswerOrigin::Failure;
+    failure.status = badGateway;
+    failure.body = answer.origin == AnswerOrigin::Server ? "a backend server answered with status "
+            + std::to_string(answer.status) + " and did not state that it has not executed the request\n"
+                                                         : std::move(answer.body);
+    return failure;
+}
 
 /// Text for logs.
 std::string describe(const ServerAnswer& answer)
@@ -239,13 +254,11 @@
     }
     if (!answer.verified) {
         server.observation.recordFailure(m_now);
-        job.mayHaveRun = true;
         recordDecision(job, dispatch.server, "unusable-answer", describe(answer));
         return retry(job, "the backend server's answer was unusable");
     }
     if (isServerFailure(answer.status)) {
         server.observation.recordFailure(m_now);
-        job.mayHaveRun = true;
         job.lastServerFailure = std::move(answer);
         recordDecision(job, dispatch.server, "server-failed", describe(*job.lastServerFailure));
         return retry(job, "the backend server failed the request");
@@ -289,7 +302,6 @@
     switch (event.failure) {
     case SendFailure::MayHaveRun:
         server.observation.recordFailure(m_now);
-        job.mayHaveRun = true;
         break;
     case SendFailure::NotSent:
         if (sameRun) {
@@ -742,7 +754,7 @@
     if (!job.dispatches.empty()) {
         return; // Another dispatch is still in flight.
     }
-    const bool repeatable = job.route->repeatability == Repeatability::Idempotent || !job.mayHaveRun;
+    const bool repeatable = job.route->repeatability == Repeatability::Idempotent || !job.execution.mayHaveRun();
     const bool canFinish = canFinishInTime(typicalLatencyOf(job), timingOf(job));
     if (job.caller != 0 && repeatable && canFinish && tryAcquireRetry(job)) {
         return advance(job);
@@ -751,9 +763,6 @@
         ServerAnswer answer = std::move(*job.lastServerFailure);
         return deliver(job, std::move(answer));
     }
-    if (job.mayHaveRun) {
-        return fail(job, badGateway, message);
-    }
     refuse(job, message, retryAfterFor(job, typicalLatencyOf(job)));
 }
 
@@ -772,7 +781,7 @@
         server.observation.recordUnanswered(
             std::chrono::duration_cast<Milliseconds>(m_now - dispatch.startedAt), typicalLatencyOf(job), m_now);
     }
-    if (!job.dispatches.empty() || job.mayHaveRun) {
+    if (job.execution.mayHaveRun()) {
         return fail(job, gatewayTimeout, "the time for the request is over");
     }
     refuse(job, "the time for the request is over before it was sent", noOwnerRetryAfter);
@@ -790,9 +799,6 @@
 
 void GatewayReducer::refuse(Job& job, std::string_view message, Milliseconds retryAfter)
 {
-    if (job.mayHaveRun) {
-        return fail(job, badGateway, message);
-    }
     AnswerRequest effect;
     effect.origin = AnswerOrigin::Refusal;
     effect.status = serviceUnavailable;
@@ -807,13 +813,17 @@
     effect.origin = AnswerOrigin::Failure;
     effect.status = status;
     effect.body = std::string(message) + "\n";
-    finish(job, std::move(effect), "failed", std::string(message));
+    finish(job, std::move(effect), failedDecision, std::string(message));
 }
 
 void GatewayReducer::finish(Job& job, AnswerRequest&& answer, std::string_view decision, std::string reason)
 {
     if (promisesNotRun(answer.status)) {
         reason += "; " + job.execution.summary();
+        if (job.execution.mayHaveRun()) {
+            answer = withoutPromise(std::move(answer));
+            decision = failedDecision;
+        }
     }
     recordDecision(job, "", decision, std::move(reason));
     cancelDispatches(job);
--- a/src/gateway/gateway_reducer.h
+++ b/src/gateway/gateway_reducer.h
@@ -96,7 +96,6 @@
         std::uint32_t sendCount = 0; ///< Dispatches, excluding unsent and withheld ones.
         std::uint32_t unsentCount = 0; ///< Dispatches that failed before a byte was written.
         ExecutionRecord execution; ///< Of all its dispatches.
-        bool mayHaveRun = false; ///< An earlier dispatch may have been executed.
         std::optional<ServerAnswer> lastServerFailure; ///< Latest answer of a server that reports a failure.
         MonotonicTime waitingForOwnerSince; ///< When its key was first found without a usable owner; zero before.
         std::string heldFor; ///< Owner of its key that pauses, while it waits for the end of the pause.
