A success that states that it was not executed proves nothing

An answer 2xx with Not-Executed contradicts itself. The gateway took it for a refusal: an order that the server may have executed went to another server, or was refused with 503.

--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -267,6 +267,11 @@
     EXPECT_EQ(decodeServerAnswer(answeredWith(503, {})).execution, Execution::MayHaveRun);
     EXPECT_EQ(decodeServerAnswer(answeredWith(503, {{"Not-Executed", "1"}})).execution, Execution::NotRun);
     EXPECT_EQ(decodeServerAnswer(answeredWith(421, {})).execution, Execution::NotOwner);
+    // A success contradicts the statement.
+    std::vector<HeaderField> contradicting = sealedHeaders;
+    contradicting.push_back({"Not-Executed", "1"});
+    EXPECT_EQ(decodeServerAnswer(answeredWith(200, contradicting)).execution, Execution::MayHaveRun);
+    EXPECT_FALSE(decodeServerAnswer(answeredWith(200, contradicting)).verified);
     EXPECT_TRUE(decodeServerAnswer(answeredWith(200, sealedHeaders)).verified);
     EXPECT_FALSE(decodeServerAnswer(answeredWith(200, {{"Request-Id", "1"}})).verified);
     EXPECT_FALSE(decodeServerAnswer(answeredWith(200, {{"Response-Seal", "s"}})).verified);
