A promise without a statement is an unusable answer

Cause: the unproven 503 was kept as a server's failure, took the place of the earlier one and was replaced only in finish(). It is now handled where other answers without proof are, as an unusable answer; finish() turns refusals of the gateway itself into failures. Two tests more, for what no test would have noticed: 408 and 429 without a statement are tried again, and a request that all servers provably refused is refused.

--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -43,24 +43,11 @@
 constexpr unsigned gatewayTimeout = 504;
 /// @}
 
-constexpr std::string_view failedDecision = "failed";
+constexpr std::string_view failedDecision = "failed"; ///< Decision of a request that gets a failure of the gateway.
 
 std::string latencyKey(const std::string& route, const std::string& service) { return route + '/' + service; }
 
-/// A server that did not execute a request states so; its other answers with such a status are failures.
-bool isServerFailure(unsigned status) { return status >= 500 || promisesNotRun(status); }
-
-/// Replaces an answer with a status that promises that the request was not executed.
-AnswerRequest withoutPromise(AnswerRequest&& answer)
-{
-    AnswerRequest failure;
-    failure.origin = AnswerOrigin::Failure;
-    failure.status = badGateway;
-    failure.body = answer.origin == AnswerOrigin::Server ? "a backend server answered with status "
-            + std::to_string(answer.status) + " and did not state that it has not executed the request\n"
-                                                         : std::move(answer.body);
-    return failure;
-}
+bool isServerFailure(unsigned status) { return status >= 500; }
 
 /// Text for logs.
 std::string describe(const ServerAnswer& answer)
@@ -252,7 +239,8 @@
         }
         return retry(job, "the backend server refused the request");
     }
-    if (!answer.verified) {
+    // Without a statement such a status would be a promise of the gateway, which knows of no proof.
+    if (!answer.verified || promisesNotRun(answer.status)) {
         server.observation.recordFailure(m_now);
         recordDecision(job, dispatch.server, "unusable-answer", describe(answer));
         return retry(job, "the backend server's answer was unusable");
@@ -821,7 +809,10 @@
     if (promisesNotRun(answer.status)) {
         reason += "; " + job.execution.summary();
         if (job.execution.mayHaveRun()) {
-            answer = withoutPromise(std::move(answer));
+            answer.origin = AnswerOrigin::Failure;
+            answer.status = badGateway;
+            answer.headers.clear();
+            answer.retryAfter = 0ms;
             decision = failedDecision;
         }
     }
--- a/tests/gateway_reducer_test.cpp
+++ b/tests/gateway_reducer_test.cpp
@@ -266,7 +266,36 @@
     }
 }
 
-/// Guards against the same for an idempotent request that another server may have executed before.
+/// Guards against taking such an answer for a success: it would not be tried again, nor count against its server.
+TEST_F(GatewayReducerTest, AnUnprovenPromiseIsTriedAgainWhereThatIsAllowed)
+{
+    for (const unsigned status : {408U, 429U, 503U}) {
+        const GatewayEffects first = sendRequest(status, "/read/x");
+        const GatewayEffects second = apply(ServerAnswered {find<SendToServer>(first)->dispatch, answer(status)});
+        ASSERT_NE(find<SendToServer>(second), nullptr) << status;
+        const GatewayEffects done = apply(ServerAnswered {find<SendToServer>(second)->dispatch, answer(200)});
+        EXPECT_EQ(find<AnswerRequest>(done)->status, 200U) << status;
+    }
+}
+
+/// Guards against a failure of requests that no server has executed.
+TEST_F(GatewayReducerTest, ARequestThatAllServersProvablyRefusedIsRefused)
+{
+    for (const auto& [status, execution] : {std::pair(503U, Execution::NotRun), std::pair(421U, Execution::NotOwner)}) {
+        const GatewayEffects first = sendRequest(status, "/order/x");
+        const GatewayEffects second
+            = apply(ServerAnswered {find<SendToServer>(first)->dispatch, answer(status, execution)});
+        ASSERT_NE(find<SendToServer>(second), nullptr) << status;
+        const GatewayEffects refused
+            = apply(ServerAnswered {find<SendToServer>(second)->dispatch, answer(status, execution)});
+        ASSERT_NE(find<AnswerRequest>(refused), nullptr) << status;
+        EXPECT_EQ(find<AnswerRequest>(refused)->origin, AnswerOrigin::Refusal) << status;
+        EXPECT_EQ(find<AnswerRequest>(refused)->status, 503U) << status;
+        m_now += 5s;
+    }
+}
+
+/// Guards against passing on a promise for an idempotent request that another server may have executed before.
 TEST_F(GatewayReducerTest, AnUnprovenPromiseOfTheLastServerIsNotPassedOn)
 {
     const GatewayEffects first = sendRequest(1, "/read/x");
