A request goes to an address again only on a new connection

What callers saw: a server that started again at its address under a new id, while its old entry was still listed, answered a request for the old id with 421. The request went on to the new id on the same connection, where a second copy of the 421 has the same request id: the order was refused with 503 although the server executed it.

Cause: whether a request was sent there before was decided by the server's id, and connections are kept by address. Change: it is decided by address. ExecutionEvidenceTest.ACopyOfARefusalIsNotProofForAnotherServerAtTheSameAddress got 503 before and gets 200. A new connection for each repetition would do as well, and costs more of them.

--- a/src/gateway/gateway_event.h
+++ b/src/gateway/gateway_event.h
@@ -134,7 +134,7 @@
     std::shared_ptr<const GatewayRequest> request;
     Milliseconds timeLeft {0}; ///< Until the deadline.
     MonotonicTime deadline; ///< When the caller stops waiting. Nothing is written after it.
-    /// The request was dispatched to this server before: a second copy of that answer would carry the same id.
+    /// The request was dispatched to this address before: a second copy of that answer would carry the same id.
     bool repeated = false;
 };
 
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -655,7 +655,8 @@
     const std::uint64_t number = m_nextNumber++;
     job.dispatches.push_back(
         {number, server.listed.identity.id, server.run, m_now, server.availability.onDispatched(m_now)});
-    const bool repeated = !job.triedServers.insert(server.listed.identity.id).second;
+    job.triedServers.insert(server.listed.identity.id);
+    const bool repeated = !job.triedAddresses.insert(server.listed.address).second;
     ++job.sendCount;
     job.execution.onDispatched();
     m_jobsByDispatch.emplace(number, job.number);
--- a/src/gateway/gateway_reducer.h
+++ b/src/gateway/gateway_reducer.h
@@ -93,6 +93,7 @@
         MonotonicTime hedgeAt; ///< When a hedge request is due.
         std::vector<Dispatch> dispatches; ///< At most two: the request and its hedge.
         std::set<std::string> triedServers; ///< Servers that it was dispatched to.
+        std::set<std::string> triedAddresses; ///< Their addresses; several servers may be listed at one.
         std::uint32_t sendCount = 0; ///< Dispatches, excluding unsent and withheld ones.
         std::uint32_t unsentCount = 0; ///< Dispatches that failed before a byte was written.
         ExecutionRecord execution; ///< Of all its dispatches.
--- a/tests/execution_evidence_test.cpp
+++ b/tests/execution_evidence_test.cpp
@@ -139,5 +139,31 @@
     EXPECT_EQ(m_answer->body, "failed");
 }
 
+/// Guards against a refusal of an executed request: a copy of the answer to its first dispatch has the same id.
+TEST_F(ExecutionEvidenceTest, ACopyOfARefusalIsNotProofForAnotherServerAtTheSameAddress)
+{
+    std::atomic<int> executed {0};
+    std::atomic<const TestBackend*> self {nullptr};
+    TestBackend backend([&](const std::string& request) -> std::string {
+        const std::string id = "Request-Id: 7\r\n";
+        const std::string misdirected = TestBackend::answer("", id + "Not-Executed: 1\r\n", 421);
+        if (!isFor(request, "new")) {
+            return misdirected;
+        }
+        ++executed;
+        // The copy belongs to the connection that carried the refusal.
+        const bool kept = self.load()->connections() == 1;
+        return (kept ? misdirected : std::string()) + TestBackend::answer("done", id + "Response-Seal: s\r\n");
+    });
+    self = &backend;
+    configure();
+    list({{"old", backend.address()}, {"new", backend.address()}});
+    const unsigned status = statusOfRequest("7");
+    ASSERT_NE(status, 0U);
+    ASSERT_EQ(executed, 1);
+    EXPECT_FALSE(promisesNotRun(status)) << status;
+    EXPECT_EQ(status, 200U);
+}
+
 } // namespace
 } // namespace jasminespread
