Behind another request's answer, one without an id may be a copy on a new connection too

What callers saw: on a new connection a server first sent an answer with another request's id, which was dropped, then a refusal without an id, and then its answer; the order was refused with 503 although the server executed it.

Cause: an answer without an id was accepted on each connection that had carried no other exchange. A connection on which another request's answer arrived now counts as one that has carried other requests. ExecutionEvidenceTest. AnAnswerWithoutAnIdBehindADroppedOneIsNoProof got 503 before and passes.

--- a/src/transport/beast_backend_transport.cpp
+++ b/src/transport/beast_backend_transport.cpp
@@ -102,7 +102,7 @@
     gpointer sourceTag = nullptr;
     GIOCondition condition {};
     bool connected = false;
-    bool reused = false; ///< Has already carried an exchange.
+    bool reused = false; ///< Has already carried an exchange, or an answer to another one.
     BackendTransport::Handle exchange = 0; ///< Handle of its exchange; 0 while idle.
     std::unique_ptr<ResponseParser> parser;
     std::string input; ///< Received bytes that the parser has not consumed.
@@ -463,7 +463,7 @@
                 return failAndClose(connection, "malformed answer: " + ec.message());
             }
             if (connection.parser->is_done() && !isExpected(connection)) {
-                logDroppedAnswer(connection);
+                dropAnswer(connection);
                 resetParser(connection);
             }
         }
@@ -518,13 +518,13 @@
     }
 
     /// Precondition: !isExpected().
-    static void logDroppedAnswer(const Connection& connection)
+    static void dropAnswer(Connection& connection)
     {
         const unsigned status = connection.parser->get().result_int();
         if (status >= 200) {
-            logEvent(LogEvent::LateAnswerDropped,
-                "address=" + connection.poolKey + " status=" + std::to_string(status)
-                    + " connection-reused=" + (connection.reused ? "yes" : "no"));
+            connection.reused = true; // It carries answers to other requests.
+            logEvent(
+                LogEvent::LateAnswerDropped, "address=" + connection.poolKey + " status=" + std::to_string(status));
         }
     }
 
@@ -557,7 +557,7 @@
     {
         const bool answersOtherRequest = !isExpected(connection);
         if (answersOtherRequest) {
-            logDroppedAnswer(connection);
+            dropAnswer(connection);
             return failAndClose(connection, "the connection ended after an answer to another request");
         }
         std::unique_ptr<Exchange> exchange = removeExchange(std::exchange(connection.exchange, 0));
--- a/tests/execution_evidence_test.cpp
+++ b/tests/execution_evidence_test.cpp
@@ -165,5 +165,23 @@
     EXPECT_EQ(status, 200U);
 }
 
+/// Guards against a refusal of an executed request: behind another request's answer, one without an id may be a copy.
+TEST_F(ExecutionEvidenceTest, AnAnswerWithoutAnIdBehindADroppedOneIsNoProof)
+{
+    std::atomic<int> executed {0};
+    TestBackend backend([&executed](const std::string&) -> std::string {
+        ++executed;
+        return TestBackend::answer("", "Request-Id: other\r\nNot-Executed: 1\r\n", 503)
+            + TestBackend::answer("", "Not-Executed: 1\r\n", 503)
+            + TestBackend::answer("done", "Request-Id: 7\r\nResponse-Seal: s\r\n");
+    });
+    configure();
+    list({{"a", backend.address()}});
+    const unsigned status = statusOfRequest("7");
+    ASSERT_NE(status, 0U);
+    ASSERT_GE(executed, 1);
+    EXPECT_FALSE(promisesNotRun(status)) << status;
+}
+
 } // namespace
 } // namespace jasminespread
