Fields of a trailer are no statement of an answer

What callers saw: a 503 without a statement in its head and with Not-Executed in its trailer became a refusal by the gateway, a promise. A seal or an id in a trailer would have counted as well.

Cause: Beast's parser adds the fields of a trailer to those of the head. The transport now keeps the head's fields when it has read the head.

--- a/src/transport/beast_backend_transport.cpp
+++ b/src/transport/beast_backend_transport.cpp
@@ -17,6 +17,7 @@
 #include <charconv>
 #include <deque>
 #include <memory>
+#include <optional>
 #include <set>
 #include <unordered_map>
 
@@ -105,6 +106,7 @@
     bool reused = false; ///< Has already carried an exchange, or an answer to another one.
     BackendTransport::Handle exchange = 0; ///< Handle of its exchange; 0 while idle.
     std::unique_ptr<ResponseParser> parser;
+    std::optional<std::vector<HeaderField>> headers; ///< Of the answer, once its head is read; without its trailer.
     std::string input; ///< Received bytes that the parser has not consumed.
     std::uint64_t heldBytes = 0; ///< Bytes of the answer that are kept.
     MonotonicTime reusableUntil; ///< No longer reused after this time.
@@ -401,7 +403,8 @@
         connection.parser = std::make_unique<ResponseParser>();
         connection.parser->body_limit(m_exchanges.at(connection.exchange)->maxAnswerBytes);
         connection.parser->header_limit(maxHeaderBytes);
-        connection.parser->eager(true);
+        connection.parser->eager(false); // Stops behind the head: the parser adds the fields of a trailer to it.
+        connection.headers.reset();
         connection.parser->skip(m_exchanges.at(connection.exchange)->isHeadRequest);
     }
 
@@ -453,6 +456,10 @@
             const std::size_t n = connection.parser->put(
                 boost::asio::const_buffer(connection.input.data() + consumed, connection.input.size() - consumed), ec);
             consumed += n;
+            if (connection.parser->is_header_done() && !connection.headers) {
+                connection.headers = headersOf(*connection.parser);
+                connection.parser->eager(true);
+            }
             if (ec == http::error::need_more) {
                 break;
             }
@@ -514,7 +521,7 @@
             return false;
         }
         const Exchange& exchange = *m_exchanges.at(connection.exchange);
-        return !exchange.isMatchingAnswer || exchange.isMatchingAnswer(headersOf(connection), connection.reused);
+        return !exchange.isMatchingAnswer || exchange.isMatchingAnswer(*connection.headers, connection.reused);
     }
 
     /// Precondition: !isExpected().
@@ -528,10 +535,10 @@
         }
     }
 
-    static std::vector<HeaderField> headersOf(const Connection& connection)
+    static std::vector<HeaderField> headersOf(const ResponseParser& parser)
     {
         std::vector<HeaderField> headers;
-        for (const auto& field : connection.parser->get()) {
+        for (const auto& field : parser.get()) {
             headers.push_back({std::string(field.name_string()), std::string(field.value())});
         }
         return headers;
@@ -566,7 +573,7 @@
         result.progress = BackendProgress::Answered;
         result.connectionReused = connection.reused;
         result.status = message.result_int();
-        result.headers = headersOf(connection);
+        result.headers = std::move(*connection.headers);
         result.body = std::move(message.body());
         // A server may answer before it has read the whole request; the unsent rest must not follow on this connection.
         const bool reusable = connection.parser->keep_alive() && connection.input.empty()
--- a/tests/execution_evidence_test.cpp
+++ b/tests/execution_evidence_test.cpp
@@ -183,5 +183,22 @@
     EXPECT_FALSE(promisesNotRun(status)) << status;
 }
 
+/// Guards against a field of the trailer, which is no statement, being read as one of the head.
+TEST_F(ExecutionEvidenceTest, ATrailerIsNoStatement)
+{
+    std::atomic<int> executed {0};
+    TestBackend backend([&executed](const std::string&) -> std::string {
+        ++executed;
+        return "HTTP/1.1 503 X\r\nRequest-Id: 7\r\nTransfer-Encoding: chunked\r\n\r\n"
+               "4\r\nfail\r\n0\r\nNot-Executed: 1\r\n\r\n";
+    });
+    configure();
+    list({{"a", backend.address()}});
+    const unsigned status = statusOfRequest("7");
+    ASSERT_NE(status, 0U);
+    ASSERT_EQ(executed, 1);
+    EXPECT_FALSE(promisesNotRun(status)) << status;
+}
+
 } // namespace
 } // namespace jasminespread
