A send that was withheld in a server's pause is not taken for a caller that left

What callers saw: nothing; a request whose send was withheld because its server had asked for a pause got no answer if the pause was over, or the server had started again, when the reducer learned of it.

Cause: the reducer inferred from a withheld send that its caller had disconnected, unless its server may not get requests now. Only GatewayDaemon knows why it withheld a send; it now says so (SendFailure::CallerLeft), and other withheld requests go on. ExecutionEvidenceTest.ASendWithheldBecauseOfAPauseIsNotTakenForACallerThatLeft failed before (no effect, no request left) and passes. GatewayReducerTest.EndsARequestWhoseSendWasWithheld states CallerLeft where it meant a caller that has disconnected; its checks are the same.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -374,42 +374,45 @@
     {
         const std::uint64_t dispatch = effect.dispatch;
         BackendRequest request = m_ports.encodeSend(effect);
+        // The event loop may not have read yet that the caller has disconnected.
+        const auto callerLeft = std::make_shared<bool>(false);
         request.mayBegin = [this, dispatch, caller = effect.caller, id = effect.request->id, deadline = effect.deadline,
-                               startedAt = monotonicNow()] {
-            return m_reducer.maySend(dispatch, monotonicNow()) && mayBegin(caller, id, startedAt, deadline);
+                               startedAt = monotonicNow(), callerLeft] {
+            const MonotonicTime now = monotonicNow();
+            logDelay(id, std::chrono::duration_cast<Milliseconds>(now - startedAt));
+            *callerLeft = m_callerServer.hasCallerDisconnected(caller);
+            return !*callerLeft && now < deadline && m_reducer.maySend(dispatch, now);
         };
         const BackendTransport::Handle handle
-            = m_transport.send(std::move(request), [this, dispatch](BackendResult result) {
+            = m_transport.send(std::move(request), [this, dispatch, callerLeft](BackendResult result) {
                   const LoopMonitor::Step step(m_monitor, "server-answer");
                   m_sendHandles.erase(dispatch);
                   if (result.progress == BackendProgress::Answered) {
                       apply(ServerAnswered {dispatch, m_ports.decodeServerAnswer(std::move(result))});
                   } else {
-                      apply(SendFailed {dispatch, sendFailureOf(result), result.failure});
+                      apply(SendFailed {dispatch, sendFailureOf(result, *callerLeft), result.failure});
                   }
               });
         m_sendHandles.emplace(dispatch, handle);
     }
 
-    /// Whether a request may still be sent: it may have waited for a connection past its deadline, or its caller may
-    /// have disconnected, which the event loop may not have read yet.
-    [[nodiscard]] bool mayBegin(
-        std::uint64_t caller, const std::string& id, MonotonicTime startedAt, MonotonicTime deadline) const
+    /// Logs a request that waited long for a connection.
+    static void logDelay(const std::string& id, Milliseconds waited)
     {
-        const MonotonicTime now = monotonicNow();
-        const Milliseconds waited = std::chrono::duration_cast<Milliseconds>(now - startedAt);
         if (waited >= sendDelayThreshold) {
             logEvent(LogEvent::SendDelayed, "id=" + id + " waited-ms=" + std::to_string(waited.count()));
         }
-        return now < deadline && !m_callerServer.hasCallerDisconnected(caller);
     }
 
-    static SendFailure sendFailureOf(const BackendResult& result)
+    static SendFailure sendFailureOf(const BackendResult& result, bool callerLeft)
     {
         if (result.progress == BackendProgress::Broken) {
             return SendFailure::MayHaveRun;
         }
-        return result.withheld ? SendFailure::Withheld : SendFailure::NotSent;
+        if (!result.withheld) {
+            return SendFailure::NotSent;
+        }
+        return callerLeft ? SendFailure::CallerLeft : SendFailure::Withheld;
     }
 
     void execute(CancelSend&& effect)
--- a/src/gateway/gateway_event.h
+++ b/src/gateway/gateway_event.h
@@ -39,13 +39,15 @@
 enum class SendFailure : std::uint8_t {
     MayHaveRun, ///< At least one byte of the request was written.
     NotSent, ///< No byte was written, e.g. because the connection could not be opened.
-    Withheld ///< Not sent on purpose: the caller had disconnected, its deadline had passed, or maySend() was false.
+    Withheld, ///< Not sent on purpose: its deadline had passed, or GatewayReducer::maySend() was false.
+    CallerLeft ///< Not sent on purpose: the caller had disconnected.
 };
 
-inline constexpr std::array<EnumName<SendFailure>, 3> sendFailureNames {{
+inline constexpr std::array<EnumName<SendFailure>, 4> sendFailureNames {{
     {SendFailure::MayHaveRun, "server-broke-off"},
     {SendFailure::NotSent, "server-unreachable"},
     {SendFailure::Withheld, "withheld"},
+    {SendFailure::CallerLeft, "caller-left"},
 }};
 
 /// A SendToServer effect ended without an answer.
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -306,11 +306,10 @@
         if (m_now >= job.deadline) {
             return expire(job);
         }
-        if (!sameRun || server.availability.maySend(scopeOf(job), m_now)) {
-            return abandon(job); // Its caller has disconnected.
-        }
         ++job.unsentCount;
         break;
+    case SendFailure::CallerLeft:
+        return abandon(job);
     }
     retry(job, "the connection to the backend server broke");
 }
--- a/tests/execution_evidence_test.cpp
+++ b/tests/execution_evidence_test.cpp
@@ -200,5 +200,43 @@
     EXPECT_FALSE(promisesNotRun(status)) << status;
 }
 
+/// Guards against a caller without an answer: its send was withheld in a pause that is over when that becomes known.
+TEST_F(ExecutionEvidenceTest, ASendWithheldBecauseOfAPauseIsNotTakenForACallerThatLeft)
+{
+    configure();
+    list({{"a", "127.0.0.1:9"}});
+    MonotonicTime now = monotonicNow();
+    const auto reduce = [&](GatewayEvent event) { return m_reducer.reduce({now, std::move(event)}); };
+    const auto send = [&](std::uint64_t caller) {
+        GatewayRequest request;
+        request.id = std::to_string(caller);
+        request.host = "a.example";
+        request.path = request.target = "/order/x";
+        request.timeLeft = 3000ms;
+        for (const GatewayEffect& effect : reduce(RequestReceived {caller, std::move(request)})) {
+            if (const auto* sent = std::get_if<SendToServer>(&effect)) {
+                return sent->dispatch;
+            }
+        }
+        return std::uint64_t {0};
+    };
+    const std::uint64_t first = send(1);
+    const std::uint64_t second = send(2);
+    ASSERT_NE(first * second, 0U);
+    ServerAnswer refusal;
+    refusal.status = 503;
+    refusal.execution = Execution::NotRun;
+    refusal.requestedPause = 100ms;
+    (void)reduce(ServerAnswered {first, refusal});
+    ASSERT_FALSE(m_reducer.maySend(second, now)); // GatewayDaemon withholds the second request here.
+    now += 700ms;
+    ASSERT_TRUE(m_reducer.maySend(second, now));
+    const GatewayEffects effects = reduce(SendFailed {second, SendFailure::Withheld, "withheld"});
+    const bool goesOn = std::any_of(effects.begin(), effects.end(), [](const GatewayEffect& effect) {
+        return std::holds_alternative<AnswerRequest>(effect) || std::holds_alternative<SendToServer>(effect);
+    });
+    EXPECT_TRUE(goesOn || m_reducer.requestsInFlight() > 0) << "the caller of the second request gets no answer";
+}
+
 } // namespace
 } // namespace jasminespread
--- a/tests/execution_record_test.cpp
+++ b/tests/execution_record_test.cpp
@@ -116,7 +116,7 @@
         const std::uint64_t dispatch = sent.dispatch;
         sent.open = false;
         if (below(3) == 0) {
-            const auto failure = static_cast<SendFailure>(below(3));
+            const auto failure = static_cast<SendFailure>(below(sendFailureNames.size()));
             noteEnd(sent, failure != SendFailure::MayHaveRun);
             return apply(SendFailed {dispatch, failure, "random"});
         }
--- a/tests/gateway_reducer_test.cpp
+++ b/tests/gateway_reducer_test.cpp
@@ -324,7 +324,7 @@
 TEST_F(GatewayReducerTest, EndsARequestWhoseSendWasWithheld)
 {
     const GatewayEffects disconnected
-        = apply(SendFailed {find<SendToServer>(sendRequest(1, "/read/x"))->dispatch, SendFailure::Withheld, ""});
+        = apply(SendFailed {find<SendToServer>(sendRequest(1, "/read/x"))->dispatch, SendFailure::CallerLeft, ""});
     EXPECT_EQ(find<SendToServer>(disconnected), nullptr);
     EXPECT_EQ(m_reducer.requestsInFlight(), 0U);
     const GatewayEffects sent = sendRequest(2, "/read/x");
