--- a/tests/execution_evidence_test.cpp
+++ b/tests/execution_evidence_test.cpp
@@ -146,7 +146,7 @@
     std::atomic<const TestBackend*> self {nullptr};
     TestBackend backend([&](const std::string& request) -> std::string {
         const std::string id = "Request-Id: 7\r\n";
-        const std::string misdirected = TestBackend::answer("", id + "Not-Executed: 1\r\n", 421);
+        std::string misdirected = TestBackend::answer("", id + "Not-Executed: 1\r\n", 421);
         if (!isFor(request, "new")) {
             return misdirected;
         }
