A server's failure is returned when no other server is left

What callers saw: with attempts left and no further server, 502 of the gateway in place of the failure that a server had answered, which is to be returned unchanged.

Cause: retry() preferred the server's answer, but choosing another server can end in refuse(), which did not know of it. It is preferred in refuse() now, which both ways share. GatewayReducerTest. ReturnsAServerFailureUnchangedWhenNoServerIsLeft got 502 before and passes.

--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -747,10 +747,6 @@
     if (job.caller != 0 && repeatable && canFinish && tryAcquireRetry(job)) {
         return advance(job);
     }
-    if (job.lastServerFailure) {
-        ServerAnswer answer = std::move(*job.lastServerFailure);
-        return deliver(job, std::move(answer));
-    }
     refuse(job, message, retryAfterFor(job, typicalLatencyOf(job)));
 }
 
@@ -787,6 +783,10 @@
 
 void GatewayReducer::refuse(Job& job, std::string_view message, Milliseconds retryAfter)
 {
+    if (job.lastServerFailure) {
+        ServerAnswer answer = std::move(*job.lastServerFailure);
+        return deliver(job, std::move(answer));
+    }
     AnswerRequest effect;
     effect.origin = AnswerOrigin::Refusal;
     effect.status = serviceUnavailable;
--- a/src/gateway/gateway_reducer.h
+++ b/src/gateway/gateway_reducer.h
@@ -147,6 +147,7 @@
     /// Answers all requests when the time for that in a stop is over.
     void answerBeforeEnd();
     void deliver(Job& job, ServerAnswer&& answer);
+    /// Ends a request that gets no further dispatch: with the failure that a server has answered, if there is one.
     void refuse(Job& job, std::string_view message, Milliseconds retryAfter);
     void fail(Job& job, unsigned status, std::string_view message);
     void finish(Job& job, AnswerRequest&& answer, std::string_view decision, std::string reason);
--- a/tests/gateway_reducer_test.cpp
+++ b/tests/gateway_reducer_test.cpp
@@ -307,6 +307,19 @@
     EXPECT_EQ(find<AnswerRequest>(effects)->status, 502U);
 }
 
+/// Guards against the same when attempts are left and no other server is.
+TEST_F(GatewayReducerTest, ReturnsAServerFailureUnchangedWhenNoServerIsLeft)
+{
+    configure(2, 3);
+    const GatewayEffects first = sendRequest(1, "/read/x");
+    const GatewayEffects second = apply(ServerAnswered {find<SendToServer>(first)->dispatch, answer(500)});
+    ASSERT_NE(find<SendToServer>(second), nullptr);
+    const GatewayEffects last = apply(ServerAnswered {find<SendToServer>(second)->dispatch, answer(504)});
+    ASSERT_NE(find<AnswerRequest>(last), nullptr);
+    EXPECT_EQ(find<AnswerRequest>(last)->origin, AnswerOrigin::Server);
+    EXPECT_EQ(find<AnswerRequest>(last)->status, 504U);
+}
+
 /// Guards against unneeded work after a caller has disconnected, and against cancelling a non-idempotent request
 /// halfway.
 TEST_F(GatewayReducerTest, CancelsIdempotentRequestsOfADisconnectedCaller)
