Count the first send of a repeated grant as one that may arrive

What happened: keys could be granted to a second server while the first one held them (rule OWNER); callers saw work of two owners.

Cause: a grant whose answer (421) may be a late copy is repeated on a new connection. When the repeated call was not sent (no connection, or the time for it was over), the keeper got "not sent" for the whole call and took back the lease that the first send may have given.

The gateway notes that a call was sent before. The keeper then treats the first send like any unanswered grant, whatever the repeated one gave: the bound on the lease stays, also behind a release.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -510,6 +510,7 @@
                 const std::string address = repeated.address;
                 m_transport.send(std::move(repeated), [this, call, isRelease, address](const BackendResult& confirmed) {
                     RangeCallEnded confirmedEnd = m_ports.decodeGrantAnswer(call, confirmed);
+                    confirmedEnd.earlierSendMayArrive = true;
                     // Notes its handover; an answer on a new connection is accepted.
                     (void)m_callProof.accepts(address, isRelease, confirmedEnd, confirmed.connectionReused);
                     applyRangeEvent(std::move(confirmedEnd));
--- a/src/ranges/range_event.h
+++ b/src/ranges/range_event.h
@@ -80,6 +80,8 @@
     /// For a call without an answer: the connection was refused or reset, which also happens when the server has a
     /// long queue. False: the call timed out.
     bool wasReset = false;
+    /// The call was sent once before, and that send was not answered: the server may have executed it, or may still.
+    bool earlierSendMayArrive = false;
 };
 
 struct RangePeerMessage {
--- a/src/ranges/range_keeper.cpp
+++ b/src/ranges/range_keeper.cpp
@@ -410,7 +410,7 @@
 void RangeKeeper::onGrantEnded(RangeState& rangeState, Holder& target, const RangeCallEnded& event)
 {
     const bool isTarget = rangeState.hasTarget && &target == &rangeState.holders.back();
-    if (event.result == GrantResult::NoAnswer) {
+    if (event.result == GrantResult::NoAnswer || event.earlierSendMayArrive) {
         target.unansweredGrantEnd = m_times.leaseEnd(rangeState.callSentAt);
     } else if (event.result == GrantResult::NotSent || event.result == GrantResult::Withheld) {
         target.leaseEndBound = std::min(target.leaseEndBound, rangeState.leaseEndBeforeCall);
--- a/tests/range_authority_test.cpp
+++ b/tests/range_authority_test.cpp
@@ -394,6 +394,62 @@
     EXPECT_GE(m_now, m_times.leaseEnd(sentAt));
 }
 
+/// Guards against two owners: a grant was sent, its answer proved nothing, and the repeated call was not sent.
+TEST_F(RangeKeeperTest, AGrantThatWasSentBeforeAnUnsentOneMayBeExecuted)
+{
+    for (const GrantResult result : {GrantResult::NotSent, GrantResult::Withheld}) {
+        SCOPED_TRACE(enumName(grantResultNames, result));
+        RangeKeeper keeper("planner", m_times, m_counters, m_effects);
+        keeper.adopt(std::nullopt, 0, start);
+        const auto stepAndWrite = [&](Milliseconds elapsed) {
+            m_now += elapsed;
+            keeper.step(m_now, true, true);
+            keeper.onRecordWritten({StoreStatus::Ok, ++m_version});
+            keeper.step(m_now, true, true);
+            return std::exchange(m_effects, {});
+        };
+        keeper.setServers(std::make_shared<const ServerList>(ServerList {server("a")}));
+        RangeEffects effects = stepAndWrite(0ms);
+        const MonotonicTime sentAt = m_now;
+        RangeCallEnded ended {find<GrantRange>(effects)->callId, result, ""};
+        ended.earlierSendMayArrive = true;
+        (void)keeper.onCallEnded(ended, m_now, true);
+        keeper.setServers(std::make_shared<const ServerList>(ServerList {server("b")}));
+        MonotonicTime movedAt;
+        while (movedAt == MonotonicTime() && m_now < sentAt + 10s) {
+            for (const RangeEffect& effect : stepAndWrite(50ms)) {
+                if (const auto* grant = std::get_if<GrantRange>(&effect)) {
+                    movedAt = m_now;
+                    EXPECT_EQ(grant->server, holder("b"));
+                } else if (const auto* release = std::get_if<ReleaseRange>(&effect)) {
+                    (void)keeper.onCallEnded({release->callId, GrantResult::NoAnswer, ""}, m_now, true);
+                }
+            }
+        }
+        EXPECT_GE(movedAt, m_times.leaseEnd(sentAt));
+    }
+}
+
+/// Guards against two owners: a copy answered the first send of a grant, which the server executes after the release.
+TEST_F(RangeKeeperTest, WaitsForTheFirstSendOfARepeatedGrantToExpire)
+{
+    m_keeper.adopt(std::nullopt, 0, start);
+    listServers({server("a")});
+    const RangeEffects granting = stepAndStore();
+    const MonotonicTime sentAt = m_now;
+    RangeCallEnded granted {find<GrantRange>(granting)->callId, GrantResult::Done, ""};
+    granted.earlierSendMayArrive = true;
+    (void)m_keeper.onCallEnded(granted, m_now, true);
+    listServers({server("a", ListedServerState::Draining), server("b")});
+    RangeEffects effects = stepAndStore(100ms);
+    ASSERT_NE(find<ReleaseRange>(effects), nullptr);
+    effects = finishCall(find<ReleaseRange>(effects)->callId, GrantResult::Done);
+    while (find<GrantRange>(effects) == nullptr && m_now < sentAt + 10s) {
+        effects = stepAndStore(50ms);
+    }
+    EXPECT_GE(m_now, m_times.leaseEnd(sentAt));
+}
+
 class RangeLeadershipTest : public testing::Test {
 protected:
     RangeLeadershipTest()
