Answer "unknown" for a configuration write in flight at its deadline

What operators saw: 503 and exit code 5, "nothing was changed", for a change that took effect.

Cause: at the deadline of a change only a lost answer of the store counted as an unknown outcome, not a write that was still without an answer. Ticks go before the store's answers, so a process that was stopped for ten seconds after it sent the write answers before it reads the result; so does one with a long storeTimeout and confirmTimeout.

A change that is being written is answered "unknown". One that was never written, or whose write the store refused, is still answered "unavailable".

--- a/src/control/configuration_control.cpp
+++ b/src/control/configuration_control.cpp
@@ -556,10 +556,10 @@
     if (change.stage == ChangeStage::Confirming) {
         checkConfirmation(change);
     } else if (m_now >= change.deadline) {
-        if (change.outcomeUnknown) {
+        if (change.outcomeUnknown || change.stage == ChangeStage::Writing) {
             answerUnknown(change,
-                "the store lost the answer to the write and could not be read back in time; compare the configuration "
-                "in force with the sheet once the store answers");
+                "the store did not answer the write and could not be read back in time; compare the configuration in "
+                "force with the sheet once the store answers");
         } else {
             answerUnavailable(change, "the store did not answer in time and nothing was changed; try again later");
         }
--- a/tests/configuration_control_test.cpp
+++ b/tests/configuration_control_test.cpp
@@ -444,6 +444,42 @@
     EXPECT_EQ(control.revision(), 3U);
 }
 
+// Guards against answering `unavailable` (nothing was changed) while the write is in flight, which takes effect.
+TEST(ConfigurationControlEventsTest, WriteInFlightAtTheDeadlineIsUnknown)
+{
+    InstanceSettings settings;
+    settings.instance = "w1";
+    settings.region = "western";
+    ConfigurationControl control(settings, 7);
+    MonotonicTime now {Milliseconds(1'000)};
+    const auto apply = [&](Milliseconds time, Event event) {
+        now += time;
+        return control.reduce({now, WallTime(), std::move(event)}, {});
+    };
+    const auto statusIn = [](const Effects& effects) {
+        const auto it = std::find_if(effects.begin(), effects.end(),
+            [](const Effect& effect) { return std::holds_alternative<OperatorAnswer>(effect); });
+        return it == effects.end() ? 0 : std::get<OperatorAnswer>(*it).status;
+    };
+    const auto load = [&](std::uint64_t number) {
+        OperatorRequested request;
+        request.request = number;
+        request.action = OperatorAction::Load;
+        request.configuration = sampleConfiguration();
+        request.changeId = "change-" + std::to_string(number);
+        return apply(Milliseconds(10), request);
+    };
+    const auto absent = [&] { return StoreRead {"config", "current", now, {StoreStatus::NotFound, {}}}; };
+    (void)load(1);
+    EXPECT_EQ(statusIn(apply(Milliseconds(20'000), Tick {})), 503U) << "nothing was written yet";
+
+    (void)load(2);
+    const Effects writes = apply(Milliseconds(10), absent());
+    ASSERT_TRUE(std::any_of(writes.begin(), writes.end(),
+        [](const Effect& effect) { return std::holds_alternative<WriteObject>(effect); }));
+    EXPECT_EQ(statusIn(apply(Milliseconds(20'000), Tick {})), 502U);
+}
+
 // Guards against a change based on an old revision that silently reverts a newer one.
 TEST_F(ConfigurationControlTest, OldBaseRevisionIsAConflict)
 {
