Take a grant for withheld only if no byte of it was written

What happened: nothing so far. A call that is withheld after its first bytes ends as Broken with the mark "withheld", and the codec looked at the mark first: the keeper would take back a lease that the server may have given. Grants set no mayWrite today, so the transport does not produce this.

--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -366,6 +366,8 @@
     BackendResult withheld;
     withheld.withheld = true;
     EXPECT_EQ(decodeGrantAnswer(1, withheld).result, GrantResult::Withheld);
+    withheld.progress = BackendProgress::Broken; // Withheld after its first bytes.
+    EXPECT_EQ(decodeGrantAnswer(1, withheld).result, GrantResult::NoAnswer);
     BackendResult unanswered;
     unanswered.progress = BackendProgress::Broken;
     unanswered.timedOut = true;
