Take "nothing was changed" from an instance's result only

What operators saw: exit codes 3 and 5, which state that nothing was changed, for any answer 409 or 503, e.g. one of a proxy that had passed the change on.

Cause: an answer without a result was judged by its status alone.

Evidence: OperatorToolTest.ExitCodeReflectsOutcome got 3 and 5 instead of 6; it passes now (unit-tests, x86-64).

Instances put a result into each such answer. Without one the outcome is unknown, and the tool prints how to learn it.

--- a/src/ctl/operator_tool.cpp
+++ b/src/ctl/operator_tool.cpp
@@ -524,14 +524,16 @@
         messages.push_back("status " + std::to_string(reply.status) + (message.empty() ? "" : ": " + message));
     }
     ExitCode code = exitCodeOfStatus(reply.status);
-    if (code == ExitCode::Accepted || code == ExitCode::StoredNotConfirmed) {
+    const std::string result = body ? stringField(*body, "result") : "";
+    // Without a result the answer may be that of another program, e.g. of a proxy that had passed the change on.
+    const bool unconfirmed = result.empty() && (code == ExitCode::Conflict || code == ExitCode::Unavailable);
+    if (code == ExitCode::Accepted || code == ExitCode::StoredNotConfirmed || unconfirmed) {
         // The status indicates a result, but the body does not contain it.
         code = ExitCode::UnknownOutcome;
     }
     if (code == ExitCode::UnknownOutcome && !isChange) {
         code = ExitCode::Unavailable;
     }
-    const std::string result = body ? stringField(*body, "result") : "";
     return reportErrors(code, result.empty() ? "failed" : result, messages);
 }
 
--- a/tests/operator_tool_test.cpp
+++ b/tests/operator_tool_test.cpp
@@ -125,6 +125,10 @@
     EXPECT_THAT(errors.str(), testing::HasSubstr("--change "));
     EXPECT_EQ(runLoadWithAnswer(500, "not JSON"), 6) << "an answer without a result does not show the outcome";
     EXPECT_EQ(runLoadWithAnswer(200, "{"), 6);
+    for (const unsigned status : {409U, 503U}) {
+        EXPECT_EQ(runLoadWithAnswer(status, "by a proxy"), 6) << "no instance states that nothing was changed";
+        EXPECT_THAT(errors.str(), testing::HasSubstr("--change "));
+    }
 }
 
 // Guards against JSON output without the change id that is needed to repeat a change.
