Tests of what states that a request or write had no effect

They pass: an interim answer, a request withheld after its first bytes, a server's status without the protocol's refusal, and each status of the store.

--- a/tests/backend_transport_test.cpp
+++ b/tests/backend_transport_test.cpp
@@ -188,6 +188,34 @@
     EXPECT_EQ(requests, 1);
 }
 
+// Guards against "not sent" for a request of which the first bytes were written before the permission ended.
+TEST_F(BackendTransportTest, ARequestWithheldAfterItsFirstBytesIsBroken)
+{
+    TestBackend backend([](const std::string&) { return TestBackend::answer("x"); });
+    BackendRequest request = makeRequest(backend.address(), "POST");
+    request.body.resize(20'000'000, 'a');
+    request.mayWrite = [n = 0]() mutable { return ++n == 1; };
+    const BackendResult result = exchange(std::move(request));
+    EXPECT_EQ(result.progress, BackendProgress::Broken);
+    EXPECT_TRUE(result.withheld);
+}
+
+// Guards against an interim answer that ends a request, whatever it states.
+TEST_F(BackendTransportTest, AnInterimAnswerStatesNothing)
+{
+    const std::string interim = "HTTP/1.1 103 X\r\nNot-Executed: 1\r\nRequest-Id: 1\r\n\r\n";
+    const std::string interims = interim + interim;
+    for (const std::string& end : {TestBackend::answer("done"), std::string("<cut>")}) {
+        TestBackend backend([&](const std::string&) { return interims + end; });
+        const BackendResult result = exchange(makeRequest(backend.address(), "POST"));
+        const bool isCut = end == "<cut>";
+        EXPECT_EQ(result.progress, isCut ? BackendProgress::Broken : BackendProgress::Answered);
+        EXPECT_EQ(result.status, isCut ? 0U : 200U);
+        EXPECT_TRUE(std::none_of(result.headers.begin(), result.headers.end(),
+            [](const HeaderField& field) { return field.name == "Not-Executed"; }));
+    }
+}
+
 // Guards against a caller that waits beyond its deadline, and against a late answer reaching the next request.
 TEST_F(BackendTransportTest, DeadlineEndsTheRequestAndItsConnection)
 {
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -414,6 +414,37 @@
     }
 }
 
+/// Guards against reading "nothing was written" from an answer that does not state it, or from none.
+TEST(StoreClientTest, OnlyUnsentAndRefusedWritesAreKnownToHaveNoEffect)
+{
+    BackendResult result;
+    BackendTransport transport;
+    transport.send = [&result](const BackendRequest&, const BackendTransport::Callback& callback) {
+        callback(result);
+        return BackendTransport::Handle(1);
+    };
+    StoreClient store(transport, "10.0.0.1:80");
+    const auto writeStatus = [&](BackendProgress progress, unsigned status, const std::string& body = "") {
+        result.progress = progress;
+        result.status = status;
+        result.body = body;
+        std::optional<StoreStatus> written;
+        store.records().write("jasminespread", "r", 5, "v", [&](const StoreWriteResult& end) { written = end.status; });
+        return written;
+    };
+    EXPECT_EQ(writeStatus(BackendProgress::NotSent, 0), StoreStatus::Unavailable);
+    EXPECT_EQ(writeStatus(BackendProgress::Answered, 503), StoreStatus::Unavailable);
+    EXPECT_EQ(writeStatus(BackendProgress::Answered, 429), StoreStatus::Unavailable);
+    EXPECT_EQ(writeStatus(BackendProgress::Answered, 409), StoreStatus::Conflict);
+    EXPECT_EQ(writeStatus(BackendProgress::Broken, 0), StoreStatus::Unknown);
+    for (const unsigned status : {202U, 301U, 400U, 408U, 421U, 500U, 502U, 504U}) {
+        EXPECT_EQ(writeStatus(BackendProgress::Answered, status), StoreStatus::Unknown) << status;
+    }
+    EXPECT_EQ(writeStatus(BackendProgress::Answered, 200, "{"), StoreStatus::Unknown);
+    EXPECT_EQ(writeStatus(BackendProgress::Answered, 200, R"({"metadata":{"name":"r","rev":6},"spec":"v"})"),
+        StoreStatus::Ok);
+}
+
 /// Guards against one unreadable entry of another writer hiding all other servers.
 TEST(StoreClientTest, AnUnreadableEntryDoesNotHideTheOthers)
 {
--- a/tests/request_reducer_test.cpp
+++ b/tests/request_reducer_test.cpp
@@ -236,6 +236,35 @@
     EXPECT_EQ(singleEffect<AnswerCaller>(receive(2, request)).answer.outcome, Outcome::Unknown);
 }
 
+// Guards against `not-run` for a server's status, or for a server's word with a status that is no refusal.
+TEST_F(RequestReducerTest, OnlyARefusalOfTheProtocolIsNotRun)
+{
+    std::uint64_t caller = 0;
+    for (const unsigned status : {408U, 409U, 421U, 429U, 503U}) {
+        const SendToBackend send = singleEffect<SendToBackend>(receive(++caller, makeRequest(false)));
+        const RequestAnswer answer
+            = singleEffect<AnswerCaller>(apply(BackendFinished {send.dispatch, answered(status, "own")})).answer;
+        EXPECT_EQ(answer.outcome, Outcome::Done) << status;
+        EXPECT_EQ(answer.status, status);
+    }
+    for (const unsigned status : {200U, 408U, 421U, 429U, 500U, 504U}) {
+        const SendToBackend send = singleEffect<SendToBackend>(receive(++caller, makeRequest(false)));
+        const WorkerEffects effects = apply(BackendFinished {send.dispatch, refused(status, "overload")});
+        EXPECT_EQ(singleEffect<AnswerCaller>(effects).answer.outcome, Outcome::Done) << status;
+    }
+}
+
+// Guards against "not sent" for a request of which the first bytes were written before the authority ended.
+TEST_F(RequestReducerTest, ARequestWithheldAfterItsFirstBytesIsUnknown)
+{
+    const SendToBackend send = singleEffect<SendToBackend>(receive(1, makeRequest(false)));
+    BackendResult withheld = failed(BackendProgress::Broken);
+    withheld.withheld = true;
+    const WorkerEffects effects = apply(BackendFinished {send.dispatch, withheld});
+    EXPECT_EQ(singleEffect<AnswerCaller>(effects).answer.outcome, Outcome::Unknown);
+    EXPECT_TRUE(effectsOf<SendToBackend>(tickAfter(Milliseconds(500))).empty());
+}
+
 // Guards against refusing a non-repeatable request that provably did not run.
 TEST_F(RequestReducerTest, NonRepeatableRequestIsSentAgainWhenNothingWasWritten)
 {
