Let a contradicting answer state nothing of a request

What callers could see: a 503 (not run) for a request that a server had executed, when the server's answer contradicts itself: 500 or 504 with Not-Executed, or a refusal with two Request-Id fields of which the first is this request's.

Cause: the codec took Not-Executed for true beside any status but a success, and compared the first Request-Id only.

No server was seen to answer so.

Without a clear statement the request may have run; an answer with two ids is dropped like one of another request.

--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -243,6 +243,11 @@
     const BackendRequest encoded = encodeSend(send);
     EXPECT_TRUE(encoded.isMatchingAnswer({}, false));
     EXPECT_FALSE(encoded.isMatchingAnswer({}, true));
+    for (const bool reused : {false, true}) {
+        EXPECT_FALSE(encoded.isMatchingAnswer({{"Request-Id", "9c41"}, {"Request-Id", "other"}}, reused));
+        EXPECT_FALSE(encoded.isMatchingAnswer({{"Request-Id", "other"}, {"Request-Id", "9c41"}}, reused));
+        EXPECT_TRUE(encoded.isMatchingAnswer({{"Request-Id", "9c41"}, {"Request-Id", "9c41"}}, reused));
+    }
     send.repeated = true;
     EXPECT_TRUE(encodeSend(send).needsNewConnection);
     send.repeated = false;
@@ -267,6 +272,13 @@
     EXPECT_EQ(decodeServerAnswer(answeredWith(503, {})).execution, Execution::MayHaveRun);
     EXPECT_EQ(decodeServerAnswer(answeredWith(503, {{"Not-Executed", "1"}})).execution, Execution::NotRun);
     EXPECT_EQ(decodeServerAnswer(answeredWith(421, {})).execution, Execution::NotOwner);
+    for (const unsigned refusal : {400U, 408U, 429U, 503U}) {
+        EXPECT_EQ(decodeServerAnswer(answeredWith(refusal, {{"Not-Executed", "1"}})).execution, Execution::NotRun);
+    }
+    // A request that ends with one of these counts as run.
+    for (const unsigned run : {500U, 504U}) {
+        EXPECT_EQ(decodeServerAnswer(answeredWith(run, {{"Not-Executed", "1"}})).execution, Execution::MayHaveRun);
+    }
     // A success contradicts the statement.
     std::vector<HeaderField> contradicting = sealedHeaders;
     contradicting.push_back({"Not-Executed", "1"});
