--- a/tests/backend_transport_test.cpp
+++ b/tests/backend_transport_test.cpp
@@ -143,6 +143,31 @@
     EXPECT_EQ(backend.connections(), 1);
 }
 
+// Guards against reading a refusal, or the id of another request, from the trailer of an answer.
+TEST_F(BackendTransportTest, FieldsOfATrailerAreNotThoseOfTheHead)
+{
+    const std::string head
+        = "HTTP/1.1 503 X\r\nTransfer-Encoding: chunked\r\nRequest-Id: 1\r\nTrailer: Not-Executed\r\n\r\n";
+    const std::vector<std::string> bodies {"3\r\nabc\r\n", "1\r\na\r\n" + std::string("2;x=y\r\nbc\r\n")};
+    for (const std::string& body : bodies) {
+        TestBackend backend([&](const std::string&) {
+            return head + body + "0\r\nNot-Executed: 1\r\nJasminespread-Outcome: not-run\r\nRequest-Id: 2\r\n\r\n";
+        });
+        for (int i = 0; i < 2; ++i) {
+            const BackendResult result = exchange(makeRequest(backend.address(), "POST"));
+            EXPECT_EQ(result.status, 503U);
+            EXPECT_EQ(result.body, "abc");
+            EXPECT_EQ(result.headers.size(), 3U);
+            for (const HeaderField& field : result.headers) {
+                EXPECT_NE(field.name, "Not-Executed");
+                EXPECT_NE(field.name, "Jasminespread-Outcome");
+                EXPECT_NE(field.value, "2");
+            }
+        }
+        EXPECT_EQ(backend.connections(), 1);
+    }
+}
+
 // Guards against unbounded memory for an answer.
 TEST_F(BackendTransportTest, AnswerBeyondTheLimitIsBroken)
 {
