Pause between releases while an earlier grant may still arrive

Cost only: after a release was answered while an earlier grant had no answer, the leader sent the release again at once, and so on until that grant's lease had ended: hundreds of calls in 50 ms on loopback.

RangeKeeper::onReleaseEnded now waits for the retry interval, or for the end of that lease if it comes first, so that the next owner is not granted later. RangeKeeperTest.PausesBetweenReleasesWhileAnEarlierGrantMayArrive counted 1,000 releases without any time passing before (its limit), and passes (20 at the most, next grant within 10 ms of the lease's end).

--- a/src/ranges/range_keeper.cpp
+++ b/src/ranges/range_keeper.cpp
@@ -458,7 +458,10 @@
         if (!holder.fromEarlierTerm) {
             holder.leaseEndBound = holder.unansweredGrantEnd;
         }
-        rangeState.nextCallAt = m_now + (holder.fromEarlierTerm ? releaseRetryInterval : Milliseconds(0));
+        // It may take the range again by a grant that is late, until that one's end.
+        rangeState.nextCallAt = holder.fromEarlierTerm
+            ? m_now + releaseRetryInterval
+            : std::max(m_now, std::min(m_now + releaseRetryInterval, holder.leaseEndBound));
         if (!event.handover.empty()) {
             rangeState.handover = event.handover;
         }
--- a/tests/range_authority_test.cpp
+++ b/tests/range_authority_test.cpp
@@ -394,6 +394,32 @@
     EXPECT_GE(m_now, m_times.leaseEnd(sentAt));
 }
 
+/// Guards against releases one after the other without a pause, while an earlier grant may still arrive.
+TEST_F(RangeKeeperTest, PausesBetweenReleasesWhileAnEarlierGrantMayArrive)
+{
+    m_keeper.adopt(std::nullopt, 0, start);
+    listServers({server("a")});
+    const RangeEffects granting = stepAndStore();
+    const MonotonicTime sentAt = m_now;
+    m_now += m_times.callTimeout;
+    (void)finishCall(find<GrantRange>(granting)->callId, GrantResult::NoAnswer);
+    listServers({server("a", ListedServerState::Draining), server("b")});
+    unsigned releases = 0;
+    RangeEffects effects = stepAndStore(100ms);
+    while (find<GrantRange>(effects) == nullptr && releases < 1000 && m_now < sentAt + 10s) {
+        if (const ReleaseRange* release = find<ReleaseRange>(effects)) {
+            ++releases;
+            effects = finishCall(release->callId, GrantResult::Done);
+        } else {
+            effects = stepAndStore(1ms);
+        }
+    }
+    EXPECT_GE(m_now, m_times.leaseEnd(sentAt));
+    EXPECT_LE(m_now, m_times.leaseEnd(sentAt) + 10ms); // The pause does not delay the next owner.
+    EXPECT_GT(releases, 1U);
+    EXPECT_LE(releases, 20U);
+}
+
 /// Guards against two owners: a grant was sent, its answer proved nothing, and the repeated call was not sent.
 TEST_F(RangeKeeperTest, AGrantThatWasSentBeforeAnUnsentOneMayBeExecuted)
 {
