No length of our own in an answer to HEAD

What callers saw: an answer to HEAD said Content-Length: 0 through the gateway, and had two lengths through jasminespread-entry, which passes on that of the server.

HttpServer added the length of the body, which an answer to HEAD does not have. It adds none there now. PipeliningTest.AnAnswerToHeadHasTheLengthThatItWasGivenOrNone failed before (17 and 39: two fields) and passes.

--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -94,7 +94,7 @@
     for (const HeaderField& field : answer.headers) {
         output += field.name + ": " + field.value + "\r\n";
     }
-    if (mayHaveBody) {
+    if (mayHaveBody && !ready.isHead) { // The length of the answer to GET may not be known.
         output += "Content-Length: " + std::to_string(answer.body.size()) + "\r\n";
     }
     output += closes ? "Connection: close\r\n\r\n" : "\r\n";
--- a/tests/pipelining_test.cpp
+++ b/tests/pipelining_test.cpp
@@ -136,6 +136,21 @@
     char* m_highestStack = nullptr;
 };
 
+/// Guards against an answer to HEAD with the length 0, or with two lengths, in place of that of the answer to GET.
+TEST_F(PipeliningTest, AnAnswerToHeadHasTheLengthThatItWasGivenOrNone)
+{
+    send(request("/1", "HEAD"));
+    (void)run();
+    answer("/1");
+    EXPECT_EQ(run().find("Content-Length"), std::string::npos);
+    send(request("/2", "HEAD"));
+    (void)run();
+    m_server->answer(m_requests.at("/2"), {200, {{"Content-Length", "1234"}}, ""});
+    const std::string answered = run();
+    EXPECT_NE(answered.find("\r\nContent-Length: 1234\r\n"), std::string::npos);
+    EXPECT_EQ(answered.find("Content-Length"), answered.rfind("Content-Length"));
+}
+
 /// Guards against each pipelined request waiting for the one before it, and against answers out of order.
 TEST_F(PipeliningTest, HandlesRequestsConcurrentlyAndAnswersThemInOrder)
 {
