Forward a target with an empty query as it came

A server got /path for /path?. The query of a request is optional now instead of empty where there is none. PlatformIngressTest.ForwardsTheTargetAsItCame got /x/1 for /x/1? before and passes.

--- a/src/entry/caller_request.cpp
+++ b/src/entry/caller_request.cpp
@@ -121,9 +121,9 @@
         return refuse(reason::badPath, "the path must be /v1/<service>/<path>");
     }
     request.target = raw.path.substr(slash);
-    if (!raw.query.empty()) {
+    if (raw.query) {
         request.target += '?';
-        request.target += raw.query;
+        request.target += *raw.query;
     }
     if (raw.method == "CONNECT" || raw.method == "TRACE") {
         return refuse(reason::badMethod, "the methods CONNECT and TRACE are not supported");
--- a/src/entry/caller_request.h
+++ b/src/entry/caller_request.h
@@ -18,7 +18,7 @@
 struct RawRequest {
     std::string method;
     std::string path; ///< Percent-encoded, without the query.
-    std::string query; ///< Without "?"; empty when there is none.
+    std::optional<std::string> query; ///< Without "?"; absent when the target has none.
     std::vector<HeaderField> headers;
     std::string body;
     std::optional<MonotonicTime> arrivedAt; ///< When its last byte arrived; absent: unknown.
--- a/src/http/request_queue.cpp
+++ b/src/http/request_queue.cpp
@@ -31,7 +31,7 @@
     entry.request = request;
     entry.isHead = isHead;
     entry.closes = closes;
-    hold(entry, raw.path.size() + raw.query.size() + sizeOf(raw.headers) + raw.body.size());
+    hold(entry, raw.path.size() + (raw.query ? raw.query->size() : 0) + sizeOf(raw.headers) + raw.body.size());
     entry.raw = std::move(raw);
 }
 
--- a/tests/integration/platform_fake.cpp
+++ b/tests/integration/platform_fake.cpp
@@ -13,8 +13,9 @@
 constexpr std::string_view objectsPath = "/api/objects/";
 constexpr guint watchCheckMs = 20;
 
-std::string queryValue(const std::string& query, const std::string& name)
+std::string queryValue(const std::optional<std::string>& fields, const std::string& name)
 {
+    const std::string query = fields.value_or("");
     const std::size_t at = ("&" + query).find("&" + name + "=");
     if (at == std::string::npos) {
         return "";
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -4,6 +4,9 @@
 #include "platform_settings.h"
 #include "store_client.h"
 
+#include "http/http_server.h"
+#include "http/request_reader.h"
+
 #include <gtest/gtest.h>
 
 namespace jasminespread::platform {
@@ -187,6 +190,21 @@
     return raw;
 }
 
+/// Guards against a request that reaches the server with another target than the caller sent.
+TEST(PlatformIngressTest, ForwardsTheTargetAsItCame)
+{
+    for (const std::string target : {"/x/1", "/x/1?", "/x/1?a=b", "/x/1??", "/x/1?a?"}) {
+        RequestReader reader;
+        reader.append("GET " + target + " HTTP/1.1\r\nHost: a\r\n\r\n", monotonicNow());
+        std::variant<RequestReader::Incomplete, RequestReader::Request, RequestReader::Refusal> read
+            = reader.next(HttpServerLimits(), monotonicNow());
+        ASSERT_TRUE(std::holds_alternative<RequestReader::Request>(read)) << target;
+        const std::variant<GatewayRequest, CallerAnswer> decoded
+            = decodeRequest(std::move(std::get<RequestReader::Request>(read).raw));
+        EXPECT_EQ(std::get<GatewayRequest>(decoded).target, target);
+    }
+}
+
 TEST(PlatformIngressTest, DecodesTheHeadersOfACaller)
 {
     const std::variant<GatewayRequest, CallerAnswer> decoded = decodeRequest(rawRequest());
