A request that waits for a connection is not sent after its caller left

What servers saw: a non-idempotent request of a caller that had disconnected before a byte of the request was written.

Cause: such a request is let finish, as a server may be writing data, but until its first byte no server has it; and the check right before that byte asks for the caller's connection, which is forgotten once it has closed. maySend() now denies it. GatewayReducerTest.ARequestThatWaitsForAConnectionIsNotSentAfterItsCallerLeft failed before and passes.

--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -611,6 +611,9 @@
         return false;
     }
     const Job& job = *m_jobs.at(it->second);
+    if (job.caller == 0) {
+        return false; // Its caller has disconnected, and no server has anything of it.
+    }
     const auto sent = std::find_if(job.dispatches.begin(), job.dispatches.end(),
         [dispatch](const Dispatch& candidate) { return candidate.number == dispatch; });
     const Server& server = m_servers.at(sent->server);
--- a/src/gateway/gateway_reducer.h
+++ b/src/gateway/gateway_reducer.h
@@ -47,6 +47,7 @@
     /// Number of unanswered requests.
     [[nodiscard]] std::size_t requestsInFlight() const noexcept { return m_jobs.size() + m_heldRequests.size(); }
     /// Whether a SendToServer effect that has waited, e.g. for a connection, may still be executed at @p now.
+    /// Precondition: no byte of the request was written.
     [[nodiscard]] bool maySend(std::uint64_t dispatch, MonotonicTime now) const;
     /// Next time at which a GatewayTick is due; nothing while there are no requests.
     [[nodiscard]] std::optional<MonotonicTime> nextWake() const;
--- a/tests/gateway_reducer_test.cpp
+++ b/tests/gateway_reducer_test.cpp
@@ -333,6 +333,18 @@
     EXPECT_EQ(m_reducer.requestsInFlight(), 0U);
 }
 
+/// Guards against work for a caller that left while its non-idempotent request waited for a connection.
+TEST_F(GatewayReducerTest, ARequestThatWaitsForAConnectionIsNotSentAfterItsCallerLeft)
+{
+    const GatewayEffects sent = sendRequest(1, "/order/x");
+    const std::uint64_t dispatch = find<SendToServer>(sent)->dispatch;
+    EXPECT_TRUE(m_reducer.maySend(dispatch, m_now));
+    (void)apply(CallerDisconnected {1});
+    EXPECT_FALSE(m_reducer.maySend(dispatch, m_now));
+    (void)apply(SendFailed {dispatch, SendFailure::Withheld, ""});
+    EXPECT_EQ(m_reducer.requestsInFlight(), 0U);
+}
+
 /// Guards against retrying a withheld send, or counting it as a failure of its server.
 TEST_F(GatewayReducerTest, EndsARequestWhoseSendWasWithheld)
 {
