A connection is closed when an answer to a grant or release on it proves nothing

A copy of an earlier answer arrives for a release and is not accepted; the release is repeated on a new connection. The first connection stayed in use, took the release of other keys, and got the real answer to the first release, whose handover is new: the other keys were granted to another server while the first one was at work on them (OWNER).

Cause: RangeCallProof tells that an answer proves nothing, and the connection, on which the answers are now one behind the calls, was kept. BackendRequest::keepsConnection lets the caller of the transport decide that before the connection carries the next request. BackendTransportTest.AConnectionIsNotReusedBehindAnAnswerThatIsNotAccepted shows that part. Ruled out: a new connection for each release, which costs one a move of keys.

--- a/include/jasminespread/backend_transport.h
+++ b/include/jasminespread/backend_transport.h
@@ -19,6 +19,8 @@
     std::string value;
 };
 
+struct BackendResult;
+
 /// One request to one backend server.
 struct BackendRequest {
     std::string address; ///< IP address and port.
@@ -43,6 +45,10 @@
     /// carried another request before. Any other answer is dropped and the next one awaited. Empty: every answer
     /// belongs to it.
     std::function<bool(const std::vector<HeaderField>& headers, bool connectionReused)> isMatchingAnswer;
+    /// Called with each complete answer that belongs to this request, before its connection can carry another one, and
+    /// before the callback. When it returns false, the connection is closed. Must not call the transport. Empty: the
+    /// connection is kept.
+    std::function<bool(const BackendResult&)> keepsConnection;
     /// Called right before the first byte is written, which may be long after send(). When it returns false, nothing is
     /// written and the request ends as NotSent. Empty: always allowed.
     std::function<bool()> mayBegin;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -500,12 +500,19 @@
             = [until = m_rangeEffectsDecidedAt + RangeTimes().callTimeout] { return boottimeNow() < until; };
         BackendRequest repeated = request;
         repeated.needsNewConnection = true;
+        const auto accepted = std::make_shared<bool>(true);
+        request.keepsConnection
+            = [this, call, isRelease, address = request.address, accepted](const BackendResult& result) {
+                  // The answer behind one that is not accepted may be that to this call.
+                  *accepted = m_callProof.accepts(
+                      address, isRelease, m_ports.decodeGrantAnswer(call, result), result.connectionReused);
+                  return *accepted;
+              };
         m_transport.send(std::move(request),
-            [this, call, isRelease, repeated = std::move(repeated)](const BackendResult& result) mutable {
+            [this, call, isRelease, accepted, repeated = std::move(repeated)](const BackendResult& result) mutable {
                 const LoopMonitor::Step step(m_monitor, "grant-answer");
-                RangeCallEnded ended = m_ports.decodeGrantAnswer(call, result);
-                if (m_callProof.accepts(repeated.address, isRelease, ended, result.connectionReused)) {
-                    return applyRangeEvent(std::move(ended));
+                if (*accepted) {
+                    return applyRangeEvent(m_ports.decodeGrantAnswer(call, result));
                 }
                 const std::string address = repeated.address;
                 m_transport.send(std::move(repeated), [this, call, isRelease, address](const BackendResult& confirmed) {
--- a/src/ranges/range_call_proof.h
+++ b/src/ranges/range_call_proof.h
@@ -15,7 +15,8 @@
 class RangeCallProof {
 public:
     /// @p address is that of the server that @p ended comes from. When this returns false, the call has to be repeated
-    /// on a new connection. Precondition: called for every answer, also that of a repeated call.
+    /// on a new connection and this one closed: the answer to this call may come next on it. Precondition: called for
+    /// every answer, also that of a repeated call.
     [[nodiscard]] bool accepts(
         const std::string& address, bool isRelease, const RangeCallEnded& ended, bool connectionReused);
 
--- a/src/transport/beast_backend_transport.cpp
+++ b/src/transport/beast_backend_transport.cpp
@@ -73,6 +73,7 @@
     std::function<bool()> mayBegin;
     std::function<bool()> mayWrite;
     std::function<bool(const std::vector<HeaderField>&, bool connectionReused)> isMatchingAnswer;
+    std::function<bool(const BackendResult&)> keepsConnection;
     Milliseconds connectTimeout {0};
     bool acceptsCloseDelimitedAnswer = false;
     bool needsNewConnection = false;
@@ -175,6 +176,7 @@
         exchange->mayBegin = std::move(request.mayBegin);
         exchange->mayWrite = std::move(request.mayWrite);
         exchange->isMatchingAnswer = std::move(request.isMatchingAnswer);
+        exchange->keepsConnection = std::move(request.keepsConnection);
         exchange->connectTimeout = request.connectTimeout;
         exchange->acceptsCloseDelimitedAnswer = request.acceptsCloseDelimitedAnswer;
         exchange->needsNewConnection = request.needsNewConnection;
@@ -575,8 +577,9 @@
         result.status = message.result_int();
         result.headers = std::move(*connection.headers);
         result.body = std::move(message.body());
+        const bool keeps = !exchange->keepsConnection || exchange->keepsConnection(result);
         // A server may answer before it has read the whole request; the unsent rest must not follow on this connection.
-        const bool reusable = connection.parser->keep_alive() && connection.input.empty()
+        const bool reusable = keeps && connection.parser->keep_alive() && connection.input.empty()
             && exchange->writtenBytes == exchange->serializedRequest.size();
         const std::string poolKey = exchange->poolKey;
         if (reusable) {
--- a/tests/backend_transport_test.cpp
+++ b/tests/backend_transport_test.cpp
@@ -241,6 +241,18 @@
     }
 }
 
+// Guards against another request on a connection on which the answer to an earlier one is still to come.
+TEST_F(BackendTransportTest, AConnectionIsNotReusedBehindAnAnswerThatIsNotAccepted)
+{
+    TestBackend backend([](const std::string&) { return TestBackend::answer("x"); });
+    for (const bool keeps : {true, false, true}) {
+        BackendRequest request = makeRequest(backend.address());
+        request.keepsConnection = [keeps](const BackendResult& result) { return result.body != "x" || keeps; };
+        EXPECT_EQ(exchange(std::move(request)).body, "x");
+    }
+    EXPECT_EQ(backend.connections(), 2);
+}
+
 // Guards against a caller that waits beyond its deadline, and against a late answer reaching the next request.
 TEST_F(BackendTransportTest, DeadlineEndsTheRequestAndItsConnection)
 {
