--- a/tests/ownership_world.h
+++ b/tests/ownership_world.h
@@ -50,7 +50,7 @@
     bool countsLateGrants = false; ///< See OwnershipLedger.
     /// Whether a call that takes another call's answer on its connection may itself be lost or executed late.
     bool copiesHideLateCalls = false;
-    /// Whether a connection on which a copy has arrived takes further calls, as with the transport of the gateway.
+    /// Whether a connection on which a copy was accepted takes further calls, as with the transport of the gateway.
     bool reusesShiftedConnections = true;
     bool traced = false;
 };
