--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -49,6 +49,20 @@
         const std::lock_guard lock(m_mutex);
         store(kind, name, spec);
     }
+    /// An endpoint's beat: the entry changes when more than its sequence changes.
+    void beat(const std::string& name, const json::value& spec) {
+        const std::lock_guard lock(m_mutex);
+        const auto it = m_objects["servers"].find(name);
+        if (it != m_objects["servers"].end() && it->second.spec.is_object()) {
+            json::object known = it->second.spec.as_object();
+            json::object said = spec.as_object();
+            const bool hasSequence = known.contains("sequence") && known.at("sequence").is_int64();
+            known.erase("sequence");
+            said.erase("sequence");
+            if (hasSequence && known == said) return;
+        }
+        store("servers", name, spec);
+    }
     void remove(const std::string& kind, const std::string& name) {
         const std::lock_guard lock(m_mutex);
         const auto it = m_objects[kind].find(name);
@@ -309,7 +323,7 @@
 
     [[nodiscard]] json::value entry(const std::string& state = "ready") const {
         return json::object {{"service", serviceName}, {"address", address}, {"zone", zone}, {"version", "v1"},
-            {"slots", 6}, {"state", state}, {"warmupLeftMs", 0}, {"sequence", 4}, {"born", born}};
+            {"slots", 6}, {"state", state}, {"warmupLeftMs", 0}, {"sequence", ++sequence}, {"born", born}};
     }
 
     /// Called for each grant when it takes effect, under the lock of the keys.
@@ -322,6 +336,7 @@
     std::string zone;
     std::string address;
     std::uint64_t born = 1764000000000;
+    mutable std::atomic<int> sequence = 3;
     long workMs = 40;
     std::mutex keysMutex;
     std::vector<KeyState> keys;
@@ -419,6 +434,31 @@
     Server m_server;
 };
 
+/// Writes the beats of endpoints until its end.
+class Beats {
+public:
+    Beats(Store& store, const std::vector<std::unique_ptr<Endpoint>>& endpoints) : m_thread([this, &store, &endpoints] {
+        while (!m_done) {
+            for (const auto& endpoint : endpoints) store.beat(endpoint->id, endpoint->entry());
+            ++m_rounds;
+            for (int i = 0; i < 87 && !m_done; ++i) sleepMs(10);
+        }
+    }) { }
+    ~Beats() {
+        m_done = true;
+        m_thread.join();
+    }
+    /// Waits until the endpoints have just written.
+    void waitForNext() const {
+        for (const unsigned before = m_rounds; m_rounds == before;) sleepMs(2);
+    }
+
+private:
+    std::atomic<bool> m_done = false;
+    std::atomic<unsigned> m_rounds = 0;
+    std::thread m_thread;
+};
+
 /// One request of a client on a connection of its own; the status, 0 for none.
 struct Outcome {
     int status = 0;
