--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -63,8 +63,10 @@
         }
         store("servers", name, spec);
     }
-    void remove(const std::string& kind, const std::string& name) {
+    /// @param cutsWatches whether the watches that wait are cut off instead of answered.
+    void remove(const std::string& kind, const std::string& name, bool cutsWatches = false) {
         const std::lock_guard lock(m_mutex);
+        m_watchCut += cutsWatches ? 1 : 0;
         const auto it = m_objects[kind].find(name);
         if (it == m_objects[kind].end()) return;
         ++m_revision;
@@ -121,6 +123,7 @@
                 continue;
             }
             const auto [status, body] = answer(*request);
+            if (status == 0) return; // The watch is cut off.
             if (!connection.write(answerText(status, {{"Content-Type", "application/json"}}, json::serialize(body)))) return;
         }
     }
@@ -141,7 +144,9 @@
             const std::uint64_t from = std::stoull(queryValue(query, "watch"));
             const std::string wait = queryValue(query, "waitMs");
             const auto until = Clock::now() + milliseconds(wait.empty() ? 0 : std::stol(wait));
+            const unsigned cut = m_watchCut;
             for (;;) {
+                if (cut != m_watchCut) return {0, nullptr};
                 json::array events;
                 for (const Change& change : m_history) {
                     if (change.revision > from && change.kind == kind) events.push_back(change.event);
@@ -181,6 +186,7 @@
     std::map<std::string, std::map<std::string, Object>> m_objects;
     std::vector<Change> m_history;
     std::uint64_t m_revision = 100;
+    unsigned m_watchCut = 0;
     Server m_server;
 };
 
@@ -338,14 +344,16 @@
     std::uint64_t born = 1764000000000;
     mutable std::atomic<int> sequence = 3;
     long workMs = 40;
+    std::atomic<bool> ended = false; ///< Its process has ended: connections close, and work on them is lost.
+    std::atomic<bool> silent = false; ///< It has left the store and writes no beats.
     std::mutex keysMutex;
     std::vector<KeyState> keys;
     std::atomic<unsigned> answers = 0;
 
 protected:
     virtual void serve(Connection& connection) {
-        for (unsigned n = 0; !m_server.stopping();) {
-            const std::optional<Message> request = connection.read(200);
+        for (unsigned n = 0; !m_server.stopping() && !ended;) {
+            const std::optional<Message> request = connection.read(ended ? 0 : 50);
             if (!request) {
                 if (connection.ended()) return;
                 continue;
@@ -356,7 +364,8 @@
 
     /// Answers one request; @p earlier is how many the connection carried before. False: the connection ends.
     virtual bool handle(Connection& connection, const Message& request, unsigned /*earlier*/) {
-        return connection.write(answerTo(request));
+        const std::string answer = answerTo(request);
+        return !ended && connection.write(answer);
     }
 
     /// Handles a request as a sound endpoint does and returns the answer.
@@ -439,7 +448,9 @@
 public:
     Beats(Store& store, const std::vector<std::unique_ptr<Endpoint>>& endpoints) : m_thread([this, &store, &endpoints] {
         while (!m_done) {
-            for (const auto& endpoint : endpoints) store.beat(endpoint->id, endpoint->entry());
+            for (const auto& endpoint : endpoints) {
+                if (!endpoint->silent) store.beat(endpoint->id, endpoint->entry());
+            }
             ++m_rounds;
             for (int i = 0; i < 87 && !m_done; ++i) sleepMs(10);
         }
