--- a/review/standin-2/cut_watch.cc
+++ b/review/standin-2/cut_watch.cc
@@ -54,7 +54,7 @@
                 const std::string id = "b-" + std::to_string(c) + "-" + std::to_string(n);
                 const unsigned key = (n * 7919U + c * 16001U) % 65536U;
                 if (connection) {
-                    const int status = callOn(*connection, requestText("POST", "/bay/1", id, {{"Shard-Key", std::to_string(key)}}, "bay=4")).status;
+                    const int status = callOn(record, *connection, id, requestText("POST", "/bay/1", id, {{"Shard-Key", std::to_string(key)}}, "bay=4")).status;
                     served += status == 200 ? 1 : 0;
                     const std::lock_guard lock(mutex);
                     if (status != 200 && status != 503) record.line("client gets " + std::to_string(status) + " for " + id);
--- a/review/standin-2/hidden_grant.cc
+++ b/review/standin-2/hidden_grant.cc
@@ -125,7 +125,7 @@
                 const unsigned key = (n * 7919U + static_cast<unsigned>(c) * 16001U) % 65536U;
                 const std::string id = "s-" + std::to_string(c) + "-" + std::to_string(n);
                 if (connection) {
-                    served += callOn(*connection, requestText("GET", "/schedule/1", id, {{"Shard-Key", std::to_string(key)}})).status == 200 ? 1 : 0;
+                    served += callOn(record, *connection, id, requestText("GET", "/schedule/1", id, {{"Shard-Key", std::to_string(key)}})).status == 200 ? 1 : 0;
                 }
                 sleepMs(150);
             }
--- a/review/standin-2/large_trailer.cc
+++ b/review/standin-2/large_trailer.cc
@@ -88,7 +88,7 @@
                 }
                 const std::string id = "o-" + std::to_string(c) + "-" + std::to_string(n);
                 ++sent;
-                const Outcome outcome = callOn(*connection, requestText("POST", "/order/" + std::to_string(n), id, {}, "fabric=blue"), 3000);
+                const Outcome outcome = callOn(record, *connection, id, requestText("POST", "/order/" + std::to_string(n), id, {}, "fabric=blue"), 3000);
                 served += outcome.status == 200 ? 1 : 0;
                 if (outcome.status == 0) {
                     sleepMs(300); // The run may begin a moment later.
--- a/review/standin-2/odd_entry.cc
+++ b/review/standin-2/odd_entry.cc
@@ -51,7 +51,7 @@
                 const std::string path = (c < 9 ? "/order/" : "/bay/") + std::to_string(n);
                 if (connection) {
                     ++sent;
-                    const Outcome outcome = callOn(*connection, requestText("POST", path, id, {}, "fabric=blue"));
+                    const Outcome outcome = callOn(record, *connection, id, requestText("POST", path, id, {}, "fabric=blue"));
                     served += outcome.status == 200 ? 1 : 0;
                     if (outcome.status == 200 && c < 9 && outcome.answer->body.find("of i-1") == std::string::npos) {
                         const int server = std::atoi(outcome.answer->body.c_str() + std::strlen("answer of i-"));
--- a/review/standin-2/odd_owner.cc
+++ b/review/standin-2/odd_owner.cc
@@ -39,7 +39,7 @@
                 const std::string id = "s-" + std::to_string(c) + "-" + std::to_string(n);
                 const unsigned key = (n * 7919U + c * 16001U) % 65536U;
                 if (connection) {
-                    served += callOn(*connection, requestText("GET", "/schedule/1", id, {{"Shard-Key", std::to_string(key)}})).status == 200 ? 1 : 0;
+                    served += callOn(record, *connection, id, requestText("GET", "/schedule/1", id, {{"Shard-Key", std::to_string(key)}})).status == 200 ? 1 : 0;
                 }
                 sleepMs(60);
             }
--- a/review/standin-2/world.hpp
+++ b/review/standin-2/world.hpp
@@ -393,6 +393,7 @@
         } else if (onRun) {
             onRun(*this, request);
         }
+        m_record.line(id + " runs " + request.field("Request-Id"));
         sleepMs(workMs);
         echo.emplace_back("Response-Seal", "seal." + request.field("Request-Id") + "." + id);
         return answerText(200, echo, "answer of " + id + " to " + request.field("Request-Id"));
@@ -485,11 +486,16 @@
     return text + "\r\n" + body;
 }
 
-inline Outcome callOn(Connection& connection, const std::string& text, long deadlineMs = 2000) {
+/// Sends a request and awaits its answer; both stand in the record.
+inline Outcome callOn(Record& record, Connection& connection, const std::string& id, const std::string& text, long deadlineMs = 2000) {
     Outcome outcome;
-    if (!connection.write(text)) return outcome;
-    outcome.answer = connection.read(deadlineMs);
-    outcome.status = outcome.answer ? outcome.answer->status() : 0;
+    const long sentAt = elapsedMs();
+    if (connection.write(text)) {
+        outcome.answer = connection.read(deadlineMs);
+        outcome.status = outcome.answer ? outcome.answer->status() : 0;
+    }
+    record.line("client: " + id + ", sent at " + std::to_string(sentAt) + ", gets "
+        + (outcome.status ? std::to_string(outcome.status) : std::string("no answer")));
     return outcome;
 }
 
