--- a/include/jasminespread/log_event.h
+++ b/include/jasminespread/log_event.h
@@ -54,6 +54,7 @@
     RequestDecided = 504,
     SendDelayed = 505,
     MemoryLimitReached = 506,
+    MessageUnreadable = 507,
     StoreUnavailable = 600,
     StoreAvailable = 601,
     StoreOutcomeUnknown = 602,
@@ -68,7 +69,7 @@
     std::string_view meaning;
 };
 
-inline constexpr std::array<LogEventInfo, 37> logEventCatalogue {{
+inline constexpr std::array<LogEventInfo, 38> logEventCatalogue {{
     {LogEvent::ProcessStarted, LogLevel::Info, "process-started", "The process listens on all its addresses."},
     {LogEvent::ProcessStopping, LogLevel::Info, "process-stopping",
         "A stop was requested; requests in flight are drained."},
@@ -119,6 +120,9 @@
         "A request waited for a connection to its backend server."},
     {LogEvent::MemoryLimitReached, LogLevel::Warning, "memory-limit-reached",
         "An answer or a request was ended, because it or all in progress took too much memory."},
+    {LogEvent::MessageUnreadable, LogLevel::Warning, "message-unreadable",
+        "An answer of a server or the store cannot be read, or a request to it cannot be written; the connection is "
+        "closed."},
     {LogEvent::StoreUnavailable, LogLevel::Warning, "store-unavailable", "The platform's store stopped answering."},
     {LogEvent::StoreAvailable, LogLevel::Info, "store-available", "The platform's store answers again."},
     {LogEvent::StoreOutcomeUnknown, LogLevel::Warning, "store-outcome-unknown",
--- a/src/base/socket_address.cpp
+++ b/src/base/socket_address.cpp
@@ -3,6 +3,7 @@
 #include <arpa/inet.h>
 #include <netinet/in.h>
 
+#include <array>
 #include <charconv>
 #include <cstdint>
 
@@ -37,4 +38,22 @@
     return inet_pton(AF_INET, host.c_str(), &native->sin_addr) == 1 ? std::optional(address) : std::nullopt;
 }
 
+std::string peerAddress(int descriptor)
+{
+    sockaddr_storage storage {};
+    socklen_t size = sizeof storage;
+    std::array<char, INET6_ADDRSTRLEN> host {};
+    if (getpeername(descriptor, reinterpret_cast<sockaddr*>(&storage), &size) != 0) {
+        return "unknown";
+    }
+    if (storage.ss_family == AF_INET6) {
+        const auto* native = reinterpret_cast<const sockaddr_in6*>(&storage);
+        inet_ntop(AF_INET6, &native->sin6_addr, host.data(), host.size());
+        return '[' + std::string(host.data()) + "]:" + std::to_string(ntohs(native->sin6_port));
+    }
+    const auto* native = reinterpret_cast<const sockaddr_in*>(&storage);
+    inet_ntop(AF_INET, &native->sin_addr, host.data(), host.size());
+    return std::string(host.data()) + ':' + std::to_string(ntohs(native->sin_port));
+}
+
 } // namespace jasminespread
--- a/src/base/socket_address.h
+++ b/src/base/socket_address.h
@@ -18,4 +18,8 @@
 /// Parses "IP address:port", for IPv6 "[IP address]:port". Returns nothing when it is malformed. Thread-safe.
 [[nodiscard]] std::optional<SocketAddress> parseSocketAddress(const std::string& text);
 
+/// Returns the address of the other end of a TCP connection as "IP address:port", for IPv6 "[IP address]:port";
+/// "unknown" when it has none. Thread-safe.
+[[nodiscard]] std::string peerAddress(int descriptor);
+
 } // namespace jasminespread
--- a/src/daemon/caller_listener.cpp
+++ b/src/daemon/caller_listener.cpp
@@ -2,6 +2,8 @@
 
 #include "http/http_server.h"
 
+#include <jasminespread/log_event.h>
+
 #include <utility>
 
 namespace jasminespread {
@@ -42,12 +44,14 @@
         : onRefused(std::move(hooks.requestRefused))
         , server(limitsFor(maxBodyBytes),
               {std::move(hooks.requestReceived), std::move(hooks.callerDisconnected),
-                  [this](CallerAnswer& answer) { addRefusalHeaders(answer); }})
+                  [this](CallerAnswer& answer, const std::string& caller) { onInputRefused(answer, caller); }})
     {
     }
 
-    void addRefusalHeaders(CallerAnswer& answer) const
+    void onInputRefused(CallerAnswer& answer, const std::string& caller) const
     {
+        logEvent(LogEvent::RequestRejected,
+            "address=" + caller + " status=" + std::to_string(answer.status) + " why=" + answer.body);
         const std::string_view reasonCode = refusalReason(answer.status);
         answer.headers.push_back({"Jasminespread-Outcome", std::string(enumName(outcomeNames, Outcome::NotRun))});
         answer.headers.push_back({"Jasminespread-Reason", std::string(reasonCode)});
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -100,14 +100,11 @@
         , m_reducerTimer([this] { onReducerTimer(); })
         , m_callerServer(callerServerLimits(settings),
               {[this](std::uint64_t caller, RawRequest&& raw) { onRequest(caller, std::move(raw)); },
-                  [this](std::uint64_t caller) { apply(CallerDisconnected {caller}); },
-                  [](CallerAnswer& answer) {
-                      logEvent(
-                          LogEvent::RequestRejected, "status=" + std::to_string(answer.status) + " why=" + answer.body);
-                  },
+                  [this](std::uint64_t caller) { apply(CallerDisconnected {caller}); }, onInputRefused,
                   [this](const RawRequest& raw) { return mayOverlap(raw); }})
         , m_readinessServer(HttpServerLimits(),
-              {[this](std::uint64_t caller, RawRequest&& raw) { onReadiness(caller, raw); }, [](std::uint64_t) {}, {}})
+              {[this](std::uint64_t caller, RawRequest&& raw) { onReadiness(caller, raw); }, [](std::uint64_t) {},
+                  onInputRefused})
     {
     }
 
@@ -318,6 +315,12 @@
         return m_authority.hasRangeTables(keyedServices) || monotonicNow() - m_startedAt > maxRangesWait;
     }
 
+    static void onInputRefused(const CallerAnswer& answer, const std::string& caller)
+    {
+        logEvent(LogEvent::RequestRejected,
+            "address=" + caller + " status=" + std::to_string(answer.status) + " why=" + answer.body);
+    }
+
     void onReadiness(std::uint64_t caller, const RawRequest& request)
     {
         CallerAnswer answer;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -371,7 +371,7 @@
         answer.headers.push_back({"Content-Type", "text/plain"});
         answer.body = reason + "\n";
         if (hooks.inputRefused) {
-            hooks.inputRefused(answer);
+            hooks.inputRefused(answer, peerAddress(connection.fd));
         }
         connection.queue.addRefusal(std::move(answer));
     }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -51,9 +51,9 @@
         std::function<void(std::uint64_t request, RawRequest&&)> requestArrived;
         /// The connection closed before answer() was called. The request needs no answer.
         std::function<void(std::uint64_t request)> callerDisconnected;
-        /// The server is about to refuse malformed, too large or too slow input; the hook may change the answer. May be
-        /// empty.
-        std::function<void(CallerAnswer& answer)> inputRefused;
+        /// The server is about to refuse malformed, too large or too slow input of @p caller (IP address and port); the
+        /// hook may change the answer. May be empty.
+        std::function<void(CallerAnswer& answer, const std::string& caller)> inputRefused;
         /// Whether a request may be handled while others of its connection are, i.e. whether it may be repeated. Empty:
         /// no request may.
         std::function<bool(const RawRequest&)> mayOverlap {};
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -1,31 +1,35 @@
 #include "http/request_reader.h"
 
 #include "http/http_server.h"
+#include "http/message_parser.h"
 
-#include <boost/beast/http.hpp>
-
+#include <algorithm>
+#include <optional>
 #include <utility>
 
 namespace jasminespread {
 namespace {
 
 namespace http = boost::beast::http;
-using ErrorCode = boost::system::error_code;
 
-unsigned statusOf(const ErrorCode& ec)
+unsigned statusOf(ParseError error)
 {
-    if (ec == http::error::header_limit || ec == http::error::buffer_overflow) {
+    switch (error) {
+    case ParseError::HeaderTooLarge:
         return 431;
-    }
-    if (ec == http::error::body_limit) {
+    case ParseError::BodyTooLarge:
         return 413;
+    case ParseError::Malformed:
+        break;
     }
     return 400;
 }
 
 } // namespace
 
-struct RequestReader::Parser : http::request_parser<http::string_body> { };
+struct RequestReader::Parser : MessageParser<true> {
+    using MessageParser::MessageParser;
+};
 
 RequestReader::RequestReader() = default;
 
@@ -43,7 +47,7 @@
 
 bool RequestReader::hasPartialBody() const { return m_parser && m_parser->is_header_done(); }
 
-std::size_t RequestReader::heldBytes() const { return m_input.size() + (m_parser ? m_parser->get().body().size() : 0); }
+std::size_t RequestReader::heldBytes() const { return m_input.size() + (m_parser ? m_parser->heldBytes() : 0); }
 
 void RequestReader::discard()
 {
@@ -60,10 +64,7 @@
     m_deadline = now + limits.headerTimeout;
     m_expectsContinue = false;
     m_continueDecided = false;
-    m_parser = std::make_unique<Parser>();
-    m_parser->header_limit(limits.maxHeaderBytes);
-    m_parser->body_limit(limits.maxBodyBytes);
-    m_parser->eager(true);
+    m_parser = std::make_unique<Parser>(limits.maxHeaderBytes, limits.maxBodyBytes);
 }
 
 std::variant<RequestReader::Incomplete, RequestReader::Request, RequestReader::Refusal> RequestReader::next(
@@ -76,35 +77,22 @@
         begin(limits, now);
     }
     Parser& parser = *m_parser;
-    ErrorCode ec;
-    std::size_t consumed = 0;
-    while (!parser.is_done() && consumed < m_input.size()) {
-        consumed += parser.put(boost::asio::const_buffer(m_input.data() + consumed, m_input.size() - consumed), ec);
-        if (ec) {
-            break;
-        }
-    }
-    m_input.erase(0, consumed);
-    m_readBytes += consumed;
+    const std::size_t unread = m_input.size();
+    const std::optional<ParseFailure> failure = parser.read(m_input);
+    m_readBytes += unread - m_input.size();
     if (parser.is_header_done() && parser.chunked() && !limits.acceptChunked) {
         return Refusal {411, "a body needs a Content-Length"};
     }
-    if (ec == http::error::need_more) {
-        ec = {};
-        // The parser limits the head only, not the lines of a chunked body's framing and of its trailer.
-        if (m_input.size() > limits.maxHeaderBytes) {
-            ec = http::error::header_limit;
-        }
-    }
-    if (ec) {
-        return Refusal {statusOf(ec), ec.message()};
+    if (failure) {
+        return Refusal {statusOf(failure->error), failure->reason};
     }
     if (parser.is_done()) {
         return finish();
     }
     if (parser.is_header_done() && !std::exchange(m_continueDecided, true)) {
         m_deadline = m_startedAt + limits.bodyTimeout;
-        m_expectsContinue = boost::beast::iequals(parser.get()[http::field::expect], "100-continue");
+        const std::optional<std::string_view> expected = findHeader(parser.headers(), "Expect");
+        m_expectsContinue = expected && sameHeaderName(*expected, "100-continue");
     }
     return Incomplete();
 }
@@ -113,29 +101,30 @@
 {
     const std::unique_ptr<Parser> parser = std::move(m_parser);
     m_expectsContinue = false;
-    http::request<http::string_body>& message = parser->get();
+    const http::request_header<>& start = parser->startLine();
     Request request;
     request.raw.arrivedAt = arrivalOfLastReadByte();
-    request.raw.method = std::string(message.method_string());
-    const std::string target(message.target());
+    request.raw.method = std::string(start.method_string());
+    const std::string target(start.target());
     const std::size_t question = target.find('?');
     request.raw.path = target.substr(0, question);
     if (question != std::string::npos) {
         request.raw.query = target.substr(question + 1);
     }
-    std::size_t hosts = 0;
-    for (const auto& field : message) {
-        hosts += field.name() == http::field::host ? 1 : 0;
-        request.raw.headers.push_back({std::string(field.name_string()), std::string(field.value())});
-    }
+    request.raw.headers = std::move(parser->headers());
+    const auto hosts = std::count_if(request.raw.headers.begin(), request.raw.headers.end(),
+        [](const HeaderField& field) { return sameHeaderName(field.name, "Host"); });
     if (hosts > 1) {
         return Refusal {400, "more than one Host field"};
     }
-    if (hosts == 0 && message.version() >= 11) {
+    if (hosts == 0 && start.version() >= 11) {
         return Refusal {400, "the Host field is missing"};
     }
-    request.raw.body = std::move(message.body());
-    request.isHead = message.method() == http::verb::head;
+    request.raw.body = std::move(parser->body());
+    if (start.method() == http::verb::trace && !request.raw.body.empty()) {
+        return Refusal {400, "a TRACE request must not have a body"}; // RFC 9110, section 9.3.8.
+    }
+    request.isHead = start.method() == http::verb::head;
     request.closes = !parser->keep_alive();
     return request;
 }
--- a/src/transport/beast_backend_transport.cpp
+++ b/src/transport/beast_backend_transport.cpp
@@ -4,8 +4,9 @@
 #include "base/deadline_timer.h"
 #include "base/glib_pointer.h"
 #include "base/socket_address.h"
-
-#include <boost/beast/http.hpp>
+#include "entry/caller_request.h"
+#include "http/message_parser.h"
+#include "http/request_text.h"
 
 #include <glib-unix.h>
 #include <netinet/in.h>
@@ -24,9 +25,7 @@
 namespace jasminespread {
 namespace {
 
-namespace http = boost::beast::http;
-using ErrorCode = boost::system::error_code;
-using ResponseParser = http::response_parser<http::string_body>;
+using ResponseParser = MessageParser<false>;
 
 /// Limits the head of an answer, and each line in its body's framing and its trailer.
 constexpr std::uint32_t maxHeaderBytes = 65'536;
@@ -107,7 +106,6 @@
     bool reused = false; ///< Has already carried an exchange, or an answer to another one.
     BackendTransport::Handle exchange = 0; ///< Handle of its exchange; 0 while idle.
     std::unique_ptr<ResponseParser> parser;
-    std::optional<std::vector<HeaderField>> headers; ///< Of the answer, once its head is read; without its trailer.
     std::string input; ///< Received bytes that the parser has not consumed.
     std::uint64_t heldBytes = 0; ///< Bytes of the answer that are kept.
     MonotonicTime reusableUntil; ///< No longer reused after this time.
@@ -127,36 +125,6 @@
     return request.pool.empty() ? request.address : request.address + ' ' + request.pool;
 }
 
-std::string serialize(const BackendRequest& request)
-{
-    http::request<http::string_body> message;
-    message.version(11);
-    message.method_string(request.method);
-    message.target(request.target);
-    for (const HeaderField& field : request.headers) {
-        message.insert(field.name, field.value);
-    }
-    if (message.find(http::field::host) == message.end()) {
-        message.set(http::field::host, request.address);
-    }
-    message.body() = request.body;
-    message.prepare_payload();
-    http::request_serializer<http::string_body> serializer(message);
-    std::string bytes;
-    ErrorCode ec;
-    while (!serializer.is_done() && !ec) {
-        serializer.next(ec, [&](ErrorCode&, const auto& buffers) {
-            std::size_t n = 0;
-            for (const auto& buf : boost::beast::buffers_range_ref(buffers)) {
-                bytes.append(static_cast<const char*>(buf.data()), buf.size());
-                n += buf.size();
-            }
-            serializer.consume(n);
-        });
-    }
-    return bytes;
-}
-
 class BeastTransport {
 public:
     explicit BeastTransport(AnswerLimits limits)
@@ -185,11 +153,17 @@
         exchange->deadline = request.deadline;
         exchange->requestDeadline = request.deadline;
         exchange->isHeadRequest = request.method == "HEAD";
-        exchange->serializedRequest = serialize(request);
+        std::optional<std::string> text = requestText(request);
+        exchange->serializedRequest = text ? std::move(*text) : std::string();
         m_deadlines.emplace(exchange->deadline, handle);
         const std::string poolKey = exchange->poolKey;
         m_pools[poolKey].waitingExchanges.push_back(handle);
         m_exchanges.emplace(handle, std::move(exchange));
+        if (!text) {
+            logEvent(LogEvent::MessageUnreadable, "address=" + poolKey + " why=\"the request cannot be written\"");
+            fail(handle, "the request cannot be written", FailureCause::Withheld);
+            return handle;
+        }
         startWaitingExchanges(poolKey);
         armTimer();
         return handle;
@@ -402,11 +376,8 @@
 
     void resetParser(Connection& connection)
     {
-        connection.parser = std::make_unique<ResponseParser>();
-        connection.parser->body_limit(m_exchanges.at(connection.exchange)->maxAnswerBytes);
-        connection.parser->header_limit(maxHeaderBytes);
-        connection.parser->eager(false); // Stops behind the head: the parser adds the fields of a trailer to it.
-        connection.headers.reset();
+        connection.parser
+            = std::make_unique<ResponseParser>(maxHeaderBytes, m_exchanges.at(connection.exchange)->maxAnswerBytes);
         connection.parser->skip(m_exchanges.at(connection.exchange)->isHeadRequest);
     }
 
@@ -437,9 +408,7 @@
         }
         if (n == 0 && connection.parser && connection.parser->got_some()
             && m_exchanges.at(connection.exchange)->acceptsCloseDelimitedAnswer) {
-            ErrorCode ec;
-            connection.parser->put_eof(ec);
-            if (!ec && connection.parser->is_done()) {
+            if (!connection.parser->readEnd() && connection.parser->is_done()) {
                 return finish(connection);
             }
         }
@@ -452,42 +421,24 @@
 
     void parse(Connection& connection)
     {
-        ErrorCode ec;
-        std::size_t consumed = 0;
-        while (!connection.parser->is_done() && consumed < connection.input.size()) {
-            const std::size_t n = connection.parser->put(
-                boost::asio::const_buffer(connection.input.data() + consumed, connection.input.size() - consumed), ec);
-            consumed += n;
-            if (connection.parser->is_header_done() && !connection.headers) {
-                connection.headers = headersOf(*connection.parser);
-                connection.parser->eager(true);
+        while (!connection.input.empty()) {
+            if (const std::optional<ParseFailure> failure = connection.parser->read(connection.input)) {
+                return failUnreadable(connection, *failure);
             }
-            if (ec == http::error::need_more) {
+            if (!connection.parser->is_done()) {
                 break;
             }
-            if (ec == http::error::body_limit || ec == http::error::header_limit) {
-                return failOversized(connection, ec.message());
-            }
-            if (ec) {
-                return failAndClose(connection, "malformed answer: " + ec.message());
-            }
-            if (connection.parser->is_done() && !isExpected(connection)) {
-                dropAnswer(connection);
-                resetParser(connection);
+            if (isExpected(connection)) {
+                return finish(connection);
             }
-        }
-        connection.input.erase(0, consumed);
-        if (connection.parser->is_done()) {
-            return finish(connection);
-        }
-        if (connection.input.size() > maxHeaderBytes) {
-            return failOversized(connection, "a line of the answer is too long");
+            dropAnswer(connection);
+            resetParser(connection);
         }
         if (connection.parser->is_header_done() && connection.parser->need_eof()
             && !m_exchanges.at(connection.exchange)->acceptsCloseDelimitedAnswer) {
             return failAndClose(connection, "the answer has neither Content-Length nor chunked encoding");
         }
-        setHeldBytes(connection, connection.input.size() + connection.parser->get().body().size());
+        setHeldBytes(connection, connection.input.size() + connection.parser->heldBytes());
         limitTotalBytes();
     }
 
@@ -507,6 +458,16 @@
         }
     }
 
+    /// Ends a connection whose answer cannot be read. Its request may have been executed.
+    void failUnreadable(Connection& connection, const ParseFailure& failure)
+    {
+        if (failure.error != ParseError::Malformed) {
+            return failOversized(connection, failure.reason);
+        }
+        logEvent(LogEvent::MessageUnreadable, "address=" + connection.poolKey + " why=\"" + failure.reason + '"');
+        failAndClose(connection, "malformed answer: " + failure.reason);
+    }
+
     void failOversized(Connection& connection, const std::string& reason)
     {
         logEvent(LogEvent::MemoryLimitReached,
@@ -518,18 +479,18 @@
     /// Returns false for interim (1xx) answers and for answers to another request.
     bool isExpected(Connection& connection)
     {
-        const unsigned status = connection.parser->get().result_int();
+        const unsigned status = connection.parser->startLine().result_int();
         if (status < 200) {
             return false;
         }
         const Exchange& exchange = *m_exchanges.at(connection.exchange);
-        return !exchange.isMatchingAnswer || exchange.isMatchingAnswer(*connection.headers, connection.reused);
+        return !exchange.isMatchingAnswer || exchange.isMatchingAnswer(connection.parser->headers(), connection.reused);
     }
 
     /// Precondition: !isExpected().
     static void dropAnswer(Connection& connection)
     {
-        const unsigned status = connection.parser->get().result_int();
+        const unsigned status = connection.parser->startLine().result_int();
         if (status >= 200) {
             connection.reused = true; // It carries answers to other requests.
             logEvent(
@@ -537,21 +498,12 @@
         }
     }
 
-    static std::vector<HeaderField> headersOf(const ResponseParser& parser)
-    {
-        std::vector<HeaderField> headers;
-        for (const auto& field : parser.get()) {
-            headers.push_back({std::string(field.name_string()), std::string(field.value())});
-        }
-        return headers;
-    }
-
     /// Returns how long the connection may stay idle and still be reused.
     static Milliseconds idleLimitOf(const Connection& connection)
     {
-        const boost::core::string_view value = connection.parser->get()[http::field::keep_alive];
+        const std::string_view value = findHeader(connection.parser->headers(), "Keep-Alive").value_or("");
         const std::size_t at = value.find("timeout=");
-        if (at == boost::core::string_view::npos) {
+        if (at == std::string_view::npos) {
             return defaultIdleLimit;
         }
         int seconds = 0;
@@ -570,20 +522,21 @@
             return failAndClose(connection, "the connection ended after an answer to another request");
         }
         std::unique_ptr<Exchange> exchange = removeExchange(std::exchange(connection.exchange, 0));
-        http::response<http::string_body>& message = connection.parser->get();
+        ResponseParser& parser = *connection.parser;
         BackendResult result;
         result.progress = BackendProgress::Answered;
         result.connectionReused = connection.reused;
-        result.status = message.result_int();
-        result.headers = std::move(*connection.headers);
-        result.body = std::move(message.body());
+        result.status = parser.startLine().result_int();
+        const Milliseconds idleLimit = idleLimitOf(connection);
+        result.headers = std::move(parser.headers());
+        result.body = std::move(parser.body());
         const bool keeps = !exchange->keepsConnection || exchange->keepsConnection(result);
         // A server may answer before it has read the whole request; the unsent rest must not follow on this connection.
-        const bool reusable = keeps && connection.parser->keep_alive() && connection.input.empty()
+        const bool reusable = keeps && parser.keep_alive() && connection.input.empty()
             && exchange->writtenBytes == exchange->serializedRequest.size();
         const std::string poolKey = exchange->poolKey;
         if (reusable) {
-            connection.reusableUntil = monotonicNow() + idleLimitOf(connection);
+            connection.reusableUntil = monotonicNow() + idleLimit;
             connection.parser.reset();
             setHeldBytes(connection, 0);
             connection.reused = true;
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -1,3 +1,4 @@
+#include "odd_server.h"
 #include "platform_fake.h"
 #include "process.h"
 
@@ -288,6 +289,49 @@
     EXPECT_TRUE(isReady(0));
 }
 
+/// Guards against a gateway that ends because of one server's answer or one caller's request, so that orders in flight
+/// at sound servers get no answer.
+TEST_F(GatewayTest, KeepsServingBesideOddMessages)
+{
+    RequestLog log;
+    OddServer odd("desk-c", "desk", address(15, 8080), 1, log);
+    m_store.put("servers", "desk-c", odd.storeEntry());
+    for (ServerFake* server : {&m_deskA, &m_deskB}) {
+        server->setServiceTime(200ms); // The third one would get no requests beside faster ones.
+    }
+    const std::array forms {AnswerForm::RunLongTrailerValue, AnswerForm::RunLongTrailerName};
+    std::map<std::string, std::shared_ptr<std::optional<BackendResult>>> results; // By request id.
+    for (unsigned i = 0; i < 100; ++i) {
+        odd.setForm(forms[i % forms.size()]);
+        const std::string id = "odd-" + std::to_string(i);
+        results.emplace(id, send(0, "/order/1", id));
+        if (i % 20 == 10) {
+            const auto caller = HttpConnection::connectTo(address(21, 8381));
+            ASSERT_NE(caller, nullptr);
+            EXPECT_TRUE(caller->write("TRACE /read/1 HTTP/1.1\r\nHost: a.example\r\nContent-Length: 2\r\n\r\nab"));
+            const std::optional<Message> answer = caller->read([&] { return m_gateways[0]->running(); });
+            ASSERT_TRUE(answer);
+            EXPECT_EQ(answer->status(), 400U);
+        }
+        (void)runUntil(20ms, [] { return false; });
+    }
+    EXPECT_TRUE(runUntil(5s, [&] {
+        return std::all_of(results.begin(), results.end(), [](const auto& entry) { return entry.second->has_value(); });
+    }));
+    std::map<unsigned, unsigned> statuses;
+    for (const auto& [id, result] : results) {
+        ASSERT_TRUE(result->has_value());
+        const unsigned status = (*result)->status;
+        ++statuses[status];
+        log.update(id, [status](RequestLog::Request& request) { request.end = std::to_string(status); });
+    }
+    EXPECT_GT(statuses[200], 50U);
+    EXPECT_GT(statuses[502], 0U); // The odd answers: these orders have been executed.
+    EXPECT_EQ(statuses[200] + statuses[502], results.size());
+    EXPECT_TRUE(m_gateways[0]->running());
+    EXPECT_EQ(log.takeViolations("odd messages", MonotonicTime::max()), 0U);
+}
+
 /// Guards against a gateway that answers nothing more while nobody reads its log, and against missing lines that nobody
 /// learns of.
 TEST_F(GatewayTest, ServesWhileNobodyReadsItsLog)
--- a/tests/integration/odd_server.cpp
+++ b/tests/integration/odd_server.cpp
@@ -19,6 +19,7 @@
 namespace json = boost::json;
 
 constexpr int pollMs = 20;
+constexpr std::size_t longFieldBytes = 65'540;
 const std::string stated = "Not-Executed: 1\r\n";
 
 std::string answerText(unsigned status, const std::string& fields, const std::string& body = "")
@@ -27,6 +28,14 @@
         + "\r\n\r\n" + body;
 }
 
+std::string chunkedAnswer(const std::string& fields, const std::string& body, const std::string& trailer)
+{
+    std::ostringstream size;
+    size << std::hex << body.size();
+    return "HTTP/1.1 200 X\r\n" + fields + "Transfer-Encoding: chunked\r\n\r\n" + size.str() + "\r\n" + body
+        + "\r\n0\r\n" + trailer + "\r\n\r\n";
+}
+
 } // namespace
 
 std::string Message::field(const std::string& name) const
@@ -333,6 +342,10 @@
         return fail(500);
     case AnswerForm::RunInterim503:
         return send("HTTP/1.1 103 X\r\n" + stated + "\r\n" + answerText(503, idField, body));
+    case AnswerForm::RunLongTrailerValue:
+        return send(chunkedAnswer(sealed(200), body, "X: " + std::string(longFieldBytes, 'x')));
+    case AnswerForm::RunLongTrailerName:
+        return send(chunkedAnswer(sealed(200), body, std::string(longFieldBytes, 'x') + ": x"));
     case AnswerForm::RunReset:
         connection.reset();
         return false;
--- a/tests/integration/odd_server.h
+++ b/tests/integration/odd_server.h
@@ -32,6 +32,8 @@
     RunCutHead,
     RunCutBody,
     RunInterim503,
+    RunLongTrailerValue, ///< Its answer has a trailer field that exceeds the limits.
+    RunLongTrailerName,
     Interim,
     Unsealed,
     ServedStatingNotRun,
@@ -44,12 +46,13 @@
     MisdirectedStated
 };
 
-inline constexpr std::array<EnumName<AnswerForm>, 21> formNames {
+inline constexpr std::array<EnumName<AnswerForm>, 23> formNames {
     {{AnswerForm::Served, "served"}, {AnswerForm::Run503, "run-503"}, {AnswerForm::Run429, "run-429"},
         {AnswerForm::Run408, "run-408"}, {AnswerForm::Run500, "run-500"}, {AnswerForm::RunReset, "run-reset"},
         {AnswerForm::RunSilence, "run-silence"}, {AnswerForm::RunLate, "run-late"},
         {AnswerForm::RunCutHead, "run-cut-head"}, {AnswerForm::RunCutBody, "run-cut-body"},
-        {AnswerForm::RunInterim503, "run-interim-503"}, {AnswerForm::Interim, "interim"},
+        {AnswerForm::RunInterim503, "run-interim-503"}, {AnswerForm::RunLongTrailerValue, "run-long-trailer-value"},
+        {AnswerForm::RunLongTrailerName, "run-long-trailer-name"}, {AnswerForm::Interim, "interim"},
         {AnswerForm::Unsealed, "unsealed"}, {AnswerForm::ServedStatingNotRun, "served-stating-not-run"},
         {AnswerForm::Refused503, "refused-503"}, {AnswerForm::Refused429, "refused-429"},
         {AnswerForm::RefusedCut, "refused-cut"}, {AnswerForm::RefusedCopyWithId, "refused-copy-with-id"},
