--- a/include/jasminespread/backend_transports.h
+++ b/include/jasminespread/backend_transports.h
@@ -22,8 +22,8 @@
 /// Makes a transport over non-blocking sockets with Boost.Beast's HTTP codec. It tracks exactly whether a byte of a
 /// request was written. An answer is complete only when Content-Length, chunked encoding or its status determines its
 /// end; an answer that ends with the connection is Broken unless BackendRequest::acceptsCloseDelimitedAnswer is set.
-/// The trailer of an answer and each line of its framing are limited as its head is, to 64 KiB. What cannot be read ends
-/// its connection only.
+/// The trailer of an answer and each line of its framing are limited as its head is, to 64 KiB. What cannot be read
+/// ends its connection only.
 [[nodiscard]] BackendTransport makeBeastBackendTransport(AnswerLimits limits);
 
 /// Makes a transport over a libsoup session. Connection limits per address are not supported: each address may have
