--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -96,7 +96,7 @@
         , m_reducer(settings.reducer, randomSeed())
         , m_authority(LeaderRecord {0, settings.instance, m_incarnation, settings.controlAddress, {}},
               rangeTimes(settings), leadershipTimes(settings), randomSeed())
-        , m_directory({serverGracePeriod, settings.registrationExpiry})
+        , m_directory({serverGracePeriod, settings.registrationExpiry, settings.shortestExpiringOutage})
         , m_reducerTimer([this] { onReducerTimer(); })
         , m_callerServer(callerServerLimits(settings),
               {[this](std::uint64_t caller, RawRequest&& raw) { onRequest(caller, std::move(raw)); },
@@ -577,6 +577,9 @@
             const std::vector<ServerIdentity> leaving = m_reducer.leavingServers();
             applyRangeEvent(LeavingServersObserved {{leaving.begin(), leaving.end()}});
         }
+        if (const std::optional<Milliseconds> age = maxServerChangeAge()) {
+            m_directory.confirm(now - *age);
+        }
         if (m_directory.applyTimeouts(now)) {
             publishServers();
         }
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -27,6 +27,8 @@
     Milliseconds stopTimeout {6000}; ///< From the stop signal until the process is killed.
     /// How long service discovery lists a server that writes nothing more.
     Milliseconds registrationExpiry = ServerDirectoryTimes().registrationExpiry;
+    /// Shortest outage of the store in which the registration of a running server can expire.
+    Milliseconds shortestExpiringOutage = ServerDirectoryTimes().shortestExpiringOutage;
     Milliseconds maxHold {10'000}; ///< Longest time that a grant of a key range may last.
     double processorShare = 1; ///< Processor time that the process may use, in cores.
 };
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -1,5 +1,6 @@
 #include "gateway/server_directory.h"
 
+#include <algorithm>
 #include <set>
 
 namespace jasminespread {
@@ -14,6 +15,7 @@
 
 void ServerDirectory::update(const ServerRegistrations& registrations, MonotonicTime now)
 {
+    confirm(now);
     std::set<std::string> ids;
     for (const ServerRegistration& registration : registrations) {
         ids.insert(registration.server.identity.id);
@@ -50,8 +52,9 @@
     if (!entry.used) {
         return;
     }
-    if (m_hasList && now < m_graceEndsAt) {
-        entry.missingUntil = m_graceEndsAt;
+    const MonotonicTime until = entry.missingUntil.value_or(m_graceEndsAt);
+    if (now < until) {
+        entry.missingUntil = until;
     } else {
         entry.used = false;
         entry.missingUntil.reset();
@@ -59,10 +62,22 @@
     }
 }
 
+void ServerDirectory::confirm(MonotonicTime asOf)
+{
+    if (mayHaveBeenAway(asOf)) {
+        m_graceEndsAt = asOf + m_times.gracePeriod;
+        for (auto& [id, entry] : m_entries) {
+            if (entry.missingUntil) {
+                *entry.missingUntil += asOf - *m_confirmedAsOf;
+            }
+        }
+    }
+    m_confirmedAsOf = std::max(m_confirmedAsOf.value_or(asOf), asOf);
+}
+
 void ServerDirectory::setStoreReachable(bool reachable, MonotonicTime now)
 {
     m_storeReachable = reachable;
-    m_graceEndsAt = reachable ? now + m_times.gracePeriod : MonotonicTime::max();
     for (auto& [id, entry] : m_entries) {
         entry.outdatedSince = now; // The registration may have been replaced during the outage.
     }
@@ -72,7 +87,7 @@
 {
     bool changed = false;
     for (auto& [id, entry] : m_entries) {
-        if (entry.missingUntil && *entry.missingUntil <= now) {
+        if (entry.missingUntil && *entry.missingUntil <= now && !mayHaveBeenAway(now)) {
             entry.missingUntil.reset();
             entry.used = false;
             entry.goneAt = now;
--- a/tests/gateway_policies_test.cpp
+++ b/tests/gateway_policies_test.cpp
@@ -1,6 +1,5 @@
 #include "gateway/admission.h"
 #include "gateway/gateway_configuration.h"
-#include "gateway/server_directory.h"
 #include "gateway/server_observation.h"
 #include "gateway/server_selection.h"
 #include "gateway/shared_retry_budget.h"
@@ -173,42 +172,5 @@
     EXPECT_GT(early, 0ms);
 }
 
-ServerRegistration listed(const std::string& id)
-{
-    ServerRegistration registration;
-    registration.server.identity = {id, 1};
-    return registration;
-}
-
-/// Guards against losing all servers when the store comes back from an outage before their entries do.
-TEST(ServerDirectoryTest, RetainsEntriesThatExpiredDuringAStoreOutage)
-{
-    ServerDirectory directory({2000ms, 3000ms});
-    directory.setStoreReachable(true, start);
-    directory.update({listed("a"), listed("b")}, start);
-    directory.setStoreReachable(false, start + 5s);
-    directory.setStoreReachable(true, start + 9s);
-    directory.update({listed("a")}, start + 9s);
-    ASSERT_EQ(directory.servers()->size(), 2U);
-    EXPECT_EQ(directory.servers()->back().state, ListedServerState::Missing);
-    EXPECT_FALSE(directory.applyTimeouts(start + 10'900ms));
-    directory.update({listed("a"), listed("b")}, start + 10'950ms); // Reappears just in time.
-    EXPECT_FALSE(directory.applyTimeouts(start + 12s));
-    EXPECT_EQ(directory.servers()->back().state, ListedServerState::Ready);
-}
-
-/// Guards against requests to a server whose entry does not reappear.
-TEST(ServerDirectoryTest, RemovesEntriesThatDoNotReappear)
-{
-    ServerDirectory directory({2000ms, 3000ms});
-    directory.update({listed("a"), listed("b")}, start);
-    directory.setStoreReachable(true, start + 9s);
-    directory.update({listed("a")}, start + 9s);
-    EXPECT_TRUE(directory.applyTimeouts(start + 11s));
-    EXPECT_EQ(directory.servers()->size(), 1U);
-    directory.update({}, start + 12s); // Without an outage a missing entry is removed at once.
-    EXPECT_TRUE(directory.servers()->empty());
-}
-
 } // namespace
 } // namespace jasminespread
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -574,6 +574,57 @@
     EXPECT_FALSE(runUntil(1s, [&] { return call(0, "/old/").status == 200; }));
 }
 
+/// Guards against requests that reach the owner of their key after it has left, and are lost as it ends: watches of the
+/// store are cut off as its entry is removed, and again later.
+TEST_F(GatewayTest, ARemovedOwnerGetsNothingAfterTheDrainTimeBesideCutWatches)
+{
+    constexpr Milliseconds drainTime = 2000ms;
+    constexpr Milliseconds cutInterval = 1500ms;
+    const auto servesAllKeys = [&](const ServerFake& server) { return server.holdsKey(0) && server.holdsKey(65'535); };
+    ASSERT_TRUE(runUntil(5s, [&] { return m_plannerA.holdsKey(0) || m_plannerA.holdsKey(65'535); }));
+    const auto sendToSomeKey = [&](unsigned number) { (void)send(number % 2, "/plan/1", "", number * 997 % 65'536); };
+    for (unsigned i = 0; i < 50; ++i) {
+        sendToSomeKey(i);
+        (void)runUntil(20ms, [] { return false; });
+    }
+    ASSERT_FALSE(m_plannerA.arrivals().empty());
+    m_store.failWatches();
+    m_store.remove("servers", "planner-a");
+    const MonotonicTime removedAt = monotonicNow();
+    MonotonicTime nextCutAt = removedAt + cutInterval;
+    for (unsigned i = 0; monotonicNow() < removedAt + 3 * drainTime; ++i) {
+        sendToSomeKey(i);
+        if (monotonicNow() >= nextCutAt) {
+            m_store.failWatches();
+            nextCutAt += cutInterval;
+        }
+        (void)runUntil(20ms, [] { return false; });
+    }
+    const Milliseconds last = std::chrono::duration_cast<Milliseconds>(m_plannerA.arrivals().back().at - removedAt);
+    EXPECT_LE(last, drainTime);
+    EXPECT_TRUE(servesAllKeys(m_plannerB));
+}
+
+/// Guards against keys that move without need: the entry of their owner expires in an outage of the store, and is back
+/// soon after it.
+TEST_F(GatewayTest, KeysStayWithAnOwnerWhoseEntryExpiresInAnOutage)
+{
+    ASSERT_TRUE(runUntil(5s, [&] { return m_plannerA.holdsKey(0) || m_plannerA.holdsKey(65'535); }));
+    const auto keepsItsKeys = [&, key = m_plannerA.holdsKey(0) ? 0U : 65'535U] {
+        return m_plannerA.holdsKey(key) && !m_plannerB.holdsKey(key);
+    };
+    for (const StoreFake::Mode mode : {StoreFake::Mode::Unavailable, StoreFake::Mode::Unresponsive}) {
+        m_store.setMode(mode);
+        EXPECT_FALSE(runUntil(2500ms, [&] { return !keepsItsKeys(); }));
+        m_store.remove("servers", "planner-a");
+        EXPECT_FALSE(runUntil(1500ms, [&] { return !keepsItsKeys(); }));
+        m_store.setMode(StoreFake::Mode::Serving);
+        EXPECT_FALSE(runUntil(1000ms, [&] { return !keepsItsKeys(); }));
+        m_store.put("servers", "planner-a", m_plannerA.storeEntry("planner"));
+        EXPECT_FALSE(runUntil(2500ms, [&] { return !keepsItsKeys(); }));
+    }
+}
+
 /// Guards against a number of store calls that grows with the number of instances. Only the leader watches the store;
 /// its changes reach the other instances, and another instance takes over when it is lost.
 TEST_F(GatewayTest, OneInstanceWatchesStoreForAll)
--- a/tests/integration/platform_fake.cpp
+++ b/tests/integration/platform_fake.cpp
@@ -98,6 +98,13 @@
 
 void StoreFake::setMode(Mode mode) { m_mode = mode; }
 
+void StoreFake::failWatches()
+{
+    for (const Watch& watch : std::exchange(m_watches, {})) {
+        answer(watch.request, 500, json::object());
+    }
+}
+
 const json::value* StoreFake::spec(const std::string& kind, const std::string& name) const
 {
     const auto objects = m_objects.find(kind);
--- a/tests/integration/platform_fake.h
+++ b/tests/integration/platform_fake.h
@@ -33,6 +33,8 @@
     void put(const std::string& kind, const std::string& name, const boost::json::value& spec);
     void remove(const std::string& kind, const std::string& name);
     void setMode(Mode mode);
+    /// Ends the watches that wait without a result.
+    void failWatches();
     /// Drops the history: watches from an earlier revision are answered with status 410.
     void compact() { m_oldestRevision = m_revision; }
     /// Content of an object; nullptr when there is none.
--- a/tests/object_feed_test.cpp
+++ b/tests/object_feed_test.cpp
@@ -23,7 +23,7 @@
 protected:
     ObjectFeedTest()
         : m_store(m_transport, "10.0.0.1:80")
-        , m_feed(m_store, "servers", Milliseconds(0),
+        , m_feed(m_store, "servers", 0ms, 2000ms,
               {[this](const std::map<std::string, PlatformObject>& objects) {
                    m_objects = objects;
                    ++m_reports;
--- a/tests/ownership_world.cpp
+++ b/tests/ownership_world.cpp
@@ -157,6 +157,9 @@
 void OwnershipWorld::tick(std::size_t index, std::uint64_t incarnation)
 {
     deliverStep(index, incarnation, [this, index, incarnation] {
+        if (!m_instances[index].rejected) {
+            m_instances[index].directory->confirm(m_now);
+        }
         if (m_instances[index].directory->applyTimeouts(m_now)) {
             deliver(index, incarnation, RangeServersListed {m_instances[index].directory->servers()});
         }
--- a/tests/range_simulation.cpp
+++ b/tests/range_simulation.cpp
@@ -83,6 +83,7 @@
 {
     Instance& instance = *std::find_if(
         m_instances.begin(), m_instances.end(), [&](const Instance& candidate) { return candidate.name == name; });
+    instance.directory.confirm(m_now);
     if (instance.incarnation == incarnation && instance.directory.applyTimeouts(m_now)) {
         deliver(name, incarnation, RangeServersListed {instance.directory.servers()});
     }
