--- a/src/ranges/range_keeper.cpp
+++ b/src/ranges/range_keeper.cpp
@@ -225,6 +225,7 @@
             continue;
         }
         replaced = true;
+        holder.changedAddress = holder.changedAddress || holder.process.address != server->address;
         holder.process = holderOf(*server);
         holder.fence = 0;
         holder.grantConfirmed = false;
@@ -251,6 +252,7 @@
             last.leaseEndBound = std::max(last.leaseEndBound, other.leaseEndBound);
             last.unansweredGrantEnd = std::max(last.unansweredGrantEnd, other.unansweredGrantEnd);
             last.fromEarlierTerm = last.fromEarlierTerm || other.fromEarlierTerm;
+            last.changedAddress = last.changedAddress || other.changedAddress;
             if (isInCall(rangeState, last)) {
                 rangeState.leaseEndBeforeCall = std::max(rangeState.leaseEndBeforeCall, other.leaseEndBound);
             }
@@ -419,6 +421,7 @@
     case GrantResult::Done:
         target.grantConfirmed = true;
         target.fromEarlierTerm = false;
+        target.changedAddress = false;
         rangeState.failureScore = 0;
         if (isTarget) {
             rangeState.handover.clear();
@@ -432,7 +435,8 @@
     case GrantResult::OtherServer:
         log(LogEvent::ServerLost, rangeState, target.process.identity.id, "another server now uses its address");
         m_excludedUntil[target.process.identity] = m_now + exclusionTime;
-        target.leaseEndBound = m_now;
+        target.leaseEndBound
+            = target.changedAddress ? std::min(target.leaseEndBound, rangeState.leaseEndBeforeCall) : m_now;
         return;
     case GrantResult::Refused:
     case GrantResult::NoAnswer:
@@ -467,7 +471,11 @@
         }
         return;
     case GrantResult::OtherServer:
-        holder.leaseEndBound = m_now;
+        if (holder.changedAddress) {
+            rangeState.nextCallAt = m_now + releaseRetryInterval;
+        } else {
+            holder.leaseEndBound = m_now;
+        }
         return;
     case GrantResult::Fenced:
     case GrantResult::Refused:
--- a/src/ranges/range_keeper.h
+++ b/src/ranges/range_keeper.h
@@ -105,6 +105,9 @@
         MonotonicTime unansweredGrantEnd; ///< A late execution of an unanswered grant expires by then.
         bool grantConfirmed = false; ///< It accepted a grant with `fence`.
         bool fromEarlierTerm = false; ///< It may have a lease granted in an earlier term.
+        /// It may have the lease at another address, where it was listed before; what its present address answers does
+        /// not end that lease.
+        bool changedAddress = false;
         unsigned fencingAttempts = 0; ///< Grants sent to fence off an earlier leader.
     };
 
--- a/tests/range_authority_test.cpp
+++ b/tests/range_authority_test.cpp
@@ -282,6 +282,41 @@
     EXPECT_GE(grantedAt, earlierLeaseEnd);
 }
 
+/// Guards against two owners of a key: an entry lists a server at another address, where another server answers. Its
+/// process at the address before may run, and have the lease, until that expires.
+TEST_F(RangeKeeperTest, TheLeaseAtAnEarlierAddressOutlastsWhatAnotherAddressAnswers)
+{
+    m_keeper.adopt(std::nullopt, 0, start);
+    listServers({server("a")});
+    RangeEffects effects = stepAndStore();
+    ASSERT_NE(find<GrantRange>(effects), nullptr);
+    (void)finishCall(find<GrantRange>(effects)->callId, GrantResult::Done);
+    const MonotonicTime leaseEnd = m_times.leaseEnd(m_now);
+    ListedServer moved = server("a");
+    moved.identity.startedAtUnixMs = 2;
+    moved.address = "10.0.0.99:80";
+    listServers({moved, server("b")});
+    unsigned answers = 0;
+    MonotonicTime grantedAt;
+    for (int i = 0; i < 200 && grantedAt == MonotonicTime(); ++i) {
+        for (const RangeEffect& effect : stepAndStore(50ms)) {
+            if (const auto* grant = std::get_if<GrantRange>(&effect)) {
+                if (grant->server == holder("b")) {
+                    grantedAt = m_now;
+                } else {
+                    ++answers;
+                    (void)m_keeper.onCallEnded({grant->callId, GrantResult::OtherServer, ""}, m_now, true);
+                }
+            } else if (const auto* release = std::get_if<ReleaseRange>(&effect)) {
+                ++answers;
+                (void)m_keeper.onCallEnded({release->callId, GrantResult::OtherServer, ""}, m_now, true);
+            }
+        }
+    }
+    EXPECT_GT(answers, 0U);
+    EXPECT_GE(grantedAt, leaseEnd);
+}
+
 /// Guards against keys that change hands after a restart although the server is ready: it gets them again with a higher
 /// fencing token, once the process that runs now is recorded.
 TEST_F(RangeKeeperTest, ARestartedServerKeepsItsKeysWithAHigherFence)
