--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -18,8 +18,10 @@
     confirm(now);
     std::set<std::string> ids;
     for (const ServerRegistration& registration : registrations) {
-        ids.insert(registration.server.identity.id);
-        listed(registration, now);
+        if (isOwn(registration)) {
+            ids.insert(registration.server.identity.id);
+            listed(registration, now);
+        }
     }
     for (auto& [id, entry] : m_entries) {
         if (!ids.contains(id)) {
@@ -31,6 +33,21 @@
     m_hasList = true;
 }
 
+/// Whether the server of that id can have written it: one that reports its start always does, and keeps its service and
+/// its address until the next one.
+bool ServerDirectory::isOwn(const ServerRegistration& registration) const
+{
+    const auto it = m_entries.find(registration.server.identity.id);
+    if (it == m_entries.end()) {
+        return true;
+    }
+    const ListedServer& written = registration.server;
+    const ListedServer& known = it->second.latest.server;
+    const bool isSameRun = written.identity == known.identity && known.identity.startedAtUnixMs != 0;
+    return isSameRun ? written.service == known.service && written.address == known.address
+                     : written.identity.startedAtUnixMs != 0 || known.identity.startedAtUnixMs == 0;
+}
+
 void ServerDirectory::listed(const ServerRegistration& registration, MonotonicTime now)
 {
     const auto [it, isNew] = m_entries.try_emplace(registration.server.identity.id);
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -62,6 +62,7 @@
         MonotonicTime outdatedSince; ///< Since when the store, while reachable, has had one of that run.
     };
 
+    [[nodiscard]] bool isOwn(const ServerRegistration& registration) const;
     void listed(const ServerRegistration& registration, MonotonicTime now);
     void notListed(Entry& entry, MonotonicTime now) const;
     /// Whether the store can have been away since the list was last confirmed.
--- a/tests/mutated_input_test.cpp
+++ b/tests/mutated_input_test.cpp
@@ -31,7 +31,8 @@
 constexpr std::uint64_t seedCount = 400;
 
 constexpr std::string_view serverSpec
-    = R"({"service":"a","address":"10.0.0.9:80","zone":"z","slots":6,"state":"ready","warmupLeftMs":0,"born":17})";
+    = R"({"service":"a","address":"10.0.0.9:80","zone":"z","version":"v1","slots":6,"state":"ready","warmupLeftMs":0,)"
+      R"("sequence":4,"born":17})";
 
 std::string storeObject(const std::string& name, std::string_view spec)
 {
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -112,16 +112,21 @@
 /// Guards against using malformed entries, which come from other writers.
 TEST(PlatformServerTest, IgnoresMalformedEntries)
 {
-    for (const char* field : {"service", "address", "zone", "slots", "state"}) {
+    for (const char* field : {"service", "address", "zone", "version", "slots", "state", "warmupLeftMs", "sequence"}) {
         json::object fields = json::parse(serverText).as_object();
         fields.erase(field);
         EXPECT_FALSE(decodeServer("i-1", fields, regions)) << field;
-        fields[field] = json::array();
-        EXPECT_FALSE(decodeServer("i-1", fields, regions)) << field;
+        for (const json::value& odd : {json::value(json::array()), json::value(true), json::value(nullptr)}) {
+            fields[field] = odd;
+            EXPECT_FALSE(decodeServer("i-1", fields, regions)) << field;
+        }
     }
     json::object fields = json::parse(serverText).as_object();
     fields["state"] = "resting";
     EXPECT_FALSE(decodeServer("i-1", fields, regions));
+    fields["state"] = "ready";
+    fields["sequence"] = "4";
+    EXPECT_FALSE(decodeServer("i-1", fields, regions));
     EXPECT_FALSE(decodeServer("i-1", json::value("garbage"), regions));
     EXPECT_FALSE(decodeServer("i-1", json::value(nullptr), regions));
 }
--- a/tests/server_directory_test.cpp
+++ b/tests/server_directory_test.cpp
@@ -103,6 +103,25 @@
     EXPECT_EQ(servers().front().identity.startedAtUnixMs, 200U);
 }
 
+/// Guards against orders at a server of another service, and against the loss of what is known of a server: an entry of
+/// another writer has its id.
+TEST_F(ServerRegistrationTest, AnEntryThatTheServerCannotHaveWrittenNamesNoServer)
+{
+    ServerRegistration withoutStart = registrationOf(0, 9);
+    ServerRegistration otherService = registrationOf(100, 9);
+    otherService.server.service = "ledger";
+    ServerRegistration otherAddress = registrationOf(100, 9);
+    otherAddress.server.address = "10.0.0.2:80";
+    for (const ServerRegistration& odd : {withoutStart, otherService, otherAddress}) {
+        m_directory = ServerDirectory(times);
+        list({registrationOf(100, 7)}, 0ms);
+        list({odd}, 100ms);
+        EXPECT_TRUE(servers().empty());
+        list({registrationOf(100, 8)}, 900ms);
+        EXPECT_EQ(servers(), ServerList {registrationOf(100, 8).server});
+    }
+}
+
 /// Guards against order of arrival: whatever is listed late or twice, the newest registration that was listed counts.
 TEST_F(ServerRegistrationTest, TheNewestCountsInEveryOrder)
 {
