--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -487,7 +487,9 @@
 
     void executeRangeEffect(GrantRange&& effect)
     {
-        sendCall(effect.callId, false, m_ports.encodeGrant(effect, monotonicNow() + RangeTimes().callTimeout));
+        BackendRequest request = m_ports.encodeGrant(effect, monotonicNow() + RangeTimes().callTimeout);
+        request.needsNewConnection = effect.needsProof;
+        sendCall(effect.callId, false, std::move(request));
     }
 
     void executeRangeEffect(ReleaseRange&& effect)
@@ -515,7 +517,9 @@
             [this, call, isRelease, accepted, repeated = std::move(repeated)](const BackendResult& result) mutable {
                 const LoopMonitor::Step step(m_monitor, "grant-answer");
                 if (*accepted) {
-                    return applyRangeEvent(m_ports.decodeGrantAnswer(call, result));
+                    RangeCallEnded ended = m_ports.decodeGrantAnswer(call, result);
+                    ended.mayBeCopy = result.connectionReused;
+                    return applyRangeEvent(std::move(ended));
                 }
                 const std::string address = repeated.address;
                 m_transport.send(std::move(repeated), [this, call, isRelease, address](const BackendResult& confirmed) {
--- a/tests/ownership_exploration_test.cpp
+++ b/tests/ownership_exploration_test.cpp
@@ -62,6 +62,19 @@
     }
 }
 
+/// Guards against a grant that is executed after its holder's release, because a copy of an earlier answer hid that it
+/// had none.
+TEST(OwnershipExplorationTest, ACopyDoesNotHideALateGrant)
+{
+    ExplorationSettings settings;
+    settings.copiesHideLateCalls = true;
+    settings.reusesShiftedConnections = false;
+    for (const std::uint64_t seed : {102266U, 102870U, 300010U, 300852U, 300873U, 304960U, 402481U, 403376U}) {
+        const std::optional<BrokenOrder> broken = exploreOrder(seed, settings);
+        EXPECT_FALSE(broken) << broken->description;
+    }
+}
+
 /// Guards against an exploration that finds nothing because no server holds anything.
 TEST(OwnershipExplorationTest, KeysAreHeldWithoutDisruptions)
 {
--- a/tests/range_authority_test.cpp
+++ b/tests/range_authority_test.cpp
@@ -317,6 +317,63 @@
     EXPECT_GE(grantedAt, leaseEnd);
 }
 
+/// Guards against two owners of a key: the answer to the last grant was a copy of an earlier one, and the grant is
+/// executed after the release. The server refuses it once it has a higher fencing token.
+TEST_F(RangeKeeperTest, AHolderWhoseLastAnswerMayBeACopyGetsANewTokenBeforeItsRelease)
+{
+    m_keeper.adopt(std::nullopt, 0, start);
+    listServers({server("a")});
+    RangeEffects effects = stepAndStore();
+    const GrantRange first = *find<GrantRange>(effects);
+    EXPECT_FALSE(first.needsProof);
+    RangeCallEnded copy {first.callId, GrantResult::Done, ""};
+    copy.mayBeCopy = true;
+    (void)m_keeper.onCallEnded(copy, m_now, true);
+    listServers({server("a", ListedServerState::Draining), server("b")});
+    effects = stepAndStore(50ms);
+    ASSERT_NE(find<GrantRange>(effects), nullptr);
+    const GrantRange proving = *find<GrantRange>(effects);
+    EXPECT_EQ(proving.server, holder("a"));
+    EXPECT_TRUE(proving.needsProof);
+    EXPECT_GT(proving.fence, first.fence);
+    effects = finishCall(proving.callId, GrantResult::Done);
+    ASSERT_NE(find<ReleaseRange>(effects), nullptr);
+    effects = finishCall(find<ReleaseRange>(effects)->callId, GrantResult::Done, "state");
+    ASSERT_NE(find<GrantRange>(effects), nullptr);
+    EXPECT_EQ(find<GrantRange>(effects)->server, holder("b"));
+    EXPECT_GT(find<GrantRange>(effects)->fence, proving.fence);
+}
+
+/// The same if the server takes no new token: the next one gets the range when the grant can no longer be executed.
+TEST_F(RangeKeeperTest, WithoutANewTokenALeaseLastsAsLongAsAGrantWhoseAnswerMayBeACopy)
+{
+    m_keeper.adopt(std::nullopt, 0, start);
+    listServers({server("a")});
+    RangeEffects effects = stepAndStore();
+    RangeCallEnded copy {find<GrantRange>(effects)->callId, GrantResult::Done, ""};
+    copy.mayBeCopy = true;
+    const MonotonicTime leaseEnd = m_times.leaseEnd(m_now);
+    (void)m_keeper.onCallEnded(copy, m_now, true);
+    listServers({server("a", ListedServerState::Draining), server("b")});
+    MonotonicTime grantedAt;
+    unsigned proving = 0;
+    for (int i = 0; i < 200 && grantedAt == MonotonicTime(); ++i) {
+        for (const RangeEffect& effect : stepAndStore(50ms)) {
+            const auto* grant = std::get_if<GrantRange>(&effect);
+            if (grant != nullptr && grant->server == holder("b")) {
+                grantedAt = m_now;
+            } else if (grant != nullptr) {
+                ++proving;
+                (void)m_keeper.onCallEnded({grant->callId, GrantResult::NotSent, ""}, m_now, true);
+            } else if (const auto* release = std::get_if<ReleaseRange>(&effect)) {
+                (void)m_keeper.onCallEnded({release->callId, GrantResult::Done, "state"}, m_now, true);
+            }
+        }
+    }
+    EXPECT_EQ(proving, 1U);
+    EXPECT_GE(grantedAt, leaseEnd);
+}
+
 /// Guards against keys that change hands after a restart although the server is ready: it gets them again with a higher
 /// fencing token, once the process that runs now is recorded.
 TEST_F(RangeKeeperTest, ARestartedServerKeepsItsKeysWithAHigherFence)
