--- a/src/gateway/gateway_configuration.h
+++ b/src/gateway/gateway_configuration.h
@@ -24,6 +24,8 @@
 struct RouteTarget {
     std::string service;
     double weight = 1; ///< Relative to the other targets; 0 gets no requests.
+
+    bool operator==(const RouteTarget&) const = default;
 };
 
 /// A route: matches requests of one host whose path begins with a prefix.
--- a/tests/gateway_policies_test.cpp
+++ b/tests/gateway_policies_test.cpp
@@ -28,6 +28,22 @@
     EXPECT_EQ(counts[2], 0);
 }
 
+/// Guards against a part that gets all requests for a while after its weight was raised.
+TEST(WeightedRoundRobinTest, SharesFollowChangedWeightsAtOnce)
+{
+    for (const double offset : {0.0, 0.3, 0.99}) {
+        WeightedRoundRobin roundRobin;
+        for (int i = 0; i < 501; ++i) {
+            (void)roundRobin.next({{"a", 1000}, {"b", 1}}, offset);
+        }
+        std::vector<int> counts(2, 0);
+        for (int i = 0; i < 20; ++i) {
+            ++counts[roundRobin.next({{"a", 1}, {"b", 1}}, offset)];
+        }
+        EXPECT_NEAR(counts[0], 10, 2) << offset;
+    }
+}
+
 /// Guards against choosing a route of another host, or one with a shorter prefix.
 TEST(FindRouteTest, ChoosesTheLongestPrefixOfTheHost)
 {
