A refused grant is repeated without its handover

What callers could see: keys without an owner, because a server had returned a handover that no server can read.

Cause: the keeper sent the handover with each grant until a server accepted one. Change: after a refusal (400) the next grant has none.

--- a/src/ranges/range_keeper.cpp
+++ b/src/ranges/range_keeper.cpp
@@ -455,6 +455,8 @@
             = target.changedAddress ? std::min(target.leaseEndBound, rangeState.leaseEndBeforeCall) : m_now;
         return;
     case GrantResult::Refused:
+        rangeState.handover.clear(); // It may be what the server cannot read; without it the keys are served at least.
+        [[fallthrough]];
     case GrantResult::NoAnswer:
     case GrantResult::NotSent:
         rangeState.nextCallAt = m_now + retryInterval;
--- a/tests/range_authority_test.cpp
+++ b/tests/range_authority_test.cpp
@@ -317,6 +317,25 @@
     EXPECT_GE(grantedAt, leaseEnd);
 }
 
+/// Guards against keys without an owner: a faulty server returned a handover that no server can read.
+TEST_F(RangeKeeperTest, AGrantThatIsRefusedIsRepeatedWithoutItsHandover)
+{
+    m_keeper.adopt(std::nullopt, 0, start);
+    listServers({server("a")});
+    (void)finishCall(find<GrantRange>(stepAndStore())->callId, GrantResult::Done);
+    listServers({server("a", ListedServerState::Draining), server("b")});
+    RangeEffects effects = stepAndStore(50ms);
+    ASSERT_NE(find<ReleaseRange>(effects), nullptr);
+    effects = finishCall(find<ReleaseRange>(effects)->callId, GrantResult::Done, "\xff");
+    ASSERT_NE(find<GrantRange>(effects), nullptr);
+    EXPECT_EQ(find<GrantRange>(effects)->handover, "\xff");
+    (void)finishCall(find<GrantRange>(effects)->callId, GrantResult::Refused);
+    effects = stepAndStore(150ms);
+    ASSERT_NE(find<GrantRange>(effects), nullptr);
+    EXPECT_EQ(find<GrantRange>(effects)->server, holder("b"));
+    EXPECT_TRUE(find<GrantRange>(effects)->handover.empty());
+}
+
 /// Guards against two owners of a key: the answer to the last grant was a copy of an earlier one, and the grant is
 /// executed after the release. The server refuses it once it has a higher fencing token.
 TEST_F(RangeKeeperTest, AHolderWhoseLastAnswerMayBeACopyGetsANewTokenBeforeItsRelease)
