A server that returns after its removal must stay listed to be used

Cause: a write that the store carries out late creates the entry again; its sequence can be above the known one, which lags, since an entry changes only when more than its sequence does.

Change: an entry of the same run counts after its removal only when it has stayed longer than that of a server that does not run. Expired in an outage, or replaced by another writer, it counts at once; the adapter tells the latter by ServerRegistration::isOverwritten.

Not played with real processes.

Cost: a server that was cut from the store for three heartbeat intervals is used four intervals after its return.

--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -17,15 +17,19 @@
 {
     confirm(now);
     std::set<std::string> ids;
+    std::set<std::string> overwritten;
     for (const ServerRegistration& registration : registrations) {
+        const std::string& id = registration.server.identity.id;
         if (isOwn(registration)) {
-            ids.insert(registration.server.identity.id);
+            ids.insert(id);
             listed(registration, now);
+        } else {
+            overwritten.insert(id);
         }
     }
     for (auto& [id, entry] : m_entries) {
         if (!ids.contains(id)) {
-            notListed(entry, now);
+            notListed(entry, overwritten.contains(id), now);
         }
     }
     std::erase_if(m_entries,
@@ -38,8 +42,8 @@
 bool ServerDirectory::isOwn(const ServerRegistration& registration) const
 {
     const auto it = m_entries.find(registration.server.identity.id);
-    if (it == m_entries.end()) {
-        return true;
+    if (it == m_entries.end() || registration.isOverwritten) {
+        return !registration.isOverwritten;
     }
     const ListedServer& written = registration.server;
     const ListedServer& known = it->second.latest.server;
@@ -52,7 +56,9 @@
 {
     const auto [it, isNew] = m_entries.try_emplace(registration.server.identity.id);
     Entry& entry = it->second;
-    if (!isNew && precedes(registration, entry.latest)) {
+    // The write that lists a server again after its removal may have been on its way for seconds.
+    const bool isReturn = entry.removed && registration.server.identity == entry.latest.server.identity;
+    if (!isNew && (isReturn || precedes(registration, entry.latest))) {
         if (!entry.outdated || entry.outdated->server.identity != registration.server.identity) {
             entry.outdatedSince = now;
         }
@@ -63,7 +69,7 @@
     entry.latest = registration;
 }
 
-void ServerDirectory::notListed(Entry& entry, MonotonicTime now) const
+void ServerDirectory::notListed(Entry& entry, bool isOverwritten, MonotonicTime now) const
 {
     entry.outdated.reset();
     if (!entry.used) {
@@ -74,6 +80,7 @@
         entry.missingUntil = until;
     } else {
         entry.used = false;
+        entry.removed = !isOverwritten && !entry.missingUntil;
         entry.missingUntil.reset();
         entry.goneAt = now;
     }
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -58,13 +58,16 @@
         /// their length, so that the time without one stays limited.
         std::optional<MonotonicTime> missingUntil;
         MonotonicTime goneAt; ///< When it was last removed.
+        /// Its registration was removed while the store was there; it neither expired in an outage nor was replaced by
+        /// another writer.
+        bool removed = false;
         std::optional<ServerRegistration> outdated; ///< An older registration, which the store has now.
         MonotonicTime outdatedSince; ///< Since when the store, while reachable, has had one of that run.
     };
 
     [[nodiscard]] bool isOwn(const ServerRegistration& registration) const;
     void listed(const ServerRegistration& registration, MonotonicTime now);
-    void notListed(Entry& entry, MonotonicTime now) const;
+    void notListed(Entry& entry, bool isOverwritten, MonotonicTime now) const;
     /// Whether the store can have been away since the list was last confirmed.
     [[nodiscard]] bool mayHaveBeenAway(MonotonicTime now) const noexcept
     {
--- a/src/gateway/server_registration.h
+++ b/src/gateway/server_registration.h
@@ -11,6 +11,8 @@
 struct ServerRegistration {
     ListedServer server;
     std::uint64_t sequence = 0; ///< Number of the write within the run of the server; 0: not reported.
+    /// Another writer replaced what the server wrote: only the id is known, until the server writes again.
+    bool isOverwritten = false;
 
     bool operator==(const ServerRegistration&) const = default;
 };
--- a/tests/server_directory_test.cpp
+++ b/tests/server_directory_test.cpp
@@ -69,6 +69,24 @@
     EXPECT_TRUE(servers().empty());
 }
 
+/// The same for a late write that is newer than what was known: an entry changes only when more than its sequence does.
+/// A server that runs stays listed for longer than such a write.
+TEST_F(ServerRegistrationTest, ALateWriteWithAHigherSequenceDoesNotBringBackAServerThatIsGone)
+{
+    list({registrationOf(100, 9)}, 0ms);
+    list({}, 1s);
+    list({registrationOf(100, 12)}, 1500ms);
+    EXPECT_FALSE(m_directory.applyTimeouts(start + 4100ms));
+    EXPECT_TRUE(servers().empty());
+    list({}, 4200ms);
+    EXPECT_FALSE(m_directory.applyTimeouts(start + 9s));
+    EXPECT_TRUE(servers().empty());
+    list({registrationOf(100, 20)}, 10s); // It runs, and its registration had expired.
+    EXPECT_FALSE(m_directory.applyTimeouts(start + 13s));
+    EXPECT_TRUE(m_directory.applyTimeouts(start + 13'600ms));
+    EXPECT_EQ(servers(), ServerList {registrationOf(100, 20).server});
+}
+
 /// Guards against the identity and the state of a run that has ended, which a late write lists again.
 TEST_F(ServerRegistrationTest, ALateWriteOfAnEarlierRunChangesNothing)
 {
@@ -107,12 +125,15 @@
 /// another writer has its id.
 TEST_F(ServerRegistrationTest, AnEntryThatTheServerCannotHaveWrittenNamesNoServer)
 {
+    ServerRegistration unreadable;
+    unreadable.server.identity.id = "a";
+    unreadable.isOverwritten = true;
     ServerRegistration withoutStart = registrationOf(0, 9);
     ServerRegistration otherService = registrationOf(100, 9);
     otherService.server.service = "ledger";
     ServerRegistration otherAddress = registrationOf(100, 9);
     otherAddress.server.address = "10.0.0.2:80";
-    for (const ServerRegistration& odd : {withoutStart, otherService, otherAddress}) {
+    for (const ServerRegistration& odd : {unreadable, withoutStart, otherService, otherAddress}) {
         m_directory = ServerDirectory(times);
         list({registrationOf(100, 7)}, 0ms);
         list({odd}, 100ms);
@@ -120,6 +141,9 @@
         list({registrationOf(100, 8)}, 900ms);
         EXPECT_EQ(servers(), ServerList {registrationOf(100, 8).server});
     }
+    m_directory = ServerDirectory(times);
+    list({unreadable}, 0ms); // Its server is not known.
+    EXPECT_TRUE(servers().empty());
 }
 
 /// Guards against order of arrival: whatever is listed late or twice, the newest registration that was listed counts.
--- a/tests/server_grace_test.cpp
+++ b/tests/server_grace_test.cpp
@@ -115,6 +115,16 @@
     EXPECT_FALSE(isUsed("b"));
 }
 
+/// Guards against servers that stay unused for long after an outage: they register again a little later than expected.
+TEST_F(ServerGraceTest, AServerThatExpiredInAnOutageIsUsedAsSoonAsItReturns)
+{
+    m_directory.update({listed("a")}, start + 9s);
+    confirm(9s, 11'500ms);
+    EXPECT_FALSE(isUsed("b"));
+    m_directory.update({listed("a"), listed("b")}, start + 11'600ms);
+    EXPECT_TRUE(isUsed("b"));
+}
+
 /// Guards against the loss of servers that could not register yet, since the store went away again.
 TEST_F(ServerGraceTest, TheTimeOfAnotherOutageDoesNotCountInAGracePeriod)
 {
