The server directory draws nothing from failed calls any more

Cause: besides the grace time, the time for which an older registration must stay listed began anew with each failed call and each success after it. Watches that are cut off again and again kept a server unused that had returned.

Change: that time begins anew only after a span without confirmation in which the store can have been away; nothing is decided in such a span. ServerDirectory::setStoreReachable is gone.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -273,7 +273,6 @@
     void onStoreReachability(bool reachable)
     {
         logEvent(reachable ? LogEvent::StoreAvailable : LogEvent::StoreUnavailable, "reported by the server list feed");
-        m_directory.setStoreReachable(reachable, monotonicNow());
         applyRangeEvent(StoreReachabilityChanged {reachable});
     }
     /// @}
--- a/src/gateway/server_directory.cpp
+++ b/src/gateway/server_directory.cpp
@@ -94,30 +94,26 @@
             if (entry.missingUntil) {
                 *entry.missingUntil += asOf - *m_confirmedAsOf;
             }
+            entry.outdatedSince = asOf; // The registration may have been replaced meanwhile.
         }
     }
     m_confirmedAsOf = std::max(m_confirmedAsOf.value_or(asOf), asOf);
 }
 
-void ServerDirectory::setStoreReachable(bool reachable, MonotonicTime now)
-{
-    m_storeReachable = reachable;
-    for (auto& [id, entry] : m_entries) {
-        entry.outdatedSince = now; // The registration may have been replaced during the outage.
-    }
-}
-
 bool ServerDirectory::applyTimeouts(MonotonicTime now)
 {
+    if (mayHaveBeenAway(now)) {
+        return false;
+    }
     bool changed = false;
     for (auto& [id, entry] : m_entries) {
-        if (entry.missingUntil && *entry.missingUntil <= now && !mayHaveBeenAway(now)) {
+        if (entry.missingUntil && *entry.missingUntil <= now) {
             entry.missingUntil.reset();
             entry.used = false;
             entry.goneAt = now;
             changed = true;
         }
-        if (entry.outdated && m_storeReachable && now - entry.outdatedSince > m_times.registrationExpiry) {
+        if (entry.outdated && now - entry.outdatedSince > m_times.registrationExpiry) {
             ServerRegistration registration = std::move(*entry.outdated);
             entry = Entry();
             entry.latest = std::move(registration);
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -41,10 +41,8 @@
     void update(const ServerRegistrations& registrations, MonotonicTime now);
     /// The store had the list as it is at @p asOf, as an answer to this or another instance shows.
     void confirm(MonotonicTime asOf);
-    /// The store became reachable or unreachable.
-    void setStoreReachable(bool reachable, MonotonicTime now);
-    /// Removes missing servers whose grace period is over, and accepts registrations that were not replaced in time.
-    /// Returns whether the list changed.
+    /// Removes missing servers whose grace period is over, and accepts registrations that were not replaced in time;
+    /// neither while the store may be away. Returns whether the list changed.
     bool applyTimeouts(MonotonicTime now);
     [[nodiscard]] std::shared_ptr<const ServerList> servers() const;
     /// Whether update() was called.
@@ -62,13 +60,13 @@
         /// another writer.
         bool removed = false;
         std::optional<ServerRegistration> outdated; ///< An older registration, which the store has now.
-        MonotonicTime outdatedSince; ///< Since when the store, while reachable, has had one of that run.
+        MonotonicTime outdatedSince; ///< Since when the store has had one of that run, without an outage.
     };
 
     [[nodiscard]] bool isOwn(const ServerRegistration& registration) const;
     void listed(const ServerRegistration& registration, MonotonicTime now);
     void notListed(Entry& entry, bool isOverwritten, MonotonicTime now) const;
-    /// Whether the store can have been away since the list was last confirmed.
+    /// Whether the list has not been confirmed for so long that the store can have been away.
     [[nodiscard]] bool mayHaveBeenAway(MonotonicTime now) const noexcept
     {
         return m_confirmedAsOf && now - *m_confirmedAsOf >= m_times.shortestExpiringOutage;
@@ -78,7 +76,6 @@
     std::map<std::string, Entry> m_entries; ///< By id; with servers that are gone, while late writes are possible.
     std::optional<MonotonicTime> m_confirmedAsOf; ///< The list was complete up to this time.
     MonotonicTime m_graceEndsAt; ///< Servers that vanish are retained until then.
-    bool m_storeReachable = false;
     bool m_hasList = false;
 };
 
