--- a/tests/endless_input_test.cpp
+++ b/tests/endless_input_test.cpp
@@ -1,12 +1,10 @@
-#include "base/glib_pointer.h"
 #include "http/http_server.h"
 #include "http/request_reader.h"
 #include "support/http_peer.h"
+#include "support/main_context_fixture.h"
 
 #include <jasminespread/backend_transports.h>
 
-#include <glib.h>
-
 #include <gtest/gtest.h>
 
 #include <optional>
@@ -29,42 +27,7 @@
     return body;
 }
 
-class EndlessInputTest : public testing::Test {
-protected:
-    EndlessInputTest()
-        : m_context(g_main_context_new())
-    {
-        g_main_context_push_thread_default(m_context);
-    }
-    ~EndlessInputTest() override
-    {
-        g_main_context_pop_thread_default(m_context);
-        g_main_context_unref(m_context);
-    }
-
-    template <typename Condition> bool runUntil(Condition done, Milliseconds limit = 5000ms)
-    {
-        const MonotonicTime end = monotonicNow() + limit;
-        while (!done() && monotonicNow() < end) {
-            if (!g_main_context_iteration(m_context, FALSE)) {
-                std::this_thread::sleep_for(200us);
-            }
-        }
-        return done();
-    }
-
-    static BackendRequest requestTo(const TestBackend& backend)
-    {
-        BackendRequest request;
-        request.address = backend.address();
-        request.method = "GET";
-        request.target = "/x";
-        request.deadline = monotonicNow() + 3000ms;
-        return request;
-    }
-
-    GMainContext* m_context;
-};
+class EndlessInputTest : public test::MainContextFixture { };
 
 /// Guards against a process that keeps what a server sends without end, in every part of an answer: it must not last
 /// until the deadline of the request.
@@ -84,7 +47,7 @@
         TestBackend backend([&bytes = bytes](const std::string&) { return bytes; });
         const BackendTransport transport = makeBeastBackendTransport({maxBodyBytes, manyBytes});
         std::optional<BackendResult> result;
-        transport.send(requestTo(backend), [&](BackendResult received) { result = std::move(received); });
+        transport.send(requestTo(backend, "GET", "/x"), [&](BackendResult received) { result = std::move(received); });
         ASSERT_TRUE(runUntil([&] { return result.has_value(); })) << part;
         EXPECT_EQ(result->progress, BackendProgress::Broken) << part;
         EXPECT_FALSE(result->timedOut) << part;
@@ -101,11 +64,11 @@
     TestBackend sound([](const std::string&) { return TestBackend::answer(std::string(100'000, 'b')); });
     const BackendTransport transport = makeBeastBackendTransport({maxBodyBytes, maxTotalBytes});
     std::optional<BackendResult> longest;
-    transport.send(requestTo(endless), [&](BackendResult received) { longest = std::move(received); });
+    transport.send(requestTo(endless, "GET", "/x"), [&](BackendResult received) { longest = std::move(received); });
     EXPECT_FALSE(runUntil([&] { return longest.has_value(); }, 500ms));
     for (int i = 0; i < 3; ++i) {
         std::optional<BackendResult> other;
-        transport.send(requestTo(sound), [&](BackendResult received) { other = std::move(received); });
+        transport.send(requestTo(sound, "GET", "/x"), [&](BackendResult received) { other = std::move(received); });
         ASSERT_TRUE(runUntil([&] { return other.has_value(); }));
         EXPECT_EQ(other->progress, BackendProgress::Answered);
         EXPECT_EQ(other->body.size(), 100'000U);
--- a/tests/faulty_peer_test.cpp
+++ b/tests/faulty_peer_test.cpp
@@ -1,13 +1,11 @@
 #include "http/http_server.h"
 #include "http/message_parser.h"
 #include "http/request_reader.h"
-#include "http/request_text.h"
 #include "support/http_peer.h"
+#include "support/main_context_fixture.h"
 
 #include <jasminespread/backend_transports.h>
 
-#include <glib.h>
-
 #include <gtest/gtest.h>
 
 #include <optional>
@@ -22,43 +20,15 @@
 /// Longer than a field that Beast's container of fields can hold.
 constexpr std::size_t longFieldBytes = 65'540;
 
-class FaultyPeerTest : public testing::Test {
+class FaultyPeerTest : public test::MainContextFixture {
 protected:
-    FaultyPeerTest()
-        : m_context(g_main_context_new())
-    {
-        g_main_context_push_thread_default(m_context);
-    }
-    ~FaultyPeerTest() override
-    {
-        g_main_context_pop_thread_default(m_context);
-        g_main_context_unref(m_context);
-    }
-
-    template <typename Condition> bool runUntil(Condition done, Milliseconds limit = 5000ms)
+    static BackendRequest orderTo(const TestBackend& backend)
     {
-        const MonotonicTime end = monotonicNow() + limit;
-        while (!done() && monotonicNow() < end) {
-            if (!g_main_context_iteration(m_context, FALSE)) {
-                std::this_thread::sleep_for(200us);
-            }
-        }
-        return done();
-    }
-
-    static BackendRequest requestTo(const TestBackend& backend)
-    {
-        BackendRequest request;
-        request.address = backend.address();
-        request.method = "POST";
-        request.target = "/order";
+        BackendRequest request = requestTo(backend, "POST", "/order");
         request.body = "fabric=blue";
-        request.deadline = monotonicNow() + 3000ms;
         request.acceptsCloseDelimitedAnswer = true;
         return request;
     }
-
-    GMainContext* m_context;
 };
 
 /// Guards against a process that ends because one server's answer has a field that cannot be kept, in the head or
@@ -92,8 +62,8 @@
         const BackendTransport transport = makeBeastBackendTransport({100'000});
         std::optional<BackendResult> oddResult;
         std::optional<BackendResult> soundResult;
-        transport.send(requestTo(sound), [&](BackendResult received) { soundResult = std::move(received); });
-        transport.send(requestTo(odd), [&](BackendResult received) { oddResult = std::move(received); });
+        transport.send(orderTo(sound), [&](BackendResult received) { soundResult = std::move(received); });
+        transport.send(orderTo(odd), [&](BackendResult received) { oddResult = std::move(received); });
         EXPECT_TRUE(runUntil([&] { return oddResult.has_value(); })) << form;
         answers = true;
         ASSERT_TRUE(runUntil([&] { return soundResult.has_value(); })) << form;
@@ -159,7 +129,7 @@
         received = request;
         return TestBackend::answer("done");
     });
-    BackendRequest request = requestTo(backend);
+    BackendRequest request = orderTo(backend);
     request.headers = raw.headers;
     const BackendTransport transport = makeBeastBackendTransport({100'000});
     std::optional<BackendResult> result;
@@ -190,7 +160,7 @@
         [](BackendRequest& request) { request.method.clear(); },
     };
     for (const auto& change : changes) {
-        BackendRequest request = requestTo(backend);
+        BackendRequest request = orderTo(backend);
         change(request);
         std::optional<BackendResult> result;
         transport.send(std::move(request), [&](BackendResult answer) { result = std::move(answer); });
--- a/tests/range_authority_test.cpp
+++ b/tests/range_authority_test.cpp
@@ -67,6 +67,25 @@
         return stepAndStore();
     }
 
+    /// Steps until @p server is granted a range, and ends the other calls as @p resultOf(isRelease) says. Returns when
+    /// that grant is sent; MonotonicTime() if it is not within 10 s.
+    template <typename ResultOf> MonotonicTime timeOfGrantTo(const std::string& server, ResultOf resultOf)
+    {
+        for (int i = 0; i < 200; ++i) {
+            for (const RangeEffect& effect : stepAndStore(50ms)) {
+                if (const auto* grant = std::get_if<GrantRange>(&effect)) {
+                    if (grant->server == holder(server)) {
+                        return m_now;
+                    }
+                    (void)m_keeper.onCallEnded({grant->callId, resultOf(false), ""}, m_now, true);
+                } else if (const auto* release = std::get_if<ReleaseRange>(&effect)) {
+                    (void)m_keeper.onCallEnded({release->callId, resultOf(true), "state"}, m_now, true);
+                }
+            }
+        }
+        return MonotonicTime();
+    }
+
     template <typename T> static const T* find(const RangeEffects& effects)
     {
         const auto it = std::find_if(effects.begin(), effects.end(),
@@ -265,20 +284,7 @@
     ListedServer restarted = server("a", ListedServerState::Draining);
     restarted.identity.startedAtUnixMs = 2;
     listServers({restarted, server("b")});
-    MonotonicTime grantedAt;
-    for (int i = 0; i < 200 && grantedAt == MonotonicTime(); ++i) {
-        for (const RangeEffect& effect : stepAndStore(50ms)) {
-            if (const auto* grant = std::get_if<GrantRange>(&effect)) {
-                if (grant->server == holder("b")) {
-                    grantedAt = m_now;
-                } else {
-                    (void)m_keeper.onCallEnded({grant->callId, GrantResult::NoAnswer, ""}, m_now, true);
-                }
-            } else if (const auto* release = std::get_if<ReleaseRange>(&effect)) {
-                (void)m_keeper.onCallEnded({release->callId, GrantResult::NoAnswer, ""}, m_now, true);
-            }
-        }
-    }
+    const MonotonicTime grantedAt = timeOfGrantTo("b", [](bool) { return GrantResult::NoAnswer; });
     EXPECT_GE(grantedAt, earlierLeaseEnd);
 }
 
@@ -297,22 +303,10 @@
     moved.address = "10.0.0.99:80";
     listServers({moved, server("b")});
     unsigned answers = 0;
-    MonotonicTime grantedAt;
-    for (int i = 0; i < 200 && grantedAt == MonotonicTime(); ++i) {
-        for (const RangeEffect& effect : stepAndStore(50ms)) {
-            if (const auto* grant = std::get_if<GrantRange>(&effect)) {
-                if (grant->server == holder("b")) {
-                    grantedAt = m_now;
-                } else {
-                    ++answers;
-                    (void)m_keeper.onCallEnded({grant->callId, GrantResult::OtherServer, ""}, m_now, true);
-                }
-            } else if (const auto* release = std::get_if<ReleaseRange>(&effect)) {
-                ++answers;
-                (void)m_keeper.onCallEnded({release->callId, GrantResult::OtherServer, ""}, m_now, true);
-            }
-        }
-    }
+    const MonotonicTime grantedAt = timeOfGrantTo("b", [&](bool) {
+        ++answers;
+        return GrantResult::OtherServer;
+    });
     EXPECT_GT(answers, 0U);
     EXPECT_GE(grantedAt, leaseEnd);
 }
@@ -374,21 +368,11 @@
     const MonotonicTime leaseEnd = m_times.leaseEnd(m_now);
     (void)m_keeper.onCallEnded(copy, m_now, true);
     listServers({server("a", ListedServerState::Draining), server("b")});
-    MonotonicTime grantedAt;
     unsigned proving = 0;
-    for (int i = 0; i < 200 && grantedAt == MonotonicTime(); ++i) {
-        for (const RangeEffect& effect : stepAndStore(50ms)) {
-            const auto* grant = std::get_if<GrantRange>(&effect);
-            if (grant != nullptr && grant->server == holder("b")) {
-                grantedAt = m_now;
-            } else if (grant != nullptr) {
-                ++proving;
-                (void)m_keeper.onCallEnded({grant->callId, GrantResult::NotSent, ""}, m_now, true);
-            } else if (const auto* release = std::get_if<ReleaseRange>(&effect)) {
-                (void)m_keeper.onCallEnded({release->callId, GrantResult::Done, "state"}, m_now, true);
-            }
-        }
-    }
+    const MonotonicTime grantedAt = timeOfGrantTo("b", [&](bool isRelease) {
+        proving += isRelease ? 0 : 1;
+        return isRelease ? GrantResult::Done : GrantResult::NotSent;
+    });
     EXPECT_EQ(proving, 1U);
     EXPECT_GE(grantedAt, leaseEnd);
 }
