Take back "A holder proves its last grant before it releases a range" (review/9)

Keys move away from loaded servers most of all, which reset new connections or let them wait; then the lease has to be waited for.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -486,9 +486,7 @@
 
     void executeRangeEffect(GrantRange&& effect)
     {
-        BackendRequest request = m_ports.encodeGrant(effect, monotonicNow() + RangeTimes().callTimeout);
-        request.needsNewConnection = effect.needsProof;
-        sendCall(effect.callId, false, std::move(request));
+        sendCall(effect.callId, false, m_ports.encodeGrant(effect, monotonicNow() + RangeTimes().callTimeout));
     }
 
     void executeRangeEffect(ReleaseRange&& effect)
@@ -516,9 +514,7 @@
             [this, call, isRelease, accepted, repeated = std::move(repeated)](const BackendResult& result) mutable {
                 const LoopMonitor::Step step(m_monitor, "grant-answer");
                 if (*accepted) {
-                    RangeCallEnded ended = m_ports.decodeGrantAnswer(call, result);
-                    ended.mayBeCopy = result.connectionReused;
-                    return applyRangeEvent(std::move(ended));
+                    return applyRangeEvent(m_ports.decodeGrantAnswer(call, result));
                 }
                 const std::string address = repeated.address;
                 m_transport.send(std::move(repeated), [this, call, isRelease, address](const BackendResult& confirmed) {
--- a/src/ranges/range_event.h
+++ b/src/ranges/range_event.h
@@ -82,8 +82,6 @@
     bool wasReset = false;
     /// The call was sent once before, and that send was not answered: the server may have executed it, or may still.
     bool earlierSendMayArrive = false;
-    /// The answer came on a connection that had carried another call, so it may be a copy of that call's answer.
-    bool mayBeCopy = false;
 };
 
 struct RangePeerMessage {
@@ -170,7 +168,6 @@
     std::uint64_t fence = 0; ///< Fencing token.
     Milliseconds leaseTime {0};
     std::string handover; ///< State from the previous owner's release; empty: none.
-    bool needsProof = false; ///< Its answer must not be a copy of an earlier one; it is sent on a new connection.
 };
 
 struct ReleaseRange {
--- a/src/ranges/range_keeper.cpp
+++ b/src/ranges/range_keeper.cpp
@@ -251,7 +251,6 @@
             }
             last.leaseEndBound = std::max(last.leaseEndBound, other.leaseEndBound);
             last.unansweredGrantEnd = std::max(last.unansweredGrantEnd, other.unansweredGrantEnd);
-            last.unprovenGrantEnd = std::max(last.unprovenGrantEnd, other.unprovenGrantEnd);
             last.fromEarlierTerm = last.fromEarlierTerm || other.fromEarlierTerm;
             last.changedAddress = last.changedAddress || other.changedAddress;
             if (isInCall(rangeState, last)) {
@@ -299,9 +298,6 @@
 /// of this term, so that a superseded leader, or a delayed call of it, cannot grant the range again after the release.
 /// If there are several, or it does not answer, a release does not suffice: the keeper also waits until the leases of
 /// the earlier term have expired.
-/// If the answer to its last grant may have been a copy, that grant may be executed after the release. The holder is
-/// first granted the range with a new fencing token and with an answer that proves it, so that it refuses the earlier
-/// grant.
 void RangeKeeper::revokeFrom(RangeState& rangeState, Holder& holder)
 {
     const bool isOnly = std::none_of(rangeState.holders.begin(), rangeState.holders.end(),
@@ -310,12 +306,6 @@
         ++holder.fencingAttempts;
         return sendGrant(rangeState, holder);
     }
-    const bool mustWait = holder.unansweredGrantEnd > m_now;
-    if (holder.grantConfirmed && holder.unprovenGrantEnd > m_now && !mustWait && !holder.provingAttempted) {
-        holder.provingAttempted = true;
-        holder.fence = 0;
-        return sendGrant(rangeState, holder, true);
-    }
     sendRelease(rangeState, holder);
 }
 
@@ -352,7 +342,7 @@
     rangeState.requiredGeneration = ++m_generation;
 }
 
-void RangeKeeper::sendGrant(RangeState& rangeState, Holder& target, bool needsProof)
+void RangeKeeper::sendGrant(RangeState& rangeState, Holder& target)
 {
     rangeState.callHasNewFence = target.fence == 0;
     if (rangeState.callHasNewFence) {
@@ -365,8 +355,8 @@
     rangeState.callIsRelease = false;
     rangeState.callServer = target.process;
     rangeState.callSentAt = m_now;
-    m_effects.emplace_back(GrantRange {rangeState.callId, target.process, rangeState.range, target.fence,
-        m_times.leaseTime, rangeState.handover, needsProof});
+    m_effects.emplace_back(GrantRange {
+        rangeState.callId, target.process, rangeState.range, target.fence, m_times.leaseTime, rangeState.handover});
 }
 
 void RangeKeeper::sendRelease(RangeState& rangeState, Holder& holder)
@@ -430,12 +420,6 @@
     switch (event.result) {
     case GrantResult::Done:
         target.grantConfirmed = true;
-        if (event.mayBeCopy) {
-            target.unprovenGrantEnd = m_times.leaseEnd(rangeState.callSentAt);
-            target.provingAttempted = false;
-        } else if (rangeState.callHasNewFence) {
-            target.unprovenGrantEnd = MonotonicTime(); // The server refuses earlier grants from now on.
-        }
         target.fromEarlierTerm = false;
         target.changedAddress = false;
         rangeState.failureScore = 0;
@@ -478,7 +462,7 @@
     switch (event.result) {
     case GrantResult::Done:
         if (!holder.fromEarlierTerm) {
-            holder.leaseEndBound = std::max(holder.unansweredGrantEnd, holder.unprovenGrantEnd);
+            holder.leaseEndBound = holder.unansweredGrantEnd;
         }
         // It may take the range again by a grant that is late, until that one's end.
         rangeState.nextCallAt = holder.fromEarlierTerm
@@ -560,7 +544,6 @@
         Holder& holder = left.holders.back();
         holder.leaseEndBound = std::max(holder.leaseEndBound, right.holders.back().leaseEndBound);
         holder.unansweredGrantEnd = std::max(holder.unansweredGrantEnd, right.holders.back().unansweredGrantEnd);
-        holder.unprovenGrantEnd = std::max(holder.unprovenGrantEnd, right.holders.back().unprovenGrantEnd);
         holder.fence = std::max(holder.fence, right.holders.back().fence);
         left.nextCallAt = m_now;
         left.requiredGeneration = std::max(left.requiredGeneration, right.requiredGeneration);
--- a/src/ranges/range_keeper.h
+++ b/src/ranges/range_keeper.h
@@ -104,9 +104,6 @@
         MonotonicTime leaseEndBound; ///< Its lease has expired by then unless it is granted again.
         MonotonicTime unansweredGrantEnd; ///< A late execution of an unanswered grant expires by then.
         bool grantConfirmed = false; ///< It accepted a grant with `fence`.
-        /// A grant whose answer may have been a copy of an earlier one, and that may be executed late, expires by then.
-        MonotonicTime unprovenGrantEnd;
-        bool provingAttempted = false; ///< A grant was sent whose answer can't be a copy, since the last renewal.
         bool fromEarlierTerm = false; ///< It may have a lease granted in an earlier term.
         /// It may have the lease at another address, where it was listed before; what its present address answers does
         /// not end that lease.
@@ -146,7 +143,7 @@
     void chooseTarget(RangeState& rangeState);
     void setTarget(RangeState& rangeState, const RangeHolder& target);
     void revokeFrom(RangeState& rangeState, Holder& holder);
-    void sendGrant(RangeState& rangeState, Holder& holder, bool needsProof = false);
+    void sendGrant(RangeState& rangeState, Holder& holder);
     void sendRelease(RangeState& rangeState, Holder& holder);
     void dropExpiredHolders(RangeState& rangeState);
     void replaceRestartedHolders(RangeState& rangeState);
