A route's home regions limit which servers get its requests

Change: HostRoute::homeRegions is a filter in front of every choice of a server: first try, repeat, hedge and owner of a key, by the routing and by the newest configuration, and again when a waiting request is written. A key whose owner is outside is refused at once, as not run.

--- a/src/gateway/gateway_configuration.cpp
+++ b/src/gateway/gateway_configuration.cpp
@@ -5,6 +5,11 @@
 
 namespace jasminespread {
 
+bool HostRoute::allowsRegion(std::string_view region) const noexcept
+{
+    return homeRegions.empty() || std::find(homeRegions.begin(), homeRegions.end(), region) != homeRegions.end();
+}
+
 const HostRoute* findRoute(const GatewayConfiguration& configuration, std::string_view host, std::string_view path)
 {
     const std::string_view name = host.substr(0, host.rfind(':'));
--- a/src/gateway/gateway_configuration.h
+++ b/src/gateway/gateway_configuration.h
@@ -39,6 +39,11 @@
     int priority = 0; ///< 0 is the highest.
     std::uint32_t maxAttempts = 1; ///< Upper bound on the backend servers that one request is sent to.
     std::vector<RouteTarget> targets; ///< At least one.
+    std::vector<std::string> homeRegions; ///< Regions whose servers may get its requests; empty: all.
+
+    /// Whether a server of @p region may get requests of the route. A server whose region is unknown may not get those
+    /// of a route with home regions. Thread-safe.
+    [[nodiscard]] bool allowsRegion(std::string_view region) const noexcept;
 };
 
 struct GatewayService {
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -478,6 +478,10 @@
     const ServerAvailability::Decision decision = ownerKnown
         ? server->second.availability.decide(RequestScope::OwnerOnly, m_now)
         : ServerAvailability::Decision {ServerBlock::NotListed, MonotonicTime::max()};
+    // The key would have to move for this route, and other routes of the service may have other home regions.
+    if (ownerKnown && !isAtHome(job, newerRouteOf(job), server->second.listed)) {
+        return refuse(job, "the owner of the key is outside the home regions of the route", noOwnerRetryAfter);
+    }
     const bool ownerUsable = decision.available();
     const bool rejectedAsNotOwner
         = ranges && job.notOwnerTableVersion == ranges->version && job.notOwnerTableVersion != 0;
@@ -557,9 +561,11 @@
     if (pool == m_serverPools.end()) {
         return std::nullopt;
     }
+    const HostRoute* newerRoute = newerRouteOf(job);
     for (const std::string& id : pool->second) {
         Server& server = m_servers.at(id);
-        if (job.triedServers.contains(id) || !server.availability.decide(RequestScope::AnyServer, m_now).available()) {
+        if (job.triedServers.contains(id) || !isAtHome(job, newerRoute, server.listed)
+            || !server.availability.decide(RequestScope::AnyServer, m_now).available()) {
             continue;
         }
         ServerCandidate candidate = candidateOf(server);
@@ -575,10 +581,11 @@
 {
     std::optional<MonotonicTime> first;
     const auto pool = m_serverPools.find(job.service);
+    const HostRoute* newerRoute = newerRouteOf(job);
     for (const std::string& id : pool == m_serverPools.end() ? std::vector<std::string>() : pool->second) {
-        const ServerAvailability::Decision decision
-            = m_servers.at(id).availability.decide(RequestScope::AnyServer, m_now);
-        if (decision.block == ServerBlock::Pausing) {
+        const Server& server = m_servers.at(id);
+        const ServerAvailability::Decision decision = server.availability.decide(RequestScope::AnyServer, m_now);
+        if (decision.block == ServerBlock::Pausing && isAtHome(job, newerRoute, server.listed)) {
             first = std::min(first.value_or(decision.until), decision.until);
         }
     }
@@ -598,6 +605,17 @@
     return job.keyed ? RequestScope::OwnerOnly : RequestScope::AnyServer;
 }
 
+const HostRoute* GatewayReducer::newerRouteOf(const Job& job) const
+{
+    return job.configuration == m_configuration ? nullptr
+                                                : findRoute(*m_configuration, job.request->host, job.request->path);
+}
+
+bool GatewayReducer::isAtHome(const Job& job, const HostRoute* newerRoute, const ListedServer& server)
+{
+    return job.route->allowsRegion(server.region) && (newerRoute == nullptr || newerRoute->allowsRegion(server.region));
+}
+
 /// Whether a server that is no longer listed may be listed again with the same run and must not get requests then.
 bool GatewayReducer::mustRemember(const Server& server) const
 {
@@ -617,6 +635,9 @@
     const auto sent = std::find_if(job.dispatches.begin(), job.dispatches.end(),
         [dispatch](const Dispatch& candidate) { return candidate.number == dispatch; });
     const Server& server = m_servers.at(sent->server);
+    if (!isAtHome(job, newerRouteOf(job), server.listed)) {
+        return false;
+    }
     return server.run != sent->serverRun || server.availability.maySend(scopeOf(job), now);
 }
 
--- a/src/gateway/gateway_reducer.h
+++ b/src/gateway/gateway_reducer.h
@@ -164,6 +164,10 @@
     /// Applies the end of @p dispatch to its server, unless the server has started again since.
     void endDispatch(const Dispatch& dispatch);
     [[nodiscard]] static RequestScope scopeOf(const Job& job) noexcept;
+    /// The route that a request has in the newest configuration; nullptr when it has none there, or was routed by it.
+    [[nodiscard]] const HostRoute* newerRouteOf(const Job& job) const;
+    /// Whether the home regions of the request allow @p server. @p newerRoute is newerRouteOf(job).
+    [[nodiscard]] static bool isAtHome(const Job& job, const HostRoute* newerRoute, const ListedServer& server);
     [[nodiscard]] bool mustRemember(const Server& server) const;
     [[nodiscard]] ServerCandidate candidateOf(const Server& server) const;
     [[nodiscard]] RequestTiming timingOf(const Job& job);
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -7,6 +7,7 @@
 #include "http/http_server.h"
 #include "http/request_reader.h"
 
+#include <gmock/gmock.h>
 #include <gtest/gtest.h>
 
 namespace jasminespread::platform {
@@ -184,6 +185,22 @@
     EXPECT_FALSE(decodeWith("r-2", "trafficSplit", R"([{"service":"a","weight":-1}])"));
 }
 
+/// Guards against a route that loses its home regions because they cannot be read.
+TEST(PlatformConfigurationTest, ReadsHomeRegions)
+{
+    const auto decodeWith = [](const char* value) {
+        json::value changed = configuration();
+        changed.as_object()["routes"].as_object()["r-1"].as_object()["allowedRegions"] = json::parse(value);
+        return decodeConfiguration(changed);
+    };
+    EXPECT_THAT(
+        decodeWith(R"(["north","centre"])").value().routes[0].homeRegions, testing::ElementsAre("north", "centre"));
+    EXPECT_TRUE(decodeWith("[]").value().routes[0].homeRegions.empty());
+    EXPECT_TRUE(decodeWith("null").value().routes[0].homeRegions.empty());
+    EXPECT_FALSE(decodeWith("\"north\""));
+    EXPECT_FALSE(decodeWith("[1]"));
+}
+
 RawRequest rawRequest()
 {
     RawRequest raw;
