Evacuated failure domains get nothing

Cause: no code read the store's objects of kind evacuations. Change: a third feed, only where the settings state evacMs. Pooled requests leave at once, also those that wait for a connection; the leader moves key ranges away as from a server that shuts down, and their owners get requests until 0.25 s before evacMs is over, counted from the earliest moment at which the evacuation can have begun. An instance is not ready, and sends nothing, before it has the list. Log event 306 and a gauge.

--- a/include/jasminespread/log_event.h
+++ b/include/jasminespread/log_event.h
@@ -37,6 +37,7 @@
     ServerListChanged = 303,
     ServerLeavingStated = 304,
     ServerPauseRequested = 305,
+    DomainEvacuationChanged = 306,
     GroupTakenOver = 400,
     GroupLost = 401,
     AuthorityLapsed = 402,
@@ -69,7 +70,7 @@
     std::string_view meaning;
 };
 
-inline constexpr std::array<LogEventInfo, 38> logEventCatalogue {{
+inline constexpr std::array<LogEventInfo, 39> logEventCatalogue {{
     {LogEvent::ProcessStarted, LogLevel::Info, "process-started", "The process listens on all its addresses."},
     {LogEvent::ProcessStopping, LogLevel::Info, "process-stopping",
         "A stop was requested; requests in flight are drained."},
@@ -95,6 +96,8 @@
         "A backend server stated in an answer that it is shutting down; it gets no new work."},
     {LogEvent::ServerPauseRequested, LogLevel::Info, "server-pause-requested",
         "A backend server refused a request and asked for a pause; it gets no requests until its end."},
+    {LogEvent::DomainEvacuationChanged, LogLevel::Info, "domain-evacuation-changed",
+        "A failure domain is evacuated, or its evacuation was withdrawn; how long ago that can have been at most."},
     {LogEvent::GroupTakenOver, LogLevel::Info, "group-taken-over", "This instance became primary of a group."},
     {LogEvent::GroupLost, LogLevel::Warning, "group-lost", "Another instance became primary of a group."},
     {LogEvent::AuthorityLapsed, LogLevel::Warning, "authority-lapsed",
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -19,6 +19,7 @@
 #include <memory>
 #include <optional>
 #include <random>
+#include <set>
 #include <unordered_map>
 
 namespace jasminespread {
@@ -122,6 +123,7 @@
         g_timeout_add(static_cast<guint>(rangeTickInterval.count()), onRangeTick, this);
         m_ports.start({[this](GatewayConfiguration&& configuration) { onConfiguration(std::move(configuration)); },
             [this](ServerRegistrations&& servers) { onServers(servers); },
+            [this](std::set<std::string>&& domains) { onEvacuations(std::move(domains)); },
             [this](bool reachable) { onStoreReachability(reachable); },
             [this](const std::string& feed, FeedRevision revision, bool byStore) {
                 // Upper bound on how long the message that was just read had been waiting.
@@ -225,10 +227,36 @@
         publishServers();
     }
 
-    /// Upper bound of the time since the changes were made that the server list feed is reporting.
-    [[nodiscard]] std::optional<Milliseconds> maxServerChangeAge() const
+    void onEvacuations(std::set<std::string>&& domains)
     {
-        const std::optional<MonotonicTime> confirmedAsOf = m_authority.feedConfirmedAsOf(m_ports.serverFeed);
+        const std::optional<Milliseconds> maxChangeAge = maxFeedChangeAge(m_ports.evacuationFeed);
+        logEvacuations(domains, maxChangeAge);
+        m_gatewayMetrics.setEvacuatedDomains(domains.size());
+        m_evacuatedDomains = domains;
+        applyRangeEvent(RangeEvacuationsListed {domains});
+        apply(EvacuationsListed {std::move(domains), maxChangeAge});
+    }
+
+    void logEvacuations(const std::set<std::string>& domains, std::optional<Milliseconds> maxChangeAge) const
+    {
+        const std::string age = " max-age-ms=" + (maxChangeAge ? std::to_string(maxChangeAge->count()) : "unknown");
+        const std::set<std::string> before = m_evacuatedDomains.value_or(std::set<std::string>());
+        for (const std::string& domain : domains) {
+            if (!before.contains(domain)) {
+                logEvent(LogEvent::DomainEvacuationChanged, "domain=" + domain + " evacuated=yes" + age);
+            }
+        }
+        for (const std::string& domain : before) {
+            if (!domains.contains(domain)) {
+                logEvent(LogEvent::DomainEvacuationChanged, "domain=" + domain + " evacuated=no" + age);
+            }
+        }
+    }
+
+    /// Upper bound of the time since the changes were made that @p feed is reporting.
+    [[nodiscard]] std::optional<Milliseconds> maxFeedChangeAge(const std::string& feed) const
+    {
+        const std::optional<MonotonicTime> confirmedAsOf = m_authority.feedConfirmedAsOf(feed);
         return confirmedAsOf ? std::optional(std::chrono::ceil<Milliseconds>(boottimeNow() - *confirmedAsOf))
                              : std::nullopt;
     }
@@ -239,7 +267,7 @@
         if (m_servers && *m_servers == *servers) {
             return;
         }
-        const std::optional<Milliseconds> maxChangeAge = maxServerChangeAge();
+        const std::optional<Milliseconds> maxChangeAge = maxFeedChangeAge(m_ports.serverFeed);
         logServerChanges(servers, maxChangeAge);
         m_servers = servers;
         apply(ServersListed {servers, maxChangeAge});
@@ -305,6 +333,9 @@
         if (m_stopping || !m_configuration || !m_directory.hasList()) {
             return false;
         }
+        if (m_settings.reducer.evacuationTime && !m_evacuatedDomains) {
+            return false;
+        }
         std::vector<std::string> keyedServices;
         for (const auto& [name, service] : m_configuration->services) {
             if (service.keyed) {
@@ -576,7 +607,7 @@
             const std::vector<ServerIdentity> leaving = m_reducer.leavingServers();
             applyRangeEvent(LeavingServersObserved {{leaving.begin(), leaving.end()}});
         }
-        if (const std::optional<Milliseconds> age = maxServerChangeAge()) {
+        if (const std::optional<Milliseconds> age = maxFeedChangeAge(m_ports.serverFeed)) {
             m_directory.confirm(now - *age);
         }
         if (m_directory.applyTimeouts(now)) {
@@ -663,6 +694,7 @@
     MonotonicTime m_rangeEffectsDecidedAt; ///< When the current range effects were decided, by boottimeNow().
     std::shared_ptr<const GatewayConfiguration> m_configuration;
     std::shared_ptr<const ServerList> m_servers; ///< As last published.
+    std::optional<std::set<std::string>> m_evacuatedDomains; ///< Absent until the first list.
     std::deque<GatewayEvent> m_pendingEvents; ///< Events to apply, including those raised while effects are executed.
     bool m_applyingEvents = false;
     std::optional<Milliseconds> m_suspendedFor; ///< Total time in which the machine was suspended, as last seen.
--- a/src/gateway/gateway_event.h
+++ b/src/gateway/gateway_event.h
@@ -11,6 +11,7 @@
 #include <map>
 #include <memory>
 #include <optional>
+#include <set>
 #include <string>
 #include <variant>
 #include <vector>
@@ -67,6 +68,13 @@
     std::optional<Milliseconds> maxChangeAge {};
 };
 
+/// The failure domains whose servers must get nothing, as the store lists them.
+struct EvacuationsListed {
+    std::set<std::string> failureDomains;
+    /// Upper bound of the time since the changes in this list were made; nothing when it is unknown.
+    std::optional<Milliseconds> maxChangeAge {};
+};
+
 /// The range table of one keyed service changed.
 struct RangeTableChanged {
     std::shared_ptr<const RangeTable> table;
@@ -96,9 +104,9 @@
 /// Lets timers expire; sent at GatewayReducer::nextWake().
 struct GatewayTick { };
 
-using GatewayEvent
-    = std::variant<RequestReceived, CallerDisconnected, ServerAnswered, SendFailed, GatewayConfigured, ServersListed,
-        RangeTableChanged, ServerLoadsReported, InstanceCountChanged, MachineSuspended, InstanceStopping, GatewayTick>;
+using GatewayEvent = std::variant<RequestReceived, CallerDisconnected, ServerAnswered, SendFailed, GatewayConfigured,
+    ServersListed, EvacuationsListed, RangeTableChanged, ServerLoadsReported, InstanceCountChanged, MachineSuspended,
+    InstanceStopping, GatewayTick>;
 /// @}
 
 /// @name Effects of the gateway's reducer
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -42,6 +42,15 @@
     m_lostLogLines->add(lines - std::exchange(m_knownLostLogLines, lines));
 }
 
+void GatewayMetrics::setEvacuatedDomains(std::size_t domains)
+{
+    if (m_evacuatedDomains == nullptr) {
+        m_evacuatedDomains = &m_registry.gauge(
+            "jasminespread_gateway_evacuated_domains", "", "Failure domains whose servers must get nothing.");
+    }
+    m_evacuatedDomains->set(static_cast<double>(domains));
+}
+
 void GatewayMetrics::recordStoreCall(std::string_view purpose)
 {
     auto it = m_storeCalls.find(purpose);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -25,6 +25,8 @@
     void recordServerStatement(const RecordServerStatement& statement);
     /// Sets the number of log lines of this process that were lost.
     void setLostLogLines(std::uint64_t lines);
+    /// Sets the number of evacuated failure domains.
+    void setEvacuatedDomains(std::size_t domains);
     /// Counts a call to the platform's store.
     void recordStoreCall(std::string_view purpose);
 
@@ -36,6 +38,7 @@
         m_decisions; ///< By service, decision.
     MetricsRegistry::Counter* m_requestedPauses = nullptr;
     MetricsRegistry::Counter* m_statedShutdowns = nullptr;
+    MetricsRegistry::Gauge* m_evacuatedDomains = nullptr;
     std::map<std::string, MetricsRegistry::Histogram*> m_seconds; ///< By service.
     std::map<std::string, MetricsRegistry::Counter*, std::less<>> m_storeCalls; ///< By purpose.
 };
--- a/src/gateway/gateway_ports.h
+++ b/src/gateway/gateway_ports.h
@@ -8,6 +8,7 @@
 #include <jasminespread/object_store.h>
 
 #include <functional>
+#include <set>
 #include <string>
 #include <variant>
 
@@ -21,6 +22,8 @@
         std::function<void(GatewayConfiguration&&)> configurationReceived;
         /// The list changed. Called before feedRevisionKnown() for the same change.
         std::function<void(ServerRegistrations&&)> serversListed;
+        /// The failure domains whose servers must get nothing changed, or are known for the first time.
+        std::function<void(std::set<std::string>&&)> evacuationsListed;
         /// The store became reachable (true) or unreachable, as seen by calls for the server list.
         std::function<void(bool)> storeReachabilityChanged;
         /// The state of a feed is up to date as of a revision. @p byStore is true when an answer of the store showed
@@ -31,6 +34,7 @@
     };
 
     std::string serverFeed; ///< Name of the feed that serversListed() reports.
+    std::string evacuationFeed; ///< Name of the feed that evacuationsListed() reports.
     std::string readinessPath; ///< Path of the load balancer's readiness check.
     /// Returns an answer instead of a request when the caller's request is malformed.
     std::function<std::variant<GatewayRequest, CallerAnswer>(RawRequest&&)> decodeRequest;
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -115,7 +115,7 @@
 /// Whether the first configuration or server list is missing although the instance started only recently.
 bool GatewayReducer::isLoading() const
 {
-    return (!m_configuration || !m_serversListed) && m_now < m_startedAt + maxLoadTime;
+    return (!m_configuration || !m_serversListed || !knowsEvacuations()) && m_now < m_startedAt + maxLoadTime;
 }
 
 bool GatewayReducer::canWaitForLoad(const GatewayRequest& request) const
@@ -147,6 +147,10 @@
     if (!m_configuration) {
         return answerNow(event.caller, request, serviceUnavailable, "no configuration is known yet", startupRetryAfter);
     }
+    if (!knowsEvacuations()) {
+        return answerNow(event.caller, request, serviceUnavailable, "evacuated failure domains are not known yet",
+            startupRetryAfter);
+    }
     const HostRoute* route = findRoute(*m_configuration, request.host, request.path);
     if (route == nullptr) {
         return answerNow(event.caller, request, 404, "no route matches this host and path", 0ms);
@@ -340,7 +344,8 @@
     for (const ListedServer& listed : *event.servers) {
         Server& server = m_servers[listed.identity.id];
         if (server.listed.identity != listed.identity) {
-            server.availability = ServerAvailability(m_settings.drainTime);
+            server.availability
+                = ServerAvailability(m_settings.drainTime, m_settings.evacuationTime.value_or(Milliseconds(0)));
         }
         if (server.listed.identity != listed.identity || server.listed.address != listed.address) {
             server.observation = ServerObservation();
@@ -350,6 +355,7 @@
         server.availability.onListed(listed.state, changedAfter);
         server.listed = listed;
         server.isListed = true;
+        applyEvacuation(server);
     }
     for (auto& [id, server] : m_servers) {
         if (!server.isListed) {
@@ -380,6 +386,27 @@
     handleHeldRequests();
 }
 
+void GatewayReducer::handle(EvacuationsListed&& event)
+{
+    const MonotonicTime changedAfter = event.maxChangeAge ? m_now - *event.maxChangeAge : MonotonicTime::min();
+    std::erase_if(
+        m_evacuatedSince, [&event](const auto& entry) { return !event.failureDomains.contains(entry.first); });
+    for (const std::string& domain : event.failureDomains) {
+        m_evacuatedSince.try_emplace(domain, changedAfter);
+    }
+    m_evacuationsListed = true;
+    for (auto& [id, server] : m_servers) {
+        applyEvacuation(server);
+    }
+    handleHeldRequests();
+}
+
+void GatewayReducer::applyEvacuation(Server& server) const
+{
+    const auto it = m_evacuatedSince.find(server.listed.failureDomain);
+    server.availability.onEvacuationListed(it == m_evacuatedSince.end() ? std::nullopt : std::optional(it->second));
+}
+
 void GatewayReducer::handle(RangeTableChanged&& event)
 {
     Service& service = serviceOf(event.table->service);
@@ -416,6 +443,11 @@
 
 void GatewayReducer::handle(MachineSuspended&& event)
 {
+    for (auto& [domain, since] : m_evacuatedSince) {
+        if (since != MonotonicTime::min()) {
+            since -= event.duration;
+        }
+    }
     for (auto& [id, server] : m_servers) {
         server.availability.onSuspended(event.duration);
     }
--- a/src/gateway/gateway_reducer.h
+++ b/src/gateway/gateway_reducer.h
@@ -28,6 +28,9 @@
     RetryBudgetLimits retryBudget;
     /// How long after announcing its shutdown a server may still get requests; see ServerAvailability.
     Milliseconds drainTime {2000};
+    /// How long after the evacuation of a failure domain its servers may still get requests; nothing: the platform
+    /// does not evacuate failure domains.
+    std::optional<Milliseconds> evacuationTime {};
 };
 
 /// Decision logic of an instance's data path: routes each request to a backend server of its service, retries and
@@ -117,6 +120,7 @@
     void handle(SendFailed&& event);
     void handle(GatewayConfigured&& event);
     void handle(ServersListed&& event);
+    void handle(EvacuationsListed&& event);
     void handle(RangeTableChanged&& event);
     void handle(ServerLoadsReported&& event);
     void handle(InstanceCountChanged&& event);
@@ -127,6 +131,8 @@
     /// @name Requests that arrived before the first configuration and server list
     /// @{
     [[nodiscard]] bool isLoading() const;
+    /// Whether the evacuated failure domains are known, or there are none on this platform.
+    [[nodiscard]] bool knowsEvacuations() const { return m_evacuationsListed || !m_settings.evacuationTime; }
     [[nodiscard]] bool canWaitForLoad(const GatewayRequest& request) const;
     void handleHeldRequests();
     /// @}
@@ -169,6 +175,7 @@
     /// Whether the home regions of the request allow @p server. @p newerRoute is newerRouteOf(job).
     [[nodiscard]] static bool isAtHome(const Job& job, const HostRoute* newerRoute, const ListedServer& server);
     [[nodiscard]] bool mustRemember(const Server& server) const;
+    void applyEvacuation(Server& server) const;
     [[nodiscard]] ServerCandidate candidateOf(const Server& server) const;
     [[nodiscard]] RequestTiming timingOf(const Job& job);
     [[nodiscard]] Milliseconds typicalLatencyOf(const Job& job);
@@ -192,6 +199,9 @@
     MonotonicTime m_startedAt; ///< First event.
     std::optional<InstanceStopping> m_stop; ///< Set once a stop was requested.
     bool m_serversListed = false;
+    bool m_evacuationsListed = false;
+    /// The evacuated failure domains and the earliest moment at which each evacuation can have begun.
+    std::map<std::string, MonotonicTime> m_evacuatedSince;
     std::vector<HeldRequest> m_heldRequests;
     GatewayEffects m_effects;
     std::shared_ptr<const GatewayConfiguration> m_configuration;
--- a/src/gateway/server_availability.cpp
+++ b/src/gateway/server_availability.cpp
@@ -18,6 +18,12 @@
 /// When to look again whether the first request after a pause was answered.
 constexpr Milliseconds firstAnswerCheckInterval = 60ms;
 
+/// Whether a request that is sent at @p now can arrive later than @p limit after @p since.
+bool mayArriveAfter(Milliseconds limit, MonotonicTime since, MonotonicTime now) noexcept
+{
+    return since == MonotonicTime::min() || now - since >= limit - std::min(arrivalMargin, limit);
+}
+
 } // namespace
 
 void ServerAvailability::onListed(ListedServerState state, std::optional<MonotonicTime> changedAfter) noexcept
@@ -69,6 +75,9 @@
     if (m_leavingSince && *m_leavingSince != MonotonicTime::min()) {
         *m_leavingSince -= duration;
     }
+    if (m_evacuatedSince && *m_evacuatedSince != MonotonicTime::min()) {
+        *m_evacuatedSince -= duration;
+    }
     m_pausedUntil -= duration;
     m_unreachableUntil -= duration;
 }
@@ -88,12 +97,14 @@
     }
     if (isLeaving()) {
         // The owner of a key serves on while the key is moved, because no other server can.
-        const bool expired = *m_leavingSince == MonotonicTime::min()
-            || now - *m_leavingSince >= m_drainTime - std::min(arrivalMargin, m_drainTime);
-        if (scope == RequestScope::AnyServer || expired) {
+        if (scope == RequestScope::AnyServer || mayArriveAfter(m_drainTime, *m_leavingSince, now)) {
             return {ServerBlock::Leaving, MonotonicTime::max()};
         }
     }
+    if (m_evacuatedSince
+        && (scope == RequestScope::AnyServer || mayArriveAfter(m_evacuationTime, *m_evacuatedSince, now))) {
+        return {ServerBlock::Evacuated, MonotonicTime::max()};
+    }
     if (now < m_pausedUntil) {
         return {ServerBlock::Pausing, m_pausedUntil};
     }
--- a/src/gateway/server_availability.h
+++ b/src/gateway/server_availability.h
@@ -19,15 +19,17 @@
     None,
     NotListed, ///< Service discovery does not list it.
     Leaving, ///< It is shutting down.
+    Evacuated, ///< The operator asked that nothing be sent to its failure domain.
     Pausing, ///< It asked for a pause.
     AwaitingFirstAnswer, ///< After the pause one request is in flight; its answer decides about the next ones.
     Unreachable ///< A recent connection failed.
 };
 
-inline constexpr std::array<EnumName<ServerBlock>, 6> serverBlockNames {{
+inline constexpr std::array<EnumName<ServerBlock>, 7> serverBlockNames {{
     {ServerBlock::None, "none"},
     {ServerBlock::NotListed, "not-listed"},
     {ServerBlock::Leaving, "leaving"},
+    {ServerBlock::Evacuated, "evacuated"},
     {ServerBlock::Pausing, "pausing"},
     {ServerBlock::AwaitingFirstAnswer, "awaiting-first-answer"},
     {ServerBlock::Unreachable, "unreachable"},
@@ -50,8 +52,11 @@
     };
 
     /// @param drainTime how long a server serves after it has announced its shutdown.
-    explicit ServerAvailability(Milliseconds drainTime = Milliseconds(0)) noexcept
+    /// @param evacuationTime how long the owner of a key may get requests after its failure domain was evacuated.
+    explicit ServerAvailability(
+        Milliseconds drainTime = Milliseconds(0), Milliseconds evacuationTime = Milliseconds(0)) noexcept
         : m_drainTime(drainTime)
+        , m_evacuationTime(evacuationTime)
     {
     }
 
@@ -62,6 +67,8 @@
     /// unknown, e.g. in the first list.
     void onListed(ListedServerState state, std::optional<MonotonicTime> changedAfter) noexcept;
     void onUnlisted() noexcept { m_listed = false; }
+    /// The server's failure domain is evacuated, since @p evacuatedSince at the earliest, or, with nothing, it is not.
+    void onEvacuationListed(std::optional<MonotonicTime> evacuatedSince) noexcept { m_evacuatedSince = evacuatedSince; }
     /// The server stated that it is shutting down, in the answer to a request that was sent at @p sentAt.
     void onLeavingStated(MonotonicTime sentAt) noexcept;
     /// The server refused a request and asked for no others for @p pause. @p jitter in [0, 1) spreads the return of
@@ -110,10 +117,12 @@
     void leaveSince(MonotonicTime earliest) noexcept;
 
     Milliseconds m_drainTime;
+    Milliseconds m_evacuationTime;
     bool m_listed = false;
     bool m_listedDraining = false;
     bool m_statedLeaving = false;
     std::optional<MonotonicTime> m_leavingSince; ///< Earliest moment at which its shutdown can have been announced.
+    std::optional<MonotonicTime> m_evacuatedSince; ///< Earliest moment; set while its failure domain is evacuated.
     MonotonicTime m_pausedUntil;
     bool m_awaitsFirstAnswer = false; ///< No request has been executed since the last pause began.
     bool m_firstRequestInFlight = false;
--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -137,6 +137,19 @@
     }
 }
 
+void RangeAuthority::handle(RangeEvacuationsListed&& event)
+{
+    m_evacuatedDomains = std::move(event.failureDomains);
+    for (auto& [service, keyedService] : m_services) {
+        if (keyedService.keeper) {
+            keyedService.keeper->setEvacuatedDomains(m_evacuatedDomains);
+        }
+    }
+    if (m_term != 0) {
+        stepServices(); // The keys need other owners before the time in which the present ones may get requests ends.
+    }
+}
+
 void RangeAuthority::handle(RangeServicesConfigured&& event)
 {
     m_configured = true;
@@ -638,6 +651,7 @@
     if (!keyedService.keeper) {
         keyedService.keeper = std::make_unique<RangeKeeper>(service, m_rangeTimes, m_counters, m_effects);
         keyedService.keeper->setLeavingServers(m_leavingServers);
+        keyedService.keeper->setEvacuatedDomains(m_evacuatedDomains);
     }
     if (!keyedService.adopted) {
         if (!keyedService.readInFlight && m_now >= keyedService.nextReadAt) {
--- a/src/ranges/range_authority.h
+++ b/src/ranges/range_authority.h
@@ -59,6 +59,7 @@
 
     void handle(RangeTick&& event);
     void handle(RangeServersListed&& event);
+    void handle(RangeEvacuationsListed&& event);
     void handle(RangeServicesConfigured&& event);
     void handle(RecordRead&& event);
     void handle(RecordWritten&& event);
@@ -141,6 +142,7 @@
     std::uint32_t m_instanceCount = 0;
 
     std::map<std::string, std::shared_ptr<const RangeTable>> m_knownTables; ///< Newest table, by service.
+    std::set<std::string> m_evacuatedDomains; ///< Failure domains whose servers must get nothing.
     std::set<ServerIdentity> m_ownLeavingServers; ///< Servers that have stated so in answers to this instance.
     std::set<ServerIdentity> m_leavingServers; ///< Stated to any instance, as known in the term that this one leads.
     std::map<std::string, std::uint32_t> m_ownInFlight; ///< Requests in flight of this instance, by server id.
--- a/src/ranges/range_event.h
+++ b/src/ranges/range_event.h
@@ -33,6 +33,11 @@
     std::shared_ptr<const ServerList> servers;
 };
 
+/// The failure domains whose servers must get nothing.
+struct RangeEvacuationsListed {
+    std::set<std::string> failureDomains;
+};
+
 struct RangeServicesConfigured {
     std::shared_ptr<const GatewayConfiguration> configuration;
 };
@@ -138,9 +143,9 @@
     std::string to; ///< Instance id.
 };
 
-using RangeEvent = std::variant<RangeTick, RangeServersListed, RangeServicesConfigured, RecordRead, RecordWritten,
-    RangeCallEnded, RangePeerMessage, KeysCounted, SpeedsObserved, LeavingServersObserved, StoreReachabilityChanged,
-    FeedRevisionConfirmed, FeedChanged, RangeStopRequested, RangeMessageDropped>;
+using RangeEvent = std::variant<RangeTick, RangeServersListed, RangeEvacuationsListed, RangeServicesConfigured,
+    RecordRead, RecordWritten, RangeCallEnded, RangePeerMessage, KeysCounted, SpeedsObserved, LeavingServersObserved,
+    StoreReachabilityChanged, FeedRevisionConfirmed, FeedChanged, RangeStopRequested, RangeMessageDropped>;
 
 /// `now` includes time in which the machine was suspended; otherwise leases would seem valid after they expired.
 struct TimedRangeEvent {
--- a/src/ranges/range_keeper.cpp
+++ b/src/ranges/range_keeper.cpp
@@ -109,7 +109,8 @@
 
 bool RangeKeeper::mayKeepRanges(const ServerIdentity& identity) const
 {
-    return mayServeRanges(identity) && !m_leavingServers.contains(identity);
+    return mayServeRanges(identity) && !m_leavingServers.contains(identity)
+        && !m_evacuatedDomains.contains(findListed(identity)->failureDomain);
 }
 
 bool RangeKeeper::mayReceiveRanges(const ServerIdentity& identity) const
@@ -273,7 +274,7 @@
         chooseTarget(rangeState);
     }
     if (!rangeState.hasTarget && !rangeState.holders.empty()) {
-        // A server that only states that it is shutting down serves on while there is no other one.
+        // A server that states that it is shutting down, or is evacuated, keeps its ranges while there is no other one.
         rangeState.hasTarget = mayServeRanges(rangeState.holders.back().process.identity);
     }
     // Until this term's first record is stored, an earlier leader can still record other holders and grant to them.
--- a/src/ranges/range_keeper.h
+++ b/src/ranges/range_keeper.h
@@ -66,6 +66,9 @@
     void setServers(std::shared_ptr<const ServerList> servers);
     /// Servers that have stated that they are shutting down, whatever their listed state; they get no ranges.
     void setLeavingServers(std::set<ServerIdentity> servers) { m_leavingServers = std::move(servers); }
+    /// Failure domains whose servers must get nothing. They get no ranges; those that they have move away as from a
+    /// server that has stated that it is shutting down.
+    void setEvacuatedDomains(std::set<std::string> domains) { m_evacuatedDomains = std::move(domains); }
     void addLoad(std::uint16_t key, double requests) { m_load.add(key, requests); }
     /// Adds an instance's latency measurement of a server; that of another service's server has no effect.
     void addSpeed(const ObservedSpeed& speed);
@@ -132,7 +135,7 @@
     [[nodiscard]] bool mayServeRanges(
         const ServerIdentity& identity) const; ///< It is listed, not draining and not excluded.
     [[nodiscard]] bool mayKeepRanges(
-        const ServerIdentity& identity) const; ///< The same, and it has not stated that it is shutting down.
+        const ServerIdentity& identity) const; ///< The same, and it is neither shutting down nor evacuated.
     [[nodiscard]] bool mayReceiveRanges(const ServerIdentity& identity) const; ///< The same, and it is ready.
     [[nodiscard]] std::vector<RangeServer> placementServers() const;
     [[nodiscard]] std::vector<PlacedRange> placedRanges(const std::vector<RangeServer>& servers) const;
@@ -170,6 +173,7 @@
     std::shared_ptr<const ServerList> m_servers;
     std::unordered_map<std::string, const ListedServer*> m_listed; ///< Servers of the service in `m_servers`, by id.
     std::set<ServerIdentity> m_leavingServers;
+    std::set<std::string> m_evacuatedDomains;
     std::map<ServerIdentity, MonotonicTime> m_excludedUntil; ///< Servers that failed to answer grants.
     std::vector<RangeState> m_ranges; ///< Sorted by key, without gaps; empty until there are servers.
     KeyLoad m_load;
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -147,7 +147,8 @@
                             << "\nself.limits.memoryMb=" << memoryMb << "\nnetwork.listen.front=" << address(host, 8381)
                             << "\nnetwork.listen.ready=" << address(host, 8388)
                             << "\nnetwork.internalPorts=7200,7215\nplatform.platform.address=" << address(1, 8384)
-                            << "\nterms.bounds.budgetSlack=50\nterms.bounds.graceS=6\n";
+                            << "\nterms.bounds.budgetSlack=50\nterms.bounds.graceS=6\n"
+                            << m_furtherSettings;
         m_gateways[index] = std::make_unique<Process>(
             std::vector<std::string> {std::string(BINARY_DIR) + "/jasminespread-gateway", "--settings", file},
             logFile(index),
@@ -255,6 +256,7 @@
     ServerFake m_plannerB;
     std::map<unsigned, std::unique_ptr<Process>> m_gateways;
     std::map<unsigned, std::string> m_logPipes; ///< Log to a named pipe, by gateway.
+    std::string m_furtherSettings; ///< Lines of the settings of gateways that start from now on.
     unsigned m_requestCount = 0;
 };
 
@@ -289,6 +291,37 @@
     EXPECT_TRUE(isReady(0));
 }
 
+/// Guards against an evacuation that a running instance, or one that starts during it, does not follow.
+TEST_F(GatewayTest, SendsNothingToAnEvacuatedFailureDomain)
+{
+    m_furtherSettings = "terms.bounds.evacMs=5000\n";
+    json::object away = m_deskB.storeEntry("desk").as_object();
+    away["zone"] = "kandy-a";
+    m_store.put("servers", "desk-b", away);
+    for (unsigned i = 0; i < 2; ++i) {
+        m_gateways.erase(i);
+        start(i);
+    }
+    EXPECT_TRUE(runUntil(10s, [this] { return isReady(0) && isReady(1); }));
+    EXPECT_TRUE(runUntil(5s, [this] { return call(0, "/read/1").status == 200; }));
+    m_store.put("evacuations", "colombo-a", json::object());
+    const auto isFollowed = [this] {
+        const std::size_t before = m_deskA.arrivals().size();
+        bool served = true;
+        for (unsigned i = 0; i < 20; ++i) {
+            served = call(i % 2, "/order/1").status == 200 && served;
+        }
+        return served && m_deskA.arrivals().size() == before;
+    };
+    EXPECT_TRUE(runUntil(5s, isFollowed));
+    m_gateways.erase(1);
+    start(1);
+    EXPECT_TRUE(runUntil(10s, [this] { return isReady(1); }));
+    EXPECT_TRUE(isFollowed());
+    m_store.remove("evacuations", "colombo-a");
+    EXPECT_TRUE(runUntil(5s, [&] { return !isFollowed(); }));
+}
+
 /// Guards against a gateway that ends because of one server's answer or one caller's request, so that orders in flight
 /// at sound servers get no answer.
 TEST_F(GatewayTest, KeepsServingBesideOddMessages)
--- a/tests/range_authority_test.cpp
+++ b/tests/range_authority_test.cpp
@@ -369,6 +369,29 @@
     EXPECT_EQ(find<GrantRange>(granted)->handover, "state");
 }
 
+/// Guards against keys that stay in an evacuated failure domain, and against keys that are given to it.
+TEST_F(RangeKeeperTest, MovesTheKeysOutOfAnEvacuatedFailureDomain)
+{
+    ListedServer first = server("a");
+    first.failureDomain = "north";
+    ListedServer second = server("b");
+    second.failureDomain = "south";
+    m_keeper.adopt(std::nullopt, 0, start);
+    listServers({first});
+    const RangeEffects granting = stepAndStore();
+    ASSERT_NE(find<GrantRange>(granting), nullptr);
+    (void)finishCall(find<GrantRange>(granting)->callId, GrantResult::Done);
+    m_keeper.setEvacuatedDomains({"north", "south"});
+    listServers({first, second});
+    EXPECT_EQ(find<ReleaseRange>(stepAndStore(50ms)), nullptr); // No other server may get the keys.
+    m_keeper.setEvacuatedDomains({"north"});
+    const RangeEffects releasing = stepAndStore(50ms);
+    ASSERT_NE(find<ReleaseRange>(releasing), nullptr);
+    const RangeEffects granted = finishCall(find<ReleaseRange>(releasing)->callId, GrantResult::Done, "state");
+    ASSERT_NE(find<GrantRange>(granted), nullptr);
+    EXPECT_EQ(find<GrantRange>(granted)->server, holder("b"));
+}
+
 /// Guards against keys that lose their owner before the next one can be recorded, or without a next one.
 TEST_F(RangeKeeperTest, AServerThatStatesThatItLeavesServesOnUntilTheNextOwnerIsRecorded)
 {
