A leader places no keys before it knows the evacuated failure domains

Cause: an instance that starts can lead before its list of evacuations has arrived, and could give key ranges to servers of an evacuated domain. Change: the range authority gets the server list only once the evacuations are known. Result: GatewayTest.SendsNothingToAnEvacuatedFailureDomain and GatewayTest.Serves* pass; the order itself is not shown by a test of its own.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -232,11 +232,20 @@
         const std::optional<Milliseconds> maxChangeAge = maxFeedChangeAge(m_ports.evacuationFeed);
         logEvacuations(domains, maxChangeAge);
         m_gatewayMetrics.setEvacuatedDomains(domains.size());
-        m_evacuatedDomains = domains;
+        const bool isFirstList = !std::exchange(m_evacuatedDomains, domains);
         applyRangeEvent(RangeEvacuationsListed {domains});
+        if (isFirstList && m_servers) {
+            applyRangeEvent(RangeServersListed {m_servers});
+        }
         apply(EvacuationsListed {std::move(domains), maxChangeAge});
     }
 
+    /// Before that, a leader could give key ranges to servers of an evacuated failure domain.
+    [[nodiscard]] bool knowsEvacuations() const
+    {
+        return m_evacuatedDomains.has_value() || !m_settings.reducer.evacuationTime;
+    }
+
     void logEvacuations(const std::set<std::string>& domains, std::optional<Milliseconds> maxChangeAge) const
     {
         const std::string age = " max-age-ms=" + (maxChangeAge ? std::to_string(maxChangeAge->count()) : "unknown");
@@ -271,7 +280,9 @@
         logServerChanges(servers, maxChangeAge);
         m_servers = servers;
         apply(ServersListed {servers, maxChangeAge});
-        applyRangeEvent(RangeServersListed {servers});
+        if (knowsEvacuations()) {
+            applyRangeEvent(RangeServersListed {servers});
+        }
     }
 
     void logServerChanges(
@@ -330,10 +341,7 @@
 
     [[nodiscard]] bool isReady() const
     {
-        if (m_stopping || !m_configuration || !m_directory.hasList()) {
-            return false;
-        }
-        if (m_settings.reducer.evacuationTime && !m_evacuatedDomains) {
+        if (m_stopping || !m_configuration || !m_directory.hasList() || !knowsEvacuations()) {
             return false;
         }
         std::vector<std::string> keyedServices;
