--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -1,3 +1,4 @@
+#include "gateway_process.h"
 #include "odd_server.h"
 #include "platform_fake.h"
 #include "process.h"
@@ -99,7 +100,7 @@
         , m_plannerB("planner-b", address(14, 8080), true)
     {
         std::filesystem::create_directories(m_folder);
-        m_store.put("config", "main", configuration(5, "/old/"));
+        m_store.put("config", "main", gatewayConfiguration(5, "/old/"));
         m_store.put("servers", "desk-a", m_deskA.storeEntry("desk"));
         m_store.put("servers", "desk-b", m_deskB.storeEntry("desk"));
         m_store.put("servers", "planner-a", m_plannerA.storeEntry("planner"));
@@ -118,25 +119,6 @@
         return m_networkPrefix + std::to_string(host) + ":" + std::to_string(port);
     }
 
-    static json::value configuration(std::uint64_t version, const std::string& prefix)
-    {
-        const auto route = [](const std::string& path, const char* kind, const char* service) {
-            return json::object {{"host", "a.example"}, {"pathPrefix", path}, {"kind", kind}, {"timeoutMs", 3000},
-                {"targetLatencyMs", 600}, {"priority", 1}, {"service", service}, {"maxAttempts", 2}};
-        };
-        return json::object {{"version", version},
-            {"routes",
-                {{"read", route("/read/", "idempotent", "desk")}, {"order", route("/order/", "non_idempotent", "desk")},
-                    {"plan", route("/plan/", "idempotent", "planner")},
-                    {"change", route(prefix, "idempotent", "desk")}}},
-            {"services",
-                {{"desk", {{"healthPath", "/health"}, {"maxConns", 100}}},
-                    {"planner", {{"healthPath", "/health"}, {"maxConns", 100}, {"sharded", true}, {"warmS", 2.0}}}}},
-            {"limits",
-                {{"maxHeaderBytes", 16384}, {"maxBodyBytes", 1048576}, {"headerTimeoutMs", 3000},
-                    {"idleTimeoutMs", 15000}}}};
-    }
-
     void start(unsigned index)
     {
         const unsigned host = 21 + index;
@@ -233,17 +215,6 @@
         return jumps;
     }
 
-    static double peakMemoryMb(int pid)
-    {
-        std::ifstream status("/proc/" + std::to_string(pid) + "/status");
-        for (std::string line; std::getline(status, line);) {
-            if (line.starts_with("VmHWM:")) {
-                return std::stod(line.substr(sizeof("VmHWM:") - 1)) / 1000;
-            }
-        }
-        return 1e9; // The process has ended.
-    }
-
     bool isReady(unsigned gateway) { return call(gateway, "/api/readiness", std::nullopt, 8388).status == 200; }
 
     std::string m_networkPrefix;
@@ -483,7 +454,7 @@
         }
         m_store.setMode(StoreFake::Mode::Serving);
         const std::string prefix = "/new" + std::to_string(static_cast<int>(mode)) + "/";
-        m_store.put("config", "main", configuration(10 + static_cast<std::uint64_t>(mode), prefix));
+        m_store.put("config", "main", gatewayConfiguration(10 + static_cast<std::uint64_t>(mode), prefix));
         EXPECT_TRUE(runUntil(3s, [&] { return call(0, prefix).status == 200 && call(1, prefix).status == 200; }));
     }
 }
@@ -589,7 +560,7 @@
                 (void)runUntil(50ms, [] { return false; });
             }
             const std::string prefix = "/v" + std::to_string(++version) + "/";
-            m_store.put("config", "main", configuration(version, prefix));
+            m_store.put("config", "main", gatewayConfiguration(version, prefix));
             EXPECT_TRUE(runUntil(3s, [&] { return call(0, prefix).status == 200 && call(1, prefix).status == 200; }));
         }
         EXPECT_GE(clockJumpsIn(logFile(jumping)), 4U);
@@ -600,10 +571,10 @@
 TEST_F(GatewayTest, FollowsConfigurationAfterHistoryCompaction)
 {
     m_store.compact();
-    m_store.put("config", "main", configuration(9, "/new/"));
+    m_store.put("config", "main", gatewayConfiguration(9, "/new/"));
     EXPECT_TRUE(runUntil(2s, [&] { return call(0, "/new/").status == 200 && call(1, "/new/").status == 200; }));
     EXPECT_EQ(call(0, "/old/").status, 404U);
-    m_store.put("config", "main", configuration(8, "/old/")); // An older version must not replace a newer one.
+    m_store.put("config", "main", gatewayConfiguration(8, "/old/")); // An older version must not replace a newer one.
     EXPECT_FALSE(runUntil(1s, [&] { return call(0, "/old/").status == 200; }));
 }
 
@@ -667,12 +638,12 @@
     (void)runUntil(4s, [] { return false; });
     // Calls per second: two for each of the two feeds, and one for the leader's own record.
     EXPECT_LE(m_store.calls() - before, 4U * (2 * 2 + 1) + 4);
-    m_store.put("config", "main", configuration(20, "/shared/"));
+    m_store.put("config", "main", gatewayConfiguration(20, "/shared/"));
     EXPECT_TRUE(runUntil(2s, [&] { return call(0, "/shared/").status == 200 && call(1, "/shared/").status == 200; }));
     const json::object leader = json::parse(m_store.spec("jasminespread", "leader")->as_string()).as_object();
     const unsigned lostGateway = leader.at("instance").as_string() == "edge-0" ? 0 : 1;
     m_gateways[lostGateway]->kill();
-    m_store.put("config", "main", configuration(21, "/alone/"));
+    m_store.put("config", "main", gatewayConfiguration(21, "/alone/"));
     EXPECT_TRUE(runUntil(2s, [&] { return call(1 - lostGateway, "/alone/").status == 200; }));
 }
 
