One account of what clients hold, for all listeners of a gateway

Clients of the callers' address and the readiness address together could take all memory and descriptors: fields were counted by received bytes although each takes 64 bytes or more, the readiness address had no bound, and connections had none. ClientAccount charges connections and memory by cost; ClientEvictionPolicy selects who gives way. Accepting pauses when no descriptor is left. Bodies need a minimum rate from 15 s on; the configuration's time limits apply to the readiness address too. Log events 508 and 509 enclose a period of pressure.

--- a/include/jasminespread/log_event.h
+++ b/include/jasminespread/log_event.h
@@ -56,6 +56,8 @@
     SendDelayed = 505,
     MemoryLimitReached = 506,
     MessageUnreadable = 507,
+    ClientPressureBegan = 508,
+    ClientPressureEnded = 509,
     StoreUnavailable = 600,
     StoreAvailable = 601,
     StoreOutcomeUnknown = 602,
@@ -70,7 +72,7 @@
     std::string_view meaning;
 };
 
-inline constexpr std::array<LogEventInfo, 39> logEventCatalogue {{
+inline constexpr std::array<LogEventInfo, 41> logEventCatalogue {{
     {LogEvent::ProcessStarted, LogLevel::Info, "process-started", "The process listens on all its addresses."},
     {LogEvent::ProcessStopping, LogLevel::Info, "process-stopping",
         "A stop was requested; requests in flight are drained."},
@@ -122,10 +124,15 @@
     {LogEvent::SendDelayed, LogLevel::Warning, "send-delayed",
         "A request waited for a connection to its backend server."},
     {LogEvent::MemoryLimitReached, LogLevel::Warning, "memory-limit-reached",
-        "An answer or a request was ended, because it or all in progress took too much memory."},
+        "An answer was ended, because it or all in progress took too much memory."},
     {LogEvent::MessageUnreadable, LogLevel::Warning, "message-unreadable",
         "An answer of a server or the store cannot be read, or a request to it cannot be written; the connection is "
         "closed."},
+    {LogEvent::ClientPressureBegan, LogLevel::Warning, "client-pressure-began",
+        "Clients hold as much memory, or as many connections, as the process may give them; some are refused or "
+        "closed."},
+    {LogEvent::ClientPressureEnded, LogLevel::Info, "client-pressure-ended",
+        "Clients hold notably less than the process may give them; how many were refused or closed."},
     {LogEvent::StoreUnavailable, LogLevel::Warning, "store-unavailable", "The platform's store stopped answering."},
     {LogEvent::StoreAvailable, LogLevel::Info, "store-available", "The platform's store answers again."},
     {LogEvent::StoreOutcomeUnknown, LogLevel::Warning, "store-outcome-unknown",
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -3,6 +3,7 @@
 #include "base/deadline_timer.h"
 #include "base/loop_monitor.h"
 #include "gateway/gateway_metrics.h"
+#include "http/client_account.h"
 #include "peer/peer_transport.h"
 #include "ranges/range_authority.h"
 #include "ranges/range_call_proof.h"
@@ -12,6 +13,7 @@
 #include <jasminespread/metrics_registry.h>
 
 #include <glib-unix.h>
+#include <sys/resource.h>
 
 #include <ctime>
 #include <deque>
@@ -31,6 +33,8 @@
 /// Share of the memory for the answers in progress, and again for callers' requests and the answers that they have not
 /// read. An answer that grows takes up to three times its length for a moment; a request is copied for its server.
 constexpr std::uint64_t memoryDivisor = 6;
+/// Descriptors for files and listeners; a quarter where that is less.
+constexpr std::uint64_t fileDescriptors = 200;
 /// What one other instance can make this one keep: 32 MiB. The largest messages are route tables; one of about 25,000
 /// ranges would be too large.
 constexpr std::uint32_t maxPeerMessageBytes = 1'048'576;
@@ -99,13 +103,16 @@
               rangeTimes(settings), leadershipTimes(settings), randomSeed())
         , m_directory({serverGracePeriod, settings.registrationExpiry, settings.shortestExpiringOutage})
         , m_reducerTimer([this] { onReducerTimer(); })
+        , m_clientAccount(std::make_shared<ClientAccount>(clientBounds(settings)))
         , m_callerServer(callerServerLimits(settings),
               {[this](std::uint64_t caller, RawRequest&& raw) { onRequest(caller, std::move(raw)); },
                   [this](std::uint64_t caller) { apply(CallerDisconnected {caller}); }, onInputRefused,
-                  [this](const RawRequest& raw) { return mayOverlap(raw); }})
-        , m_readinessServer(HttpServerLimits(),
+                  [this](const RawRequest& raw) { return mayOverlap(raw); }},
+              m_clientAccount, "callers")
+        , m_readinessServer(callerServerLimits(settings),
               {[this](std::uint64_t caller, RawRequest&& raw) { onReadiness(caller, raw); }, [](std::uint64_t) {},
-                  onInputRefused})
+                  onInputRefused},
+              m_clientAccount, "readiness")
     {
     }
 
@@ -153,10 +160,27 @@
         HttpServerLimits limits;
         limits.maxPipelinedRequests = settings.maxPipelinedRequests;
         limits.maxPipelinedBytes = settings.maxPipelinedBytes;
-        limits.maxTotalBytes = settings.memoryBytes > 0 ? settings.memoryBytes / memoryDivisor : limits.maxTotalBytes;
         return limits;
     }
 
+    /// A quarter of the descriptors that are not for files is left for servers, the store and other instances.
+    static ClientAccount::Bounds clientBounds(const GatewayDaemonSettings& settings)
+    {
+        ClientAccount::Bounds bounds;
+        bounds.bytes = settings.memoryBytes > 0 ? settings.memoryBytes / memoryDivisor : bounds.bytes;
+        rlimit enforced {};
+        const bool isKnown = getrlimit(RLIMIT_NOFILE, &enforced) == 0 && enforced.rlim_cur != RLIM_INFINITY;
+        std::uint64_t descriptors = isKnown ? enforced.rlim_cur : settings.maxDescriptors;
+        if (settings.maxDescriptors > 0) {
+            descriptors = std::min<std::uint64_t>(descriptors, settings.maxDescriptors);
+        }
+        if (descriptors > 0) {
+            const std::uint64_t others = descriptors - std::min(fileDescriptors, descriptors / 4);
+            bounds.connections = others - others / 4;
+        }
+        return bounds;
+    }
+
     static AnswerLimits answerLimits(const GatewayDaemonSettings& settings)
     {
         AnswerLimits limits;
@@ -214,6 +238,7 @@
         bounds.headerTimeout = limits.headerTimeout;
         bounds.idleTimeout = limits.idleTimeout;
         m_callerServer.setLimits(bounds);
+        m_readinessServer.setLimits(bounds);
         logEvent(LogEvent::ConfigurationInForce,
             "version=" + std::to_string(m_configuration->version)
                 + " routes=" + std::to_string(m_configuration->routes.size()));
@@ -688,6 +713,7 @@
     RangeCallProof m_callProof;
     ServerDirectory m_directory;
     DeadlineTimer m_reducerTimer; ///< Fires at the reducer's next wake time.
+    std::shared_ptr<ClientAccount> m_clientAccount;
     HttpServer m_callerServer;
     HttpServer m_readinessServer;
     std::unique_ptr<PeerTransport> m_peers;
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -21,6 +21,7 @@
     std::string readinessAddress; ///< Answers the load balancer's readiness checks.
     std::string controlAddress; ///< Receives messages from other instances.
     std::uint64_t memoryBytes = 0; ///< Memory that the process may use; 0: not limited.
+    std::uint32_t maxDescriptors = 0; ///< File descriptors that the process may open; 0: not stated.
     std::uint32_t maxPipelinedRequests = HttpServerLimits().maxPipelinedRequests; ///< Per caller's connection.
     std::uint32_t maxPipelinedBytes = HttpServerLimits().maxPipelinedBytes; ///< Per caller's connection.
     GatewayReducerSettings reducer;
--- a/src/http/http_server.cpp
+++ b/src/http/http_server.cpp
@@ -3,11 +3,10 @@
 #include "base/deadline_timer.h"
 #include "base/glib_pointer.h"
 #include "base/socket_address.h"
+#include "http/client_account.h"
 #include "http/request_queue.h"
 #include "http/request_reader.h"
 
-#include <jasminespread/log_event.h>
-
 #include <boost/beast/http/status.hpp>
 
 #include <glib-unix.h>
@@ -28,6 +27,10 @@
 
 constexpr std::size_t readBufferBytes = 16'384;
 constexpr int listenBacklog = 512;
+/// Objects of a connection, of its event source and of its empty queues.
+constexpr std::size_t connectionCost = 4096;
+/// Pause of accepting when there is no descriptor for another connection and no client can give way.
+constexpr Milliseconds acceptPause {100};
 /// Time for which a connection is still read after its last answer: closing it with unread bytes would reset it, and
 /// the caller could lose the answer.
 constexpr Milliseconds lingerTime {1000};
@@ -40,6 +43,8 @@
 constexpr int keepAliveSeconds = 2;
 constexpr int keepAliveProbes = 3;
 
+constexpr const char* noMemoryReason = "the instance has no room for the request; send it again later";
+
 struct Connection {
     std::uint64_t number = 0;
     int fd = -1;
@@ -55,7 +60,8 @@
     bool lingering = false; ///< The last answer is written; input is discarded until the caller closes.
     bool processing = false; ///< process() runs; it removes the connection if it is lost meanwhile.
     bool lost = false;
-    std::size_t heldBytes = 0; ///< Of its requests and answers, as counted in the total.
+    std::size_t heldBytes = 0; ///< Memory as charged to the account.
+    MonotonicTime progressedAt; ///< Last time that the client sent or read something.
     MonotonicTime idleDeadline;
     MonotonicTime writeDeadline; ///< Also the end of lingering.
     MonotonicTime deadline = MonotonicTime::max(); ///< The earliest that applies, as registered.
@@ -111,10 +117,12 @@
     int listener = -1;
     GSourcePointer listenSource;
     DeadlineTimer timer;
+    DeadlineTimer acceptTimer; ///< Ends a pause of accepting.
     std::uint64_t nextNumber = 1;
     std::optional<Milliseconds> drainIdleTimeout;
-    std::uint64_t heldBytes = 0; ///< Of all connections.
-    bool limitingBytes = false; ///< limitTotalBytes() runs.
+    const bool ownsAccount;
+    std::shared_ptr<ClientAccount> account;
+    std::size_t listenerNumber; ///< In the account.
     std::unordered_map<std::uint64_t, std::unique_ptr<Connection>> connections; ///< By number.
     std::unordered_map<std::uint64_t, std::uint64_t> requests; ///< Connections of unanswered requests.
     std::set<std::pair<MonotonicTime, std::uint64_t>> deadlines;
@@ -128,15 +136,23 @@
     static gboolean dispatch(GSource*, GSourceFunc callback, gpointer data) { return callback(data); }
     static inline GSourceFuncs sourceFunctions {nullptr, nullptr, dispatch, nullptr, nullptr, nullptr};
 
-    State(HttpServerLimits initialLimits, Hooks callbacks)
+    State(HttpServerLimits initialLimits, Hooks callbacks, std::shared_ptr<ClientAccount> sharedAccount,
+        const std::string& name)
         : limits(initialLimits)
         , hooks(std::move(callbacks))
         , timer([this] { expireDeadlines(); })
+        , acceptTimer([this] { attachListener(); })
+        , ownsAccount(sharedAccount == nullptr)
+        , account(ownsAccount ? std::make_shared<ClientAccount>(ClientAccount::Bounds {limits.maxTotalBytes})
+                              : std::move(sharedAccount))
+        , listenerNumber(account->addListener({name, [this](std::vector<ClientHolding>& clients) { list(clients); },
+              [this](std::uint64_t connection, bool closes) { endClient(connection, closes); }}))
     {
     }
 
     ~State()
     {
+        account->removeListener(listenerNumber);
         listenSource.reset();
         if (listener >= 0) {
             close(listener);
@@ -184,13 +200,45 @@
 
     [[nodiscard]] Milliseconds idleTimeout() const { return drainIdleTimeout.value_or(limits.idleTimeout); }
 
+    void attachListener()
+    {
+        if (listener < 0) {
+            return;
+        }
+        listenSource.reset(g_unix_fd_source_new(listener, G_IO_IN));
+        g_source_set_callback(listenSource.get(), G_SOURCE_FUNC(onListen), this, nullptr);
+        g_source_attach(listenSource.get(), g_main_context_get_thread_default());
+    }
+
+    /// Connections stay in the backlog meanwhile. The event source would report them without end.
+    void pauseAccepting()
+    {
+        listenSource.reset();
+        acceptTimer.arm(monotonicNow() + acceptPause);
+    }
+
+    /// Accepts the connections that wait, up to the length of the backlog.
     void accept()
     {
-        for (;;) {
+        bool descriptorsExhausted = false;
+        for (int n = 0; n < listenBacklog; ++n) {
+            if (!account->makeRoomForConnection(false, monotonicNow())) {
+                return pauseAccepting();
+            }
             const int fd = accept4(listener, nullptr, nullptr, SOCK_CLOEXEC | SOCK_NONBLOCK);
             if (fd < 0) {
-                return; // When file descriptors run out, the connection stays in the backlog until the next call.
+                if (errno == EAGAIN || errno == EWOULDBLOCK) {
+                    return;
+                }
+                const bool lacksResources = errno == EMFILE || errno == ENFILE || errno == ENOBUFS || errno == ENOMEM;
+                if (lacksResources
+                    && (std::exchange(descriptorsExhausted, true)
+                        || !account->makeRoomForConnection(true, monotonicNow()))) {
+                    return pauseAccepting();
+                }
+                continue; // The connection ended in the backlog, or a client gave way.
             }
+            descriptorsExhausted = false;
             const int one = 1;
             const int probe = keepAliveSeconds;
             setsockopt(fd, IPPROTO_TCP, TCP_NODELAY, &one, sizeof one);
@@ -210,8 +258,11 @@
             g_source_attach(source, g_main_context_get_thread_default());
             Connection& opened = *connection;
             connections.emplace(opened.number, std::move(connection));
-            opened.idleDeadline = monotonicNow() + idleTimeout();
+            account->openConnection(listenerNumber);
+            opened.progressedAt = monotonicNow();
+            opened.idleDeadline = opened.progressedAt + idleTimeout();
             updateDeadline(opened);
+            updateHeldBytes(opened);
             read(opened);
         }
     }
@@ -225,9 +276,10 @@
         }
         const auto it = connections.find(connection.number);
         const std::unique_ptr<Connection> closed = std::move(it->second);
-        heldBytes -= closed->heldBytes;
         connections.erase(it);
         deadlines.erase({closed->deadline, closed->number});
+        account->charge(listenerNumber, closed->heldBytes, 0);
+        account->closeConnection(listenerNumber);
         armTimer();
         const std::vector<std::uint64_t> unanswered = closed->queue.unanswered();
         for (const std::uint64_t request : unanswered) {
@@ -249,7 +301,8 @@
             return closeConnection(connection);
         }
         if (!connection.lastRequestRead) {
-            connection.reader.append({buffer.data(), static_cast<std::size_t>(n)}, monotonicNow());
+            connection.progressedAt = monotonicNow();
+            connection.reader.append({buffer.data(), static_cast<std::size_t>(n)}, connection.progressedAt);
             process(connection);
         }
     }
@@ -285,46 +338,49 @@
         }
         watchSocket(connection);
         updateDeadline(connection);
-        const std::size_t bytes = connection.reader.heldBytes() + connection.queue.heldBytes()
+        updateHeldBytes(connection);
+        account->makeRoomForBytes(0, connection.progressedAt);
+    }
+
+    void updateHeldBytes(Connection& connection)
+    {
+        const std::size_t bytes = connectionCost + connection.reader.heldBytes() + connection.queue.heldBytes()
             + connection.queue.takenBytes() + connection.output.size();
-        heldBytes = heldBytes - connection.heldBytes + bytes;
+        account->charge(listenerNumber, connection.heldBytes, bytes);
         connection.heldBytes = bytes;
-        limitTotalBytes();
     }
 
-    /// Ends what takes the most memory, while all together take too much. Requests in work are left alone.
-    void limitTotalBytes()
+    /// What clients hold that can be ended now. process() of a connection may be on the stack; it ends that one's turn
+    /// itself.
+    void list(std::vector<ClientHolding>& clients) const
     {
-        if (limitingBytes) {
+        for (const auto& [number, connection] : connections) {
+            if (!connection->processing && !connection->lost) {
+                const bool inWork = connection->queue.takenBytes() > 0;
+                const std::size_t unread = inWork ? 0 : connection->output.size();
+                clients.push_back({0, number, std::max(connection->partialRequestBytes(), unread),
+                    connection->progressedAt, inWork, connection->lingering});
+            }
+        }
+    }
+
+    void endClient(std::uint64_t number, bool closes)
+    {
+        const auto it = connections.find(number);
+        if (it == connections.end() || it->second->processing || it->second->lost) {
             return;
         }
-        limitingBytes = true;
-        while (heldBytes > limits.maxTotalBytes) {
-            // process() of a connection may be on the stack; it ends that one's turn itself.
-            const auto endable = [](const Connection& connection) {
-                return connection.processing || connection.lost
-                    ? 0
-                    : std::max(connection.partialRequestBytes(), connection.output.size());
-            };
-            const auto largest = std::max_element(connections.begin(), connections.end(),
-                [&](const auto& a, const auto& b) { return endable(*a.second) < endable(*b.second); });
-            Connection& connection = *largest->second;
-            const std::size_t bytes = endable(connection);
-            if (bytes == 0) {
-                break;
-            }
-            const bool refuses = connection.output.size() < bytes;
-            logEvent(LogEvent::MemoryLimitReached,
-                std::string(refuses ? "request" : "unread-answer") + "-bytes=" + std::to_string(bytes)
-                    + " all-bytes=" + std::to_string(heldBytes));
-            if (refuses) {
-                refuse(connection, 503, "the instance has no memory for the request; send it again later");
-                process(connection);
-            } else {
+        Connection& connection = *it->second;
+        const std::size_t partialBytes = connection.partialRequestBytes();
+        if (partialBytes > 0 && (closes || partialBytes >= connection.output.size())) {
+            refuse(connection, 503, noMemoryReason);
+            process(connection);
+            if (closes && connections.contains(number)) {
                 closeConnection(connection);
             }
+        } else {
+            closeConnection(connection);
         }
-        limitingBytes = false;
     }
 
     /// Returns whether a request or refusal was added to the queue.
@@ -346,6 +402,12 @@
             connection.lastRequestRead = true;
             connection.reader.discard();
         }
+        updateHeldBytes(connection); // The request is no longer in the reader.
+        if (!account->makeRoomForBytes(RequestQueue::costOf(request->raw), monotonicNow())) {
+            account->countRefusedRequest(listenerNumber);
+            refuse(connection, 503, noMemoryReason);
+            return true;
+        }
         connection.queue.add(nextNumber++, std::move(request->raw), request->isHead, request->closes);
         return true;
     }
@@ -406,12 +468,15 @@
     /// Writes as much as the socket accepts. Returns whether everything is written.
     bool flush(Connection& connection)
     {
+        bool wrote = false;
         while (connection.writtenBytes < connection.output.size()) {
             const ssize_t n = ::send(connection.fd, connection.output.data() + connection.writtenBytes,
                 connection.output.size() - connection.writtenBytes, MSG_NOSIGNAL | MSG_DONTWAIT);
             if (n >= 0) {
+                wrote = true;
                 connection.writtenBytes += static_cast<std::size_t>(n);
             } else if (errno == EAGAIN || errno == EWOULDBLOCK) {
+                connection.progressedAt = wrote ? monotonicNow() : connection.progressedAt;
                 return false;
             } else if (errno != EINTR) {
                 closeConnection(connection);
@@ -423,7 +488,8 @@
         if (connection.output.capacity() > idleBufferBytes) {
             connection.output.shrink_to_fit();
         }
-        connection.idleDeadline = monotonicNow() + idleTimeout();
+        connection.progressedAt = monotonicNow();
+        connection.idleDeadline = connection.progressedAt + idleTimeout();
         if (connection.closing) {
             shutdown(connection.fd, SHUT_WR);
             connection.lingering = true;
@@ -471,7 +537,9 @@
         while (!deadlines.empty() && deadlines.begin()->first <= now) {
             Connection& connection = *connections.at(deadlines.begin()->second);
             const bool reads = !connection.lastRequestRead && connection.reader.hasPartialRequest();
-            if (reads && connection.reader.deadline() <= now) {
+            if (reads && connection.reader.deadline() <= now && connection.reader.extendDeadline(limits, now)) {
+                updateDeadline(connection);
+            } else if (reads && connection.reader.deadline() <= now) {
                 refuse(connection, 408, "the request did not arrive in time");
                 process(connection);
             } else {
@@ -482,8 +550,9 @@
     }
 };
 
-HttpServer::HttpServer(HttpServerLimits limits, Hooks hooks)
-    : m_state(std::make_unique<State>(limits, std::move(hooks)))
+HttpServer::HttpServer(
+    HttpServerLimits limits, Hooks hooks, std::shared_ptr<ClientAccount> account, const std::string& name)
+    : m_state(std::make_unique<State>(limits, std::move(hooks), std::move(account), name))
 {
 }
 
@@ -511,9 +580,7 @@
             "cannot listen on " + text + ": " + reason + "; stop the process that uses the address");
     }
     m_state->listener = fd;
-    m_state->listenSource.reset(g_unix_fd_source_new(fd, G_IO_IN));
-    g_source_set_callback(m_state->listenSource.get(), G_SOURCE_FUNC(State::onListen), m_state.get(), nullptr);
-    g_source_attach(m_state->listenSource.get(), g_main_context_get_thread_default());
+    m_state->attachListener();
     return {};
 }
 
@@ -523,7 +590,13 @@
     return m_state->listener >= 0 && poll(&waiting, 1, 0) > 0;
 }
 
-void HttpServer::setLimits(const HttpServerLimits& limits) { m_state->limits = limits; }
+void HttpServer::setLimits(const HttpServerLimits& limits)
+{
+    m_state->limits = limits;
+    if (m_state->ownsAccount) {
+        m_state->account->setBounds({limits.maxTotalBytes});
+    }
+}
 
 void HttpServer::drain(Milliseconds maxIdleTime)
 {
@@ -539,6 +612,8 @@
     m_state->listenSource.reset();
     if (m_state->listener >= 0) {
         m_state->accept(); // Closing the listener would reset them.
+        m_state->listenSource.reset();
+        m_state->acceptTimer.arm(std::nullopt);
         close(m_state->listener);
         m_state->listener = -1;
     }
--- a/src/http/http_server.h
+++ b/src/http/http_server.h
@@ -20,9 +20,14 @@
     std::uint64_t maxBodyBytes = 1'048'576;
     Milliseconds headerTimeout {3000}; ///< From the first byte of a request to the end of its head.
     Milliseconds bodyTimeout {30'000}; ///< From the first byte of a request to its last byte.
+    /// A body must have arrived at this average rate at any time after `bodyGraceTime`, counted from the first byte of
+    /// its request; 0: no minimum. A slow phone on a poor connection sends 360 kB in 15 s, i.e. 24,000 bytes per
+    /// second.
+    std::uint32_t minBodyBytesPerSecond = 8000;
+    Milliseconds bodyGraceTime {15'000};
     Milliseconds idleTimeout {15'000}; ///< Between requests.
-    /// Bytes of all requests and answers that are in progress. While they exceed it, the longest incomplete request is
-    /// refused with 503, or the connection whose caller has left the most unread is closed.
+    /// Memory that all clients together may make the server hold; ignored where it shares an account with others.
+    /// Beyond it, the clients that ClientEvictionPolicy selects get 503 or are closed.
     std::uint64_t maxTotalBytes = std::numeric_limits<std::uint64_t>::max();
     bool acceptChunked = true; ///< Otherwise a request body needs a Content-Length.
     /// @name Pipelining
@@ -33,6 +38,8 @@
     /// @}
 };
 
+class ClientAccount;
+
 /// An HTTP answer to a caller.
 struct CallerAnswer {
     unsigned status = 200;
@@ -59,7 +66,10 @@
         std::function<bool(const RawRequest&)> mayOverlap {};
     };
 
-    HttpServer(HttpServerLimits limits, Hooks hooks);
+    /// @p account covers the clients of all servers that share it; nothing: an account of this server's own. @p name is
+    /// the listener's name in the account.
+    HttpServer(HttpServerLimits limits, Hooks hooks, std::shared_ptr<ClientAccount> account = nullptr,
+        const std::string& name = "callers");
     ~HttpServer();
     HttpServer(const HttpServer&) = delete;
     HttpServer& operator=(const HttpServer&) = delete;
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -1,5 +1,7 @@
 #pragma once
 
+#include "http/message_cost.h"
+
 #include <jasminespread/backend_transport.h>
 
 #include <boost/beast/http.hpp>
@@ -80,8 +82,11 @@
     /// Fields of the head, without those of a trailer.
     [[nodiscard]] std::vector<HeaderField>& headers() noexcept { return m_headers; }
     [[nodiscard]] std::string& body() noexcept { return Base::get().body(); }
-    /// Number of bytes that are kept.
-    [[nodiscard]] std::size_t heldBytes() const noexcept { return Base::get().body().size() + m_headBytes; }
+    /// Memory that is kept of the message.
+    [[nodiscard]] std::size_t heldBytes() const noexcept
+    {
+        return Base::get().body().size() + m_headers.capacity() * sizeof(HeaderField) + m_fieldHeapBytes;
+    }
     /// Start line. Precondition: is_header_done().
     [[nodiscard]] const boost::beast::http::header<isRequest>& startLine() const noexcept { return Base::get().base(); }
 
@@ -112,8 +117,8 @@
     {
         const std::size_t bytes = name.size() + value.size();
         if (!Base::is_header_done()) { // Beast has checked the limit of the head.
-            m_headBytes += bytes;
             m_headers.push_back({std::string(name), std::string(value)});
+            m_fieldHeapBytes += heapCost(m_headers.back());
         } else if ((m_trailerBytes += bytes) > m_maxHeaderBytes) {
             ec = boost::beast::http::error::header_limit;
         }
@@ -121,7 +126,7 @@
 
     std::uint32_t m_maxHeaderBytes;
     std::vector<HeaderField> m_headers;
-    std::size_t m_headBytes = 0;
+    std::size_t m_fieldHeapBytes = 0; ///< Texts of m_headers beyond its objects.
     std::size_t m_trailerBytes = 0; ///< Its fields are not kept.
 };
 
--- a/src/http/request_queue.cpp
+++ b/src/http/request_queue.cpp
@@ -1,24 +1,26 @@
 #include "http/request_queue.h"
 
+#include "http/message_cost.h"
+
 #include <algorithm>
 #include <utility>
 
 namespace jasminespread {
 namespace {
 
-std::size_t sizeOf(const std::vector<HeaderField>& headers)
-{
-    std::size_t n = 0;
-    for (const HeaderField& field : headers) {
-        n += field.name.size() + field.value.size();
-    }
-    return n;
-}
+/// Entry of the queue, with room for its growth.
+constexpr std::size_t entryCost = 512;
 
-std::size_t sizeOf(const CallerAnswer& answer) { return sizeOf(answer.headers) + answer.body.size(); }
+std::size_t memoryOf(const CallerAnswer& answer) { return entryCost + costOf(answer.headers) + heapCost(answer.body); }
 
 } // namespace
 
+std::size_t RequestQueue::costOf(const RawRequest& raw)
+{
+    return entryCost + heapCost(raw.path) + (raw.query ? heapCost(*raw.query) : 0) + jasminespread::costOf(raw.headers)
+        + heapCost(raw.body);
+}
+
 void RequestQueue::hold(Entry& entry, std::size_t bytes)
 {
     m_heldBytes = m_heldBytes - entry.heldBytes + bytes;
@@ -31,7 +33,7 @@
     entry.request = request;
     entry.isHead = isHead;
     entry.closes = closes;
-    hold(entry, raw.path.size() + (raw.query ? raw.query->size() : 0) + sizeOf(raw.headers) + raw.body.size());
+    hold(entry, costOf(raw));
     entry.raw = std::move(raw);
 }
 
@@ -39,7 +41,7 @@
 {
     Entry& entry = m_entries.emplace_back();
     entry.closes = true;
-    hold(entry, sizeOf(answer));
+    hold(entry, memoryOf(answer));
     entry.answer = std::move(answer);
 }
 
@@ -74,7 +76,7 @@
         return false;
     }
     m_takenBytes -= std::exchange(it->takenBytes, 0);
-    hold(*it, sizeOf(answer));
+    hold(*it, memoryOf(answer));
     it->answer = std::move(answer);
     return true;
 }
--- a/src/http/request_queue.h
+++ b/src/http/request_queue.h
@@ -26,6 +26,8 @@
         bool closes = false; ///< The connection ends with this answer.
     };
 
+    /// Memory that a waiting request takes.
+    [[nodiscard]] static std::size_t costOf(const RawRequest& raw);
     /// Adds a request that arrived behind all others.
     void add(std::uint64_t request, RawRequest&& raw, bool isHead, bool closes);
     /// Adds an answer without a request, e.g. to malformed input. The connection ends with it.
@@ -43,9 +45,9 @@
     [[nodiscard]] std::vector<std::uint64_t> unanswered() const;
     [[nodiscard]] std::size_t size() const noexcept { return m_entries.size(); }
     [[nodiscard]] bool empty() const noexcept { return m_entries.empty(); }
-    /// Bytes of requests that were not taken and of answers that wait.
+    /// Memory of requests that were not taken and of answers that wait.
     [[nodiscard]] std::size_t heldBytes() const noexcept { return m_heldBytes; }
-    /// Bytes of requests that were taken and not answered.
+    /// Memory of requests that were taken and not answered.
     [[nodiscard]] std::size_t takenBytes() const noexcept { return m_takenBytes; }
 
 private:
--- a/src/http/request_reader.cpp
+++ b/src/http/request_reader.cpp
@@ -47,7 +47,20 @@
 
 bool RequestReader::hasPartialBody() const { return m_parser && m_parser->is_header_done(); }
 
-std::size_t RequestReader::heldBytes() const { return m_input.size() + (m_parser ? m_parser->heldBytes() : 0); }
+std::size_t RequestReader::heldBytes() const
+{
+    return heapCost(m_input) + m_arrivals.size() * sizeof(Arrival)
+        + (m_parser ? sizeof(Parser) + m_parser->heldBytes() : 0);
+}
+
+bool RequestReader::extendDeadline(const HttpServerLimits& limits, MonotonicTime now)
+{
+    if (hasPartialBody() && limits.minBodyBytesPerSecond > 0) {
+        const Milliseconds earned(m_parser->body().size() * 1000 / limits.minBodyBytesPerSecond);
+        m_deadline = m_startedAt + std::min(limits.bodyTimeout, limits.bodyGraceTime + earned);
+    }
+    return m_deadline > now;
+}
 
 void RequestReader::discard()
 {
@@ -90,7 +103,9 @@
         return finish();
     }
     if (parser.is_header_done() && !std::exchange(m_continueDecided, true)) {
-        m_deadline = m_startedAt + limits.bodyTimeout;
+        m_deadline = m_startedAt
+            + (limits.minBodyBytesPerSecond > 0 ? std::min(limits.bodyTimeout, limits.bodyGraceTime)
+                                                : limits.bodyTimeout);
         const std::optional<std::string_view> expected = findHeader(parser.headers(), "Expect");
         m_expectsContinue = expected && sameHeaderName(*expected, "100-continue");
     }
@@ -101,6 +116,9 @@
 {
     const std::unique_ptr<Parser> parser = std::move(m_parser);
     m_expectsContinue = false;
+    if (m_input.empty()) {
+        m_input = std::string(); // An idle connection keeps no buffer.
+    }
     const http::request_header<>& start = parser->startLine();
     Request request;
     request.raw.arrivedAt = arrivalOfLastReadByte();
--- a/src/http/request_reader.h
+++ b/src/http/request_reader.h
@@ -53,11 +53,14 @@
     [[nodiscard]] bool hasPartialBody() const;
     /// Time limit of the partial request. Precondition: hasPartialRequest().
     [[nodiscard]] MonotonicTime deadline() const noexcept { return m_deadline; }
+    /// Extends the deadline of a body that has arrived at the minimum rate so far. Returns whether it is after @p now.
+    /// Precondition: hasPartialRequest().
+    bool extendDeadline(const HttpServerLimits& limits, MonotonicTime now);
     /// Returns whether the caller waits for an interim answer before it sends the body of the partial request.
     [[nodiscard]] bool expectsContinue() const noexcept { return m_expectsContinue; }
     /// Notes that the interim answer was sent.
     void confirmContinue() noexcept { m_expectsContinue = false; }
-    /// Number of bytes that are kept: of the partial request's body, and those that were not read.
+    /// Memory of what is kept: the partial request, and bytes that were not read.
     [[nodiscard]] std::size_t heldBytes() const;
     /// Number of bytes that arrived and were not read.
     [[nodiscard]] std::size_t unreadBytes() const noexcept { return m_input.size(); }
