--- a/include/jasminespread/log_event.h
+++ b/include/jasminespread/log_event.h
@@ -60,7 +60,8 @@
     StoreAvailable = 601,
     StoreOutcomeUnknown = 602,
     FeedSourceChanged = 603,
-    StoreObjectUnreadable = 604
+    StoreObjectUnreadable = 604,
+    StoreRestored = 605
 };
 
 struct LogEventInfo {
@@ -70,7 +71,7 @@
     std::string_view meaning;
 };
 
-inline constexpr std::array<LogEventInfo, 39> logEventCatalogue {{
+inline constexpr std::array<LogEventInfo, 40> logEventCatalogue {{
     {LogEvent::ProcessStarted, LogLevel::Info, "process-started", "The process listens on all its addresses."},
     {LogEvent::ProcessStopping, LogLevel::Info, "process-stopping",
         "A stop was requested; requests in flight are drained."},
@@ -134,6 +135,8 @@
         "The instance now watches the store itself, or now relies on the leader's view."},
     {LogEvent::StoreObjectUnreadable, LogLevel::Warning, "store-object-unreadable",
         "An object of another writer cannot be parsed; the other objects are used."},
+    {LogEvent::StoreRestored, LogLevel::Warning, "store-restored",
+        "The platform's store was restored from an earlier copy; its latest writes are lost."},
 }};
 
 /// Sets up log4cplus. @p level is a name from logLevelNames; an empty @p file logs to standard error.
--- a/include/jasminespread/object_store.h
+++ b/include/jasminespread/object_store.h
@@ -44,11 +44,15 @@
 struct StoreReadResult {
     StoreStatus status = StoreStatus::Unavailable;
     StoredObject object;
+    /// Era of the store that answered; it increases each time the store is restored from an earlier copy. Versions of
+    /// different eras cannot be compared.
+    std::uint64_t era = 0;
 };
 
 struct StoreWriteResult {
     StoreStatus status = StoreStatus::Unavailable;
     std::uint64_t version = 0; ///< With Ok: the new version.
+    std::uint64_t era = 0; ///< Era of the store that answered.
 };
 
 struct InstanceListResult {
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -131,7 +131,8 @@
                     = std::chrono::ceil<Milliseconds>(monotonicNow() - m_monitor.inputArrivedAfter());
                 applyRangeEvent(FeedRevisionConfirmed {feed, revision, byStore, maxUnreadTime});
             },
-            [this](FeedChange&& change) { applyRangeEvent(FeedChanged {std::move(change)}); }});
+            [this](FeedChange&& change) { applyRangeEvent(FeedChanged {std::move(change)}); },
+            [this] { m_directory.onStoreRestored(monotonicNow()); }});
         logEvent(LogEvent::ProcessStarted,
             "instance=" + m_settings.instance + " incarnation=" + std::to_string(m_incarnation));
         g_main_loop_run(m_loop);
@@ -510,8 +511,8 @@
     {
         const MonotonicTime startedAt = boottimeNow();
         m_ports.records.write(std::string(recordKind), effect.name, effect.expectedVersion, effect.value,
-            [this, name = effect.name, startedAt](StoreWriteResult result) {
-                applyRangeEvent(RecordWritten {name, startedAt, result});
+            [this, name = effect.name, startedAt, era = effect.era](StoreWriteResult result) {
+                applyRangeEvent(RecordWritten {name, startedAt, result, era});
             });
     }
 
--- a/src/gateway/gateway_ports.h
+++ b/src/gateway/gateway_ports.h
@@ -31,6 +31,8 @@
         std::function<void(const std::string& feed, FeedRevision revision, bool byStore)> feedRevisionKnown;
         /// A watch returned changes that are to be passed on to instances without a watch of their own.
         std::function<void(FeedChange&&)> feedChanged;
+        /// The next list of servers is the first one after the store was restored from an earlier copy.
+        std::function<void()> storeRestored;
     };
 
     std::string serverFeed; ///< Name of the feed that serversListed() reports.
--- a/src/gateway/server_directory.h
+++ b/src/gateway/server_directory.h
@@ -41,6 +41,9 @@
     void update(const ServerRegistrations& registrations, MonotonicTime now);
     /// The store had the list as it is at @p asOf, as an answer to this or another instance shows.
     void confirm(MonotonicTime asOf);
+    /// The store was restored from an earlier copy. Lists from @p now on may lack servers that have registered since
+    /// the copy was made; they are retained in the grace period, as after an outage.
+    void onStoreRestored(MonotonicTime now) { m_graceEndsAt = now + m_times.gracePeriod; }
     /// Removes missing servers whose grace period is over, and accepts registrations that were not replaced in time;
     /// neither while the store may be away. Returns whether the list changed.
     bool applyTimeouts(MonotonicTime now);
--- a/src/ranges/feed_source_selector.cpp
+++ b/src/ranges/feed_source_selector.cpp
@@ -14,6 +14,9 @@
 /// Time between two fetch attempts.
 constexpr Milliseconds fetchRetryInterval {400};
 
+/// Revision up to which a state is complete.
+FeedChangeRevision completeUpTo(const FeedRevision& revision) { return {revision.era, revision.asOf}; }
+
 } // namespace
 
 void FeedSourceSelector::onStoreAnswer(const std::string& feed, FeedRevision revision, MonotonicTime answeredAt)
@@ -28,7 +31,7 @@
 {
     Feed& state = m_feeds[feed];
     state.revision = revision;
-    if (revision.asOf >= state.leaderRevision) {
+    if (completeUpTo(revision) >= state.leaderRevision) {
         state.laggingSince.reset();
     }
 }
@@ -45,10 +48,10 @@
     for (const auto& [name, revision] : summary.revisions) {
         Feed& state = m_feeds[name];
         state.leaderRevision = std::max(state.leaderRevision, revision);
-        if (state.leaderRevision > state.revision.asOf && !state.laggingSince) {
+        if (state.leaderRevision > completeUpTo(state.revision) && !state.laggingSince) {
             state.laggingSince = now;
         }
-        const bool hasLeadersState = state.revision.asOf != 0 && state.revision.asOf >= state.leaderRevision;
+        const bool hasLeadersState = state.revision.asOf != 0 && completeUpTo(state.revision) >= state.leaderRevision;
         if (hasLeadersState) {
             state.confirmedAsOf = std::max(state.confirmedAsOf.value_or(viewAsOf), viewAsOf);
         }
@@ -62,7 +65,7 @@
         if (feed.storeAnsweredAt == MonotonicTime()) {
             return std::nullopt;
         }
-        summary.revisions[name] = feed.revision.lastChange;
+        summary.revisions[name] = {feed.revision.era, feed.revision.lastChange};
         summary.age = std::max(summary.age, std::chrono::ceil<Milliseconds>(now - feed.storeAnsweredAt));
     }
     return m_feeds.empty() ? std::nullopt : std::optional(summary);
--- a/src/ranges/feed_source_selector.h
+++ b/src/ranges/feed_source_selector.h
@@ -4,6 +4,7 @@
 #include <jasminespread/time.h>
 
 #include <array>
+#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
@@ -31,17 +32,27 @@
     std::uint64_t baseRevision = 0; ///< They apply to a state of this revision or a later one.
     std::uint64_t revision = 0; ///< Revision of the state after the changes.
     std::string payload; ///< In the adapter's encoding. Empty: too large to forward; fetch it from the store.
+    std::uint64_t era = 0; ///< Of both revisions.
 };
 
 /// Revisions of a feed's state. The store's revision also increases with changes of other objects.
 struct FeedRevision {
     std::uint64_t asOf = 0; ///< Revision up to which the state is complete.
     std::uint64_t lastChange = 0; ///< Revision of the last change of the state.
+    std::uint64_t era = 0; ///< Of the store; revisions are compared only within one era.
+};
+
+/// Revision of the last change of a feed's state, ordered by era first.
+struct FeedChangeRevision {
+    std::uint64_t era = 0;
+    std::uint64_t revision = 0;
+
+    auto operator<=>(const FeedChangeRevision&) const = default;
 };
 
 /// Feed revisions that the leader sends with each heartbeat.
 struct FeedSummary {
-    std::map<std::string, std::uint64_t> revisions; ///< Revision of the last change, by feed.
+    std::map<std::string, FeedChangeRevision> revisions; ///< Revision of the last change, by feed.
     Milliseconds age {0}; ///< Time since the last answer of the store, for the feed with the oldest answer.
     std::uint64_t term = 0; ///< The leader's term.
     MonotonicTime sentAt; ///< On the leader's clock.
@@ -74,7 +85,7 @@
         FeedRevision revision;
         MonotonicTime storeAnsweredAt;
         std::optional<MonotonicTime> confirmedAsOf; ///< By an answer of the store, here or at the leader.
-        std::uint64_t leaderRevision = 0; ///< Revision of the last change that the leader reported.
+        FeedChangeRevision leaderRevision; ///< Revision of the last change that the leader reported.
         std::optional<MonotonicTime> laggingSince;
     };
 
--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -62,9 +62,36 @@
         m_leadership.suspendGrants(m_now);
     }
     std::visit([this](auto& alternative) { handle(std::move(alternative)); }, event.event);
+    for (RangeEffect& effect : m_effects) {
+        if (auto* write = std::get_if<WriteRecord>(&effect)) {
+            write->era = m_era; // Versions of earlier eras were dropped by learnEra().
+        }
+    }
     return std::exchange(m_effects, {});
 }
 
+/// Learns the era of the store from one of its answers or from another instance.
+void RangeAuthority::learnEra(std::uint64_t era)
+{
+    if (era <= m_era) {
+        return;
+    }
+    log(LogEvent::StoreRestored, "era=" + std::to_string(era) + " known-era=" + std::to_string(m_era));
+    m_era = era;
+    if (m_term != 0) {
+        // Another instance may have taken over since this leader last confirmed its record. That one cannot have moved
+        // a range within the time that a lease takes to expire, unless the holder has accepted a token of it.
+        m_remembersGrants = m_leadership.mayGrant(m_now) && m_now <= m_rangeTimes.leaseEnd(m_leadership.verifiedAt())
+            && eraOfTerm(m_term) < era;
+        for (auto& [service, keyedService] : m_services) {
+            if (keyedService.adopted) {
+                keyedService.keeper->onRecordLost(m_now);
+            }
+        }
+    }
+    m_leadership.onNewEra(era, m_now);
+}
+
 std::uint64_t RangeAuthority::term() const noexcept { return m_leadership.leader() ? m_leadership.leader()->term : 0; }
 
 bool RangeAuthority::hasRangeTables(const std::vector<std::string>& services) const
@@ -90,6 +117,9 @@
             m_unconfirmedLeaders.clear();
             onEarlierLeaderStopped();
         }
+        if (m_unconfirmedLeaders.empty() && m_now >= m_unknownLeaseEnd && areRecordsStored()) {
+            m_leadership.onEarlierLeadersStopped();
+        }
         if (m_now >= m_nextStepAt) {
             stepServices();
         }
@@ -163,6 +193,11 @@
 
 void RangeAuthority::handle(RecordRead&& event)
 {
+    const bool answered = event.result.status == StoreStatus::Ok || event.result.status == StoreStatus::NotFound;
+    if (answered && event.result.era < m_era) {
+        event.result.status = StoreStatus::Unavailable; // Sent before the restore.
+    }
+    learnEra(event.result.era);
     if (event.name == leaderRecordName) {
         m_leadership.onRead(event);
         return applyLeadership();
@@ -201,6 +236,9 @@
 void RangeAuthority::adopt(const std::string& service, KeyedService& keyedService, const StoreReadResult& result)
 {
     const bool found = result.status == StoreStatus::Ok;
+    if (eraOfTerm(m_term) < std::min(m_era, maxStoreEra)) {
+        return; // The record may lack grants; the term of the new era tells until when.
+    }
     if (!found && result.status != StoreStatus::NotFound) {
         return;
     }
@@ -220,18 +258,25 @@
         record = std::move(*parsed);
     }
     keyedService.keeper->adopt(record, found ? result.object.version : 0, earlierLeaseEnd());
+    keyedService.keeper->holdGrants(m_unknownLeaseEnd);
     keyedService.keeper->setServers(m_servers);
     keyedService.adopted = true;
 }
 
 void RangeAuthority::handle(RecordWritten&& event)
 {
+    learnEra(event.result.era);
     if (event.name == leaderRecordName) {
         m_leadership.onWritten(event);
         return applyLeadership();
     }
     for (auto& [service, keyedService] : m_services) {
         if (keyedService.adopted && rangesRecordName(service) == event.name) {
+            const bool answered
+                = event.result.status == StoreStatus::Ok || event.result.status == StoreStatus::Conflict;
+            if (event.baseEra < m_era || (answered && event.result.era != event.baseEra)) {
+                event.result.status = StoreStatus::Unknown; // The record that it was based on is lost.
+            }
             keyedService.keeper->onRecordWritten(event.result);
             if (event.result.status == StoreStatus::Conflict) {
                 m_leadership.verifyNow(m_now);
@@ -352,6 +397,7 @@
 
 void RangeAuthority::handle(FeedRevisionConfirmed&& event)
 {
+    learnEra(event.revision.era);
     if (event.fromStore) {
         m_feedSelector.onStoreAnswer(event.feed, event.revision, m_now - event.maxReadDelay);
     } else {
@@ -368,6 +414,7 @@
     change.set_feed(event.change.feed);
     change.set_base_revision(event.change.baseRevision);
     change.set_revision(event.change.revision);
+    change.set_era(event.change.era);
     if (event.change.payload.size() <= maxPlainBytes) {
         change.set_payload(event.change.payload);
     } else if (event.change.payload.size() <= maxInflatedBytes) {
@@ -410,6 +457,7 @@
 
 void RangeAuthority::receive(const wire::RangeLeaderHeartbeat& message, const wire::InstanceReference& sender)
 {
+    learnEra(message.store_era());
     m_leadership.onHeartbeat(message.term(), sender.id(), sender.incarnation(), message.address(), m_now);
     applyLeadership();
     if (message.term() < term() && sender.id() != m_self.instance) {
@@ -436,7 +484,7 @@
         feedSummary.term = message.term();
         feedSummary.sentAt = MonotonicTime(Milliseconds(std::min(message.sent_at_ms(), maxClockMs)));
         for (const wire::FeedState& feed : message.feeds()) {
-            feedSummary.revisions[feed.feed()] = feed.revision();
+            feedSummary.revisions[feed.feed()] = {feed.era(), feed.revision()};
         }
         m_feedSelector.onLeaderHeartbeat(feedSummary, m_now);
     }
@@ -452,6 +500,7 @@
 
 void RangeAuthority::receive(const wire::InstanceReport& message, const wire::InstanceReference& sender)
 {
+    learnEra(message.store_era());
     Member& member = m_members[sender.id()];
     const bool isNewProcess = member.address != message.address() || member.incarnation != sender.incarnation();
     member.incarnation = sender.incarnation();
@@ -518,7 +567,7 @@
         m_effects.emplace_back(FetchFeed {message.feed()});
     } else {
         m_effects.emplace_back(
-            ApplyFeedChange {{message.feed(), message.base_revision(), message.revision(), payload}});
+            ApplyFeedChange {{message.feed(), message.base_revision(), message.revision(), payload, message.era()}});
     }
 }
 
@@ -540,7 +589,11 @@
 {
     const bool leads = isLeader();
     if (leads && m_term != m_leadership.leader()->term) {
-        beginTerm();
+        if (m_term != 0 && std::exchange(m_remembersGrants, false)) {
+            renewTerm();
+        } else {
+            beginTerm();
+        }
     } else if (!leads && m_term != 0) {
         endTerm();
     }
@@ -550,20 +603,49 @@
 void RangeAuthority::beginTerm()
 {
     m_term = m_leadership.leader()->term;
-    m_counters = RangeCounters();
-    m_counters.term = m_term;
+    // Calls of an earlier term may still end.
+    m_counters = RangeCounters {m_term, 0, m_counters.lastCallId, 0};
     m_services.clear();
-    m_tableSender = RangeTableSender();
     m_leavingServers = m_ownLeavingServers;
+    adoptLeaderRecord();
+}
+
+/// Begins a term of a new era. The leader was leading before and remembers its grants.
+void RangeAuthority::renewTerm()
+{
+    m_term = m_leadership.leader()->term;
+    m_counters = RangeCounters {m_term, 0, m_counters.lastCallId, 0};
+    adoptLeaderRecord();
+    for (auto& [service, keyedService] : m_services) {
+        if (keyedService.adopted) {
+            keyedService.keeper->renewTerm(m_unknownLeaseEnd);
+        }
+    }
+}
+
+/// Starts the term with what its record says about earlier leaders.
+void RangeAuthority::adoptLeaderRecord()
+{
+    m_tableSender = RangeTableSender();
     m_superseded = false;
     const std::vector<std::string>& unconfirmed = m_leadership.leader()->unconfirmedLeaders;
     m_unconfirmedLeaders = {unconfirmed.begin(), unconfirmed.end()};
     m_earlierLeadersStoppedAt = m_now;
+    m_unknownLeaseEnd
+        = m_unconfirmedLeaders.contains(std::string(unknownLeaders)) ? earlierLeaseEnd() : MonotonicTime();
     m_nextHeartbeatAt = m_now;
     log(LogEvent::GroupTakenOver,
         "term=" + std::to_string(m_term) + " unconfirmed=" + std::to_string(m_unconfirmedLeaders.size()));
 }
 
+/// Whether the stored records name all present holders; a later leader relies on them.
+bool RangeAuthority::areRecordsStored() const
+{
+    return m_unknownLeaseEnd == MonotonicTime()
+        || std::all_of(m_services.begin(), m_services.end(),
+            [](const auto& entry) { return !entry.second.adopted || entry.second.keeper->isRecordStored(); });
+}
+
 /// Handles the confirmation that an earlier leader has stopped.
 void RangeAuthority::onEarlierLeaderStopped()
 {
@@ -571,7 +653,9 @@
     if (!m_unconfirmedLeaders.empty()) {
         return;
     }
-    m_leadership.onEarlierLeadersStopped();
+    if (m_now >= m_unknownLeaseEnd) {
+        m_leadership.onEarlierLeadersStopped();
+    }
     for (auto& [service, keyedService] : m_services) {
         if (keyedService.adopted) {
             keyedService.keeper->limitEarlierLeases(earlierLeaseEnd());
@@ -586,6 +670,7 @@
             + " leader=" + (m_leadership.leader() ? m_leadership.leader()->instance : std::string("unknown")));
     announceNextLeader();
     m_term = 0;
+    m_remembersGrants = false;
     m_services.clear();
     m_nextReportAt = m_now;
 }
@@ -733,12 +818,14 @@
     heartbeat.set_instances(m_instanceCount);
     heartbeat.set_leaving(m_stopping);
     heartbeat.set_successor(chooseSuccessor());
+    heartbeat.set_store_era(m_era);
     if (const std::optional<FeedSummary> summary = m_feedSelector.summarize(m_now)) {
         heartbeat.set_feed_age_ms(static_cast<std::uint32_t>(summary->age.count()));
         for (const auto& [feed, revision] : summary->revisions) {
             wire::FeedState& state = *heartbeat.add_feeds();
             state.set_feed(feed);
-            state.set_revision(revision);
+            state.set_revision(revision.revision);
+            state.set_era(revision.era);
         }
     }
     for (const auto& [server, n] : busy) {
@@ -838,6 +925,7 @@
     report.set_leaving(m_stopping);
     report.set_known_term(leader->term);
     report.set_store_reachable(m_storeReachable);
+    report.set_store_era(m_era);
     report.set_fitness(static_cast<float>(m_leadershipTimes.fitness));
     report.set_missed_changes(std::exchange(m_tableBaseMissing, false));
     for (const auto& [service, table] : m_knownTables) {
--- a/src/ranges/range_authority.h
+++ b/src/ranges/range_authority.h
@@ -80,8 +80,12 @@
     void receive(const wire::FeedChange& message);
     void receive(const wire::RangeLeaderChange& message);
 
+    void learnEra(std::uint64_t era);
     void applyLeadership();
     void beginTerm();
+    void renewTerm();
+    void adoptLeaderRecord();
+    [[nodiscard]] bool areRecordsStored() const;
     void endTerm();
     void announceNextLeader();
     [[nodiscard]] wire::Envelope makeLeaderChange(const LeaderRecord& leader) const;
@@ -130,6 +134,10 @@
     std::set<std::string> m_unconfirmedLeaders; ///< Earlier leaders that may still grant.
     bool m_superseded = false; ///< A server has accepted a grant of a later term; its leader is not known yet.
     MonotonicTime m_earlierLeadersStoppedAt; ///< When the latest of them was confirmed to have stopped.
+    std::uint64_t m_era = 0; ///< Newest known era of the store.
+    /// The store has a new era, and this leader knows all grants of its term: no other leader can have moved a range.
+    bool m_remembersGrants = false;
+    MonotonicTime m_unknownLeaseEnd; ///< Leases that unknown leaders granted before this term have expired by then.
     MonotonicTime m_nextHeartbeatAt;
     MonotonicTime m_nextReportAt;
     MonotonicTime m_nextStepAt;
--- a/src/ranges/range_event.h
+++ b/src/ranges/range_event.h
@@ -54,6 +54,7 @@
     std::string name;
     MonotonicTime startedAt;
     StoreWriteResult result;
+    std::uint64_t baseEra = 0; ///< WriteRecord::era.
 };
 
 /// Outcome of a grant or release call.
@@ -164,6 +165,7 @@
     std::string name;
     std::uint64_t expectedVersion = 0; ///< 0: the record must not exist yet.
     std::string value;
+    std::uint64_t era = 0; ///< Era of the store that `expectedVersion` belongs to.
 };
 
 struct GrantRange {
--- a/src/ranges/range_keeper.cpp
+++ b/src/ranges/range_keeper.cpp
@@ -82,6 +82,33 @@
     }
 }
 
+void RangeKeeper::onRecordLost(MonotonicTime now)
+{
+    m_now = now;
+    m_recordLost = true;
+    m_mustReadBack = true;
+    m_eraGeneration = ++m_generation;
+    for (RangeState& rangeState : m_ranges) {
+        // A move that has only been recorded is given up: the next owner could get no grant for a long time.
+        if (rangeState.hasTarget && rangeState.holders.size() == 2 && rangeState.callId == 0
+            && rangeState.holders.front().grantConfirmed && rangeState.holders.back().fence == 0) {
+            rangeState.holders.pop_back();
+        }
+        rangeState.requiredGeneration = m_generation;
+        if (rangeState.hasTarget && rangeState.holders.size() == 1) {
+            Holder& holder = rangeState.holders.back();
+            holder.isRemembered = holder.isRemembered || holder.grantConfirmed;
+        }
+    }
+}
+
+void RangeKeeper::renewTerm(MonotonicTime unknownLeaseEnd)
+{
+    m_recordLost = false;
+    m_unknownLeaseEnd = unknownLeaseEnd;
+    m_table.reset(); // The next one has the new term.
+}
+
 void RangeKeeper::setServers(std::shared_ptr<const ServerList> servers)
 {
     m_servers = std::move(servers);
@@ -185,7 +212,8 @@
     for (RangeState& rangeState : m_ranges) {
         stepRange(rangeState, mayGrant);
     }
-    if (now >= m_nextRebalanceAt && mayGrant && storeAvailable && m_recordedGeneration == m_generation) {
+    if (now >= m_nextRebalanceAt && !holdsGrants() && mayGrant && storeAvailable
+        && m_recordedGeneration == m_generation) {
         m_nextRebalanceAt = now + rebalanceInterval;
         m_load.decay(now);
         mergeNeighbours();
@@ -230,6 +258,7 @@
         holder.process = holderOf(*server);
         holder.fence = 0;
         holder.grantConfirmed = false;
+        holder.isRemembered = false;
         holder.fencingAttempts = 0;
         rangeState.requiredGeneration = ++m_generation;
         rangeState.nextCallAt = m_now;
@@ -253,6 +282,7 @@
             last.leaseEndBound = std::max(last.leaseEndBound, other.leaseEndBound);
             last.unansweredGrantEnd = std::max(last.unansweredGrantEnd, other.unansweredGrantEnd);
             last.fromEarlierTerm = last.fromEarlierTerm || other.fromEarlierTerm;
+            last.isRemembered = last.isRemembered && other.isRemembered;
             last.changedAddress = last.changedAddress || other.changedAddress;
             if (isInCall(rangeState, last)) {
                 rangeState.leaseEndBeforeCall = std::max(rangeState.leaseEndBeforeCall, other.leaseEndBound);
@@ -266,8 +296,11 @@
 void RangeKeeper::stepRange(RangeState& rangeState, bool mayGrant)
 {
     replaceRestartedHolders(rangeState);
-    if (rangeState.hasTarget && !mayKeepRanges(rangeState.holders.back().process.identity)) {
-        rangeState.hasTarget = false;
+    if (rangeState.hasTarget) {
+        const Holder& target = rangeState.holders.back();
+        // A known holder keeps the range while no other server can get it.
+        rangeState.hasTarget = holdsGrants() && target.isRemembered ? mayServeRanges(target.process.identity)
+                                                                    : mayKeepRanges(target.process.identity);
     }
     dropExpiredHolders(rangeState);
     if (!rangeState.hasTarget) {
@@ -282,6 +315,9 @@
     if (rangeState.callId != 0 || m_now < rangeState.nextCallAt || !mayGrant || !termRecorded) {
         return;
     }
+    if (holdsGrants()) {
+        return stepHeldRange(rangeState);
+    }
     const bool recorded = rangeState.requiredGeneration <= m_recordedGeneration;
     const std::size_t otherHolderCount = rangeState.holders.size() - (rangeState.hasTarget ? 1 : 0);
     if (otherHolderCount > 0) {
@@ -291,7 +327,27 @@
             revokeFrom(rangeState, rangeState.holders.front());
         }
     } else if (rangeState.hasTarget && recorded) {
-        sendGrant(rangeState, rangeState.holders.back());
+        Holder& target = rangeState.holders.back();
+        if (target.isRemembered && !m_counters.isOfTerm(target.fence)) {
+            target.fence = 0; // No unknown leader grants any more: the next grant has a token of this term.
+        }
+        sendGrant(rangeState, target);
+    }
+}
+
+/// Sends the calls of a range that are allowed while other servers may have leases from unknown leaders.
+void RangeKeeper::stepHeldRange(RangeState& rangeState)
+{
+    if (rangeState.holders.empty()) {
+        return;
+    }
+    Holder& first = rangeState.holders.front();
+    if (rangeState.hasTarget && rangeState.holders.size() == 1) {
+        if (first.isRemembered && first.fence != 0) {
+            sendGrant(rangeState, first);
+        }
+    } else if (!mayServeRanges(first.process.identity)) {
+        sendRelease(rangeState, first);
     }
 }
 
@@ -334,6 +390,7 @@
         Holder moved = *it;
         moved.fence = 0;
         moved.grantConfirmed = false;
+        moved.isRemembered = false;
         rangeState.holders.erase(it);
         rangeState.holders.push_back(moved);
         return;
@@ -348,7 +405,7 @@
     rangeState.callHasNewFence = target.fence == 0;
     if (rangeState.callHasNewFence) {
         target.fence = m_counters.nextFence();
-        target.grantConfirmed = false;
+        target.grantConfirmed = target.grantConfirmed && target.isRemembered; // A known holder has the range already.
     }
     rangeState.leaseEndBeforeCall = target.leaseEndBound;
     target.leaseEndBound = std::max(target.leaseEndBound, m_times.leaseEnd(m_now));
@@ -421,6 +478,7 @@
     switch (event.result) {
     case GrantResult::Done:
         target.grantConfirmed = true;
+        target.isRemembered = target.isRemembered && !m_counters.isOfTerm(target.fence);
         target.fromEarlierTerm = false;
         target.changedAddress = false;
         rangeState.failureScore = 0;
@@ -431,6 +489,8 @@
         return;
     case GrantResult::Fenced:
         target.fence = 0;
+        target.grantConfirmed = target.grantConfirmed && !target.isRemembered; // Another leader granted the range.
+        target.isRemembered = false;
         rangeState.nextCallAt = m_now + retryInterval;
         return;
     case GrantResult::OtherServer:
@@ -568,7 +628,7 @@
 
 void RangeKeeper::syncRecord()
 {
-    if (m_writingGeneration != 0 || m_readingBack || m_now < m_nextWriteAt || m_ranges.empty()) {
+    if (m_recordLost || m_writingGeneration != 0 || m_readingBack || m_now < m_nextWriteAt || m_ranges.empty()) {
         return;
     }
     if (m_mustReadBack) {
@@ -626,7 +686,7 @@
         m_mustReadBack = true;
         return ReadBackResult::LaterTerm;
     }
-    if (stored->term < m_counters.term) {
+    if (stored->term < m_counters.term && m_recordedGeneration == 0) {
         return ReadBackResult::EarlierTerm;
     }
     // The next write repeats the record on top of the stored version, whichever earlier write took effect.
--- a/src/ranges/range_keeper.h
+++ b/src/ranges/range_keeper.h
@@ -38,6 +38,7 @@
     std::uint64_t lastCallId = 0;
     std::uint64_t lastTableVersion = 0;
 
+    [[nodiscard]] bool isOfTerm(std::uint64_t fence) const noexcept { return fence >> fenceBits == term; }
     /// Returns a fencing token above all earlier ones of this and all earlier terms.
     [[nodiscard]] std::uint64_t nextFence() noexcept { return (term << fenceBits) + ++lastFence; }
     [[nodiscard]] std::uint64_t nextCallId() noexcept { return ++lastCallId; }
@@ -63,6 +64,22 @@
     void adopt(const std::optional<RangesRecord>& record, std::uint64_t version, MonotonicTime earlierLeaseEnd);
     /// Leases that earlier leaders granted end at @p earlierLeaseEnd at the latest.
     void limitEarlierLeases(MonotonicTime earlierLeaseEnd);
+    /// The store was restored from an earlier copy, so the stored record may lack the present holders. Until
+    /// renewTerm() the keeper writes no record and grants only to the sole holders of ranges that it knows to have
+    /// them.
+    void onRecordLost(MonotonicTime now);
+    /// The leader has begun a term of the new era (RangeCounters::term) and remembers its grants: writes the record
+    /// again. Until @p unknownLeaseEnd, unknown leaders may have granted the ranges to other servers: the holders that
+    /// the keeper knows get their grants with the token that they have accepted, which fails if another leader has
+    /// granted with a higher one, and no other server gets a grant.
+    void renewTerm(MonotonicTime unknownLeaseEnd);
+    /// Grants to no server before @p unknownLeaseEnd, except to holders that are known since onRecordLost().
+    void holdGrants(MonotonicTime unknownLeaseEnd) { m_unknownLeaseEnd = unknownLeaseEnd; }
+    /// Whether the stored record is this keeper's and has been written in the present era.
+    [[nodiscard]] bool isRecordStored() const noexcept
+    {
+        return !m_recordLost && m_recordedGeneration >= m_eraGeneration && m_recordedGeneration > 0;
+    }
     void setServers(std::shared_ptr<const ServerList> servers);
     /// Servers that have stated that they are shutting down, whatever their listed state; they get no ranges.
     void setLeavingServers(std::set<ServerIdentity> servers) { m_leavingServers = std::move(servers); }
@@ -108,6 +125,8 @@
         MonotonicTime unansweredGrantEnd; ///< A late execution of an unanswered grant expires by then.
         bool grantConfirmed = false; ///< It accepted a grant with `fence`.
         bool fromEarlierTerm = false; ///< It may have a lease granted in an earlier term.
+        /// The keeper granted the range to it before the record was lost; it has the range unless it refuses `fence`.
+        bool isRemembered = false;
         /// It may have the lease at another address, where it was listed before; what its present address answers does
         /// not end that lease.
         bool changedAddress = false;
@@ -143,6 +162,7 @@
     [[nodiscard]] double effectiveCapacity(const ListedServer& server) const;
     void createRanges();
     void stepRange(RangeState& rangeState, bool mayGrant);
+    void stepHeldRange(RangeState& rangeState);
     void chooseTarget(RangeState& rangeState);
     void setTarget(RangeState& rangeState, const RangeHolder& target);
     void revokeFrom(RangeState& rangeState, Holder& holder);
@@ -151,6 +171,7 @@
     void dropExpiredHolders(RangeState& rangeState);
     void replaceRestartedHolders(RangeState& rangeState);
     static void combineEqualHolders(RangeState& rangeState);
+    [[nodiscard]] bool holdsGrants() const noexcept { return m_recordLost || m_now < m_unknownLeaseEnd; }
     [[nodiscard]] static bool isInCall(const RangeState& rangeState, const Holder& holder);
     void onGrantEnded(RangeState& rangeState, Holder& target, const RangeCallEnded& event);
     void onReleaseEnded(RangeState& rangeState, Holder& holder, const RangeCallEnded& event);
@@ -183,6 +204,9 @@
     MonotonicTime m_nextRebalanceAt;
     std::map<ServerIdentity, MonotonicTime> m_lastMoveAt; ///< Last move from or to a server.
 
+    bool m_recordLost = false; ///< The store has a new era, and the leader has no term of that era yet.
+    std::uint64_t m_eraGeneration = 0; ///< Generation from which on a stored record is of the present era.
+    MonotonicTime m_unknownLeaseEnd; ///< Leases of unknown leaders have expired by then.
     std::uint64_t m_version = 0; ///< Version of the stored record.
     std::uint64_t m_generation = 1; ///< Of the holders; increases with each change that must be stored.
     std::uint64_t m_recordedGeneration = 0; ///< Latest one in the stored record; 0: this keeper has stored none.
--- a/src/ranges/range_leadership.cpp
+++ b/src/ranges/range_leadership.cpp
@@ -13,6 +13,9 @@
 /// The first leader is elected long before traffic starts, so instances wait longer for fitter ones: a multiple of the
 /// jitter.
 constexpr double firstElectionFactor = 2;
+/// A write that was based on a version of an earlier era may have replaced a record of the new era, whose version is
+/// equal by chance. Its term is not known; it is above the era's first one by less than this.
+constexpr std::uint64_t skippedTerms = 1024;
 
 } // namespace
 
@@ -43,7 +46,11 @@
     }
     if (m_role == Role::Leader) {
         m_callInFlight = true;
-        if (m_earlierLeadersStopped && !m_leader->unconfirmedLeaders.empty()) {
+        if (needsNewTerm()) {
+            due.write = takeoverWrite();
+            return due;
+        }
+        if (m_versionIsCurrent && m_earlierLeadersStopped && !m_leader->unconfirmedLeaders.empty()) {
             m_writingRecord = *m_leader;
             m_writingRecord.unconfirmedLeaders.clear();
             due.write = WriteRecord {std::string(leaderRecordName), m_version, encodeLeaderRecord(m_writingRecord)};
@@ -77,16 +84,39 @@
         due.read = ReadRecord {std::string(leaderRecordName)};
         return due;
     }
+    due.write = takeoverWrite();
+    return due;
+}
+
+/// Whether this instance leads and the stored record is older than its term, which a restore of the store causes.
+bool RangeLeadership::needsNewTerm() const noexcept
+{
+    return m_role == Role::Leader && m_versionIsCurrent && m_era > 0
+        && (eraOfTerm(m_leader->term) < m_era || m_storedTerm < m_leader->term);
+}
+
+WriteRecord RangeLeadership::takeoverWrite()
+{
     m_writingRecord = m_self;
-    m_writingRecord.term = m_leader ? m_leader->term + 1 : 1;
-    if (m_leader) {
+    const std::uint64_t known = m_leader ? m_leader->term : 0;
+    m_writingRecord.term = std::max(std::max(known, m_storedTerm) + 1, firstTermOf(m_era) + m_skippedTerms);
+    if (m_era > 0 && (eraOfTerm(m_storedTerm) < m_era || m_storedTerm < known)) {
+        m_writingRecord.unconfirmedLeaders = {std::string(unknownLeaders)};
+    } else if (m_leader) {
         m_writingRecord.unconfirmedLeaders = m_leader->unconfirmedLeaders;
         m_writingRecord.unconfirmedLeaders.push_back(m_leader->instance);
         // The previous process of this instance has ended.
         std::erase(m_writingRecord.unconfirmedLeaders, m_self.instance);
     }
-    due.write = WriteRecord {std::string(leaderRecordName), m_version, encodeLeaderRecord(m_writingRecord)};
-    return due;
+    return {std::string(leaderRecordName), m_version, encodeLeaderRecord(m_writingRecord)};
+}
+
+void RangeLeadership::onNewEra(std::uint64_t era, MonotonicTime now)
+{
+    m_era = std::min(era, maxStoreEra);
+    m_skippedTerms = 0;
+    m_versionIsCurrent = false;
+    verifyNow(now);
 }
 
 void RangeLeadership::onRead(const RecordRead& event)
@@ -101,6 +131,7 @@
     if (status == StoreStatus::NotFound) {
         m_versionIsCurrent = true;
         m_version = 0;
+        m_storedTerm = 0;
         m_absentAt = event.startedAt;
         if (m_role != Role::Leader) {
             m_role = Role::Follower;
@@ -114,14 +145,20 @@
         return;
     }
     applyRecord(*record, event.result.object.version, event.startedAt);
-    m_nextCallAt = event.startedAt + (m_role == Role::Leader ? m_times.verifyInterval : Milliseconds(0));
+    m_nextCallAt
+        = event.startedAt + (m_role == Role::Leader && !needsNewTerm() ? m_times.verifyInterval : Milliseconds(0));
 }
 
 void RangeLeadership::applyRecord(const LeaderRecord& record, std::uint64_t version, MonotonicTime now)
 {
     m_version = version;
     m_versionIsCurrent = true;
-    const bool isSelf = record.instance == m_self.instance && record.incarnation == m_self.incarnation;
+    m_storedTerm = record.term;
+    const bool mayBeLost = m_era > 0 && (eraOfTerm(record.term) < m_era || (m_leader && record.term < m_leader->term));
+    if (mayBeLost && m_role == Role::Leader && record.term <= m_leader->term) {
+        return; // It confirms nothing; this instance writes a record of a new term.
+    }
+    const bool isSelf = !mayBeLost && record.instance == m_self.instance && record.incarnation == m_self.incarnation;
     if (isSelf && (m_role == Role::Leader || !m_leader || record.term >= m_leader->term)) {
         if (m_role != Role::Leader) {
             // An earlier write took effect although its answer was lost.
@@ -152,13 +189,23 @@
     m_callInFlight = false;
     const StoreStatus status = event.result.status;
     m_storeAvailable = status == StoreStatus::Ok || status == StoreStatus::Conflict;
+    if (event.baseEra < m_era || (m_storeAvailable && event.result.era != event.baseEra)) {
+        // The record that the write was based on is lost, so its outcome says nothing about the present one.
+        m_versionIsCurrent = false;
+        if (status == StoreStatus::Ok || status == StoreStatus::Unknown) {
+            m_skippedTerms = skippedTerms;
+        }
+        m_nextCallAt = event.startedAt + (m_storeAvailable ? Milliseconds(0) : m_times.callRetryInterval);
+        return;
+    }
     if (status == StoreStatus::Ok) {
-        if (m_role != Role::Leader) {
+        if (m_role != Role::Leader || m_leader->term != m_writingRecord.term) {
             m_tookOverAt = event.startedAt;
             m_earlierLeadersStopped = false;
         }
         m_mustVerify = m_mustVerify && event.startedAt < m_suspendedAt;
         m_leader = m_writingRecord;
+        m_storedTerm = m_writingRecord.term;
         m_role = Role::Leader;
         m_version = event.result.version;
         m_verifiedAt = event.startedAt;
@@ -204,6 +251,7 @@
     verifyNow(now);
 }
 
+/// A leader whose record was lost may grant for the rest of the leader lease that it had before.
 bool RangeLeadership::mayGrant(MonotonicTime now) const noexcept
 {
     return m_role == Role::Leader && !m_mustVerify && now < m_verifiedAt + m_times.leaderLease;
--- a/src/ranges/range_leadership.h
+++ b/src/ranges/range_leadership.h
@@ -47,6 +47,9 @@
     /// A heartbeat of a leader arrived.
     void onHeartbeat(std::uint64_t term, const std::string& instance, std::uint64_t incarnation,
         const std::string& address, MonotonicTime now);
+    /// The store has a new era, which is above the known one: versions of the record are no longer valid. A leader
+    /// keeps its role and its present leader lease, and writes the record again with a term of the new era.
+    void onNewEra(std::uint64_t era, MonotonicTime now);
     /// The process was suspended for a while, or a server has accepted a grant of a later term: this instance may not
     /// grant until a read of the stored record that begins at @p now or later confirms it as leader.
     void suspendGrants(MonotonicTime now) noexcept;
@@ -75,6 +78,8 @@
 private:
     void applyRecord(const LeaderRecord& record, std::uint64_t version, MonotonicTime now);
     void chooseTakeoverTimeout();
+    [[nodiscard]] bool needsNewTerm() const noexcept;
+    [[nodiscard]] WriteRecord takeoverWrite();
 
     LeadershipTimes m_times;
     LeaderRecord m_self;
@@ -82,6 +87,9 @@
     Role m_role = Role::Unknown;
     std::optional<LeaderRecord> m_leader;
     std::uint64_t m_version = 0; ///< Last known version of the stored record.
+    std::uint64_t m_storedTerm = 0; ///< Term of the record as last read or written.
+    std::uint64_t m_era = 0; ///< Newest known era of the store.
+    std::uint64_t m_skippedTerms = 0; ///< Terms of this era that a lost record may have used.
     bool m_versionIsCurrent = false; ///< `m_version` is believed to be the stored version.
     MonotonicTime m_absentAt; ///< Start of the latest read that found no record.
     MonotonicTime m_lastHeartbeatAt; ///< Last heartbeat of the leader, or when it became known.
--- a/src/ranges/range_record.h
+++ b/src/ranges/range_record.h
@@ -14,6 +14,21 @@
 /// Name of the stored object that names the leader, which is the instance that grants key ranges.
 inline constexpr std::string_view leaderRecordName = "leader";
 
+/// Entry of LeaderRecord::unconfirmedLeaders for leaders whose records were lost when the store was restored. It is
+/// never confirmed, so it stays until the leader leases of all of them have expired.
+inline constexpr std::string_view unknownLeaders = "(unknown)";
+
+/// @name Terms
+/// The high bits of a term are the era of the store, so that a term of a new era is above all earlier ones even if no
+/// instance remembers them. A fencing token has 24 bits below the term, and a JSON number 53: 9 bits remain for the
+/// era.
+/// @{
+inline constexpr unsigned termBitsInEra = 20;
+inline constexpr std::uint64_t maxStoreEra = 511;
+[[nodiscard]] constexpr std::uint64_t eraOfTerm(std::uint64_t term) noexcept { return term >> termBitsInEra; }
+[[nodiscard]] constexpr std::uint64_t firstTermOf(std::uint64_t era) noexcept { return (era << termBitsInEra) + 1; }
+/// @}
+
 /// The leader, which is the instance that grants key ranges. Changed only by conditional writes; each new leader
 /// increases the term.
 struct LeaderRecord {
--- a/tests/drain_time_test.cpp
+++ b/tests/drain_time_test.cpp
@@ -95,7 +95,7 @@
         if (m_now >= heartbeatAt) {
             heartbeatAt += heartbeatInterval;
             const Milliseconds age = std::chrono::duration_cast<Milliseconds>(m_now - cutAt);
-            m_selector.onLeaderHeartbeat({{{"servers", 7}}, age, 1, m_now}, m_now);
+            m_selector.onLeaderHeartbeat({{{"servers", {0, 7}}}, age, 1, m_now}, m_now);
         }
         if (!learned && m_selector.source(false, m_now) == FeedSource::Store) {
             learned = true;
--- a/tests/feed_source_selector_test.cpp
+++ b/tests/feed_source_selector_test.cpp
@@ -17,7 +17,7 @@
 {
     FeedSourceSelector selector;
     EXPECT_EQ(selector.source(false, start), FeedSource::Store);
-    selector.onLeaderHeartbeat({{{"servers", 7}}, 300ms, 1, start}, start);
+    selector.onLeaderHeartbeat({{{"servers", {0, 7}}}, 300ms, 1, start}, start);
     EXPECT_EQ(selector.source(false, start), FeedSource::Leader);
     EXPECT_EQ(selector.source(true, start), FeedSource::StoreForOthers);
 }
@@ -27,12 +27,12 @@
 TEST(FeedSourceSelectorTest, WatchesTheStoreWhenTheLeadersViewIsOld)
 {
     FeedSourceSelector selector;
-    selector.onLeaderHeartbeat({{{"servers", 7}}, 300ms, 1, start}, start);
+    selector.onLeaderHeartbeat({{{"servers", {0, 7}}}, 300ms, 1, start}, start);
     EXPECT_EQ(selector.source(false, start + 1s), FeedSource::Leader);
     EXPECT_EQ(selector.source(false, start + 1200ms), FeedSource::Store);
     // Heartbeats arrive, but the leader's view gets older.
     for (Milliseconds age = 300ms; age < 2s; age += 300ms) {
-        selector.onLeaderHeartbeat({{{"servers", 7}}, age, 1, start + age}, start + age);
+        selector.onLeaderHeartbeat({{{"servers", {0, 7}}}, age, 1, start + age}, start + age);
     }
     EXPECT_EQ(selector.source(false, start + 1900ms), FeedSource::Store);
 }
@@ -42,16 +42,16 @@
 {
     constexpr Milliseconds clockDifference = 40min;
     FeedSourceSelector selector;
-    selector.onLeaderHeartbeat({{{"servers", 7}}, 100ms, 3, start + clockDifference}, start + 12ms);
+    selector.onLeaderHeartbeat({{{"servers", {0, 7}}}, 100ms, 3, start + clockDifference}, start + 12ms);
     for (Milliseconds elapsed = 300ms; elapsed <= 3s; elapsed += 300ms) {
         // The link gets congested: each heartbeat is delayed more than the previous one.
         const MonotonicTime arrival = start + elapsed + elapsed / 2;
-        selector.onLeaderHeartbeat({{{"servers", 7}}, 100ms, 3, start + clockDifference + elapsed}, arrival);
+        selector.onLeaderHeartbeat({{{"servers", {0, 7}}}, 100ms, 3, start + clockDifference + elapsed}, arrival);
         const bool isOld = elapsed / 2 - 12ms + 100ms > 1400ms;
         EXPECT_EQ(selector.source(false, arrival), isOld ? FeedSource::Store : FeedSource::Leader) << elapsed.count();
     }
     // The leader of a later term has a different clock.
-    selector.onLeaderHeartbeat({{{"servers", 7}}, 100ms, 4, start}, start + 5s);
+    selector.onLeaderHeartbeat({{{"servers", {0, 7}}}, 100ms, 4, start}, start + 5s);
     EXPECT_EQ(selector.source(false, start + 5s), FeedSource::Leader);
 }
 
@@ -61,16 +61,16 @@
 {
     FeedSourceSelector selector;
     EXPECT_FALSE(selector.confirmedAsOf("servers"));
-    selector.onLeaderHeartbeat({{{"servers", 7}}, 300ms, 1, start}, start);
+    selector.onLeaderHeartbeat({{{"servers", {0, 7}}}, 300ms, 1, start}, start);
     EXPECT_FALSE(selector.confirmedAsOf("servers"));
     selector.onStoreAnswer("servers", {8, 7}, start + 1s);
     EXPECT_EQ(selector.confirmedAsOf("servers"), start + 1s);
     // An older view, a newer one, and one with a change that is not known here yet.
-    selector.onLeaderHeartbeat({{{"servers", 7}}, 600ms, 1, start + 1300ms}, start + 1300ms);
+    selector.onLeaderHeartbeat({{{"servers", {0, 7}}}, 600ms, 1, start + 1300ms}, start + 1300ms);
     EXPECT_EQ(selector.confirmedAsOf("servers"), start + 1s);
-    selector.onLeaderHeartbeat({{{"servers", 8}}, 100ms, 1, start + 1600ms}, start + 1600ms);
+    selector.onLeaderHeartbeat({{{"servers", {0, 8}}}, 100ms, 1, start + 1600ms}, start + 1600ms);
     EXPECT_EQ(selector.confirmedAsOf("servers"), start + 1500ms);
-    selector.onLeaderHeartbeat({{{"servers", 9}}, 100ms, 1, start + 1900ms}, start + 1900ms);
+    selector.onLeaderHeartbeat({{{"servers", {0, 9}}}, 100ms, 1, start + 1900ms}, start + 1900ms);
     EXPECT_EQ(selector.confirmedAsOf("servers"), start + 1500ms);
 }
 
@@ -86,7 +86,9 @@
     const std::optional<FeedSummary> summary = selector.summarize(start + 800ms);
     ASSERT_TRUE(summary);
     EXPECT_EQ(summary->age, 800ms);
-    EXPECT_THAT(summary->revisions, ElementsAre(testing::Pair("config", 9U), testing::Pair("servers", 7U)));
+    EXPECT_THAT(summary->revisions,
+        ElementsAre(
+            testing::Pair("config", FeedChangeRevision {0, 9}), testing::Pair("servers", FeedChangeRevision {0, 7})));
 }
 
 /// Guards against a lost message: missed changes are fetched, and fetched again after the retry interval.
@@ -94,9 +96,9 @@
 {
     FeedSourceSelector selector;
     selector.onStoreAnswer("servers", {7, 5}, start);
-    selector.onLeaderHeartbeat({{{"servers", 7}}, 0ms, 1, start}, start);
+    selector.onLeaderHeartbeat({{{"servers", {0, 7}}}, 0ms, 1, start}, start);
     EXPECT_THAT(selector.laggingFeeds(start + 1s), IsEmpty());
-    selector.onLeaderHeartbeat({{{"servers", 8}}, 0ms, 1, start + 1s}, start + 1s);
+    selector.onLeaderHeartbeat({{{"servers", {0, 8}}}, 0ms, 1, start + 1s}, start + 1s);
     EXPECT_THAT(selector.laggingFeeds(start + 1s), IsEmpty()) << "the forwarded change may be in transit";
     EXPECT_THAT(selector.laggingFeeds(start + 1200ms), ElementsAre("servers"));
     EXPECT_THAT(selector.laggingFeeds(start + 1300ms), IsEmpty());
@@ -117,5 +119,19 @@
     EXPECT_THAT(selector.laggingFeeds(start + 2s), IsEmpty());
 }
 
+/// Guards against a state of an earlier era that counts as up to date because its revision is higher.
+TEST(FeedSourceSelectorTest, ARevisionOfANewEraIsNewerThanAHigherOne)
+{
+    FeedSourceSelector selector;
+    selector.onStoreAnswer("servers", {90, 90}, start);
+    selector.onLeaderHeartbeat({{{"servers", {1, 7}}}, 0ms, 1, start}, start);
+    EXPECT_THAT(selector.laggingFeeds(start + 1s), ElementsAre("servers"));
+    EXPECT_EQ(selector.confirmedAsOf("servers"), start);
+    selector.onRevisionLearned("servers", {8, 8, 1});
+    EXPECT_THAT(selector.laggingFeeds(start + 3s), IsEmpty());
+    selector.onLeaderHeartbeat({{{"servers", {0, 95}}}, 0ms, 1, start + 3s}, start + 3s);
+    EXPECT_THAT(selector.laggingFeeds(start + 4s), IsEmpty()) << "the leader has not seen the new era yet";
+}
+
 } // namespace
 } // namespace jasminespread
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -3,6 +3,7 @@
 #include "process.h"
 
 #include "base/socket_address.h"
+#include "ranges/range_record.h"
 
 #include <jasminespread/backend_transports.h>
 
@@ -693,6 +694,28 @@
     EXPECT_LE(monotonicNow() - lostAt, 4s); // The users' recovery target.
 }
 
+/// Guards against a return to an earlier configuration, against keys without an owner, and against changes that are
+/// ignored because their revisions are lower, after the store was restored from an earlier copy.
+TEST_F(GatewayTest, KeepsServingAfterTheStoreIsRestored)
+{
+    m_store.takeCopy();
+    m_store.put("config", "main", configuration(6, "/new/"));
+    EXPECT_TRUE(runUntil(2s, [&] { return call(0, "/new/1").status == 200 && call(1, "/new/1").status == 200; }));
+    m_store.restoreCopy();
+    EXPECT_TRUE(runUntil(4s, [&] {
+        const json::value* leader = m_store.spec("jasminespread", "leader");
+        return leader != nullptr
+            && json::parse(leader->as_string()).as_object().at("term").to_number<std::uint64_t>() >= firstTermOf(1);
+    }));
+    for (unsigned i = 0; i < 20; ++i) {
+        EXPECT_EQ(call(i % 2, "/new/1").status, 200U);
+        EXPECT_EQ(call(i % 2, "/plan/1", static_cast<int>(i) * 3000).status, 200U);
+        (void)runUntil(200ms, [] { return false; });
+    }
+    m_store.put("config", "main", configuration(7, "/newer/"));
+    EXPECT_TRUE(runUntil(2s, [&] { return call(0, "/newer/1").status == 200 && call(1, "/newer/1").status == 200; }));
+}
+
 /// Guards against requests sent to a draining server, and against keys that stay with it.
 TEST_F(GatewayTest, MovesWorkAwayFromDrainingServers)
 {
--- a/tests/integration/platform_fake.cpp
+++ b/tests/integration/platform_fake.cpp
@@ -131,10 +131,23 @@
     CallerAnswer answer;
     answer.status = status;
     answer.headers.push_back({"Content-Type", "application/json"});
+    if (m_era > 0) {
+        answer.headers.push_back({"Store-Era", std::to_string(m_era)});
+    }
     answer.body = json::serialize(body);
     m_server.answer(request, std::move(answer));
 }
 
+void StoreFake::restoreCopy()
+{
+    m_objects = m_copy.objects;
+    m_history = m_copy.history;
+    m_revision = m_copy.revision;
+    m_oldestRevision = std::min(m_oldestRevision, m_revision);
+    ++m_era;
+    answerWatches();
+}
+
 void StoreFake::onRequest(std::uint64_t request, RawRequest&& raw)
 {
     ++m_calls;
@@ -223,7 +236,7 @@
                 events.push_back(json::object {{"object", change.object}, {"deleted", change.deleted}});
             }
         }
-        const bool compacted = it->from < m_oldestRevision;
+        const bool compacted = it->from < m_oldestRevision || it->from > m_revision;
         if (!compacted && events.empty() && monotonicNow() < it->until) {
             ++it;
             continue;
--- a/tests/integration/platform_fake.h
+++ b/tests/integration/platform_fake.h
@@ -37,6 +37,11 @@
     void failWatches();
     /// Drops the history: watches from an earlier revision are answered with status 410.
     void compact() { m_oldestRevision = m_revision; }
+    /// Remembers the present state as a copy.
+    void takeCopy() { m_copy = {m_objects, m_history, m_revision}; }
+    /// Returns to the copy and begins a new era: its revisions are assigned again, and watches from later ones are
+    /// answered with status 410.
+    void restoreCopy();
     /// Content of an object; nullptr when there is none.
     [[nodiscard]] const boost::json::value* spec(const std::string& kind, const std::string& name) const;
     /// Number of calls received.
@@ -55,6 +60,11 @@
         bool deleted = false;
         boost::json::value object;
     };
+    struct Copy {
+        std::map<std::string, std::map<std::string, Object>> objects;
+        std::vector<Change> history;
+        std::uint64_t revision = 0;
+    };
     struct Watch {
         std::uint64_t request = 0;
         std::string kind;
@@ -76,6 +86,8 @@
     std::list<Watch> m_watches;
     std::uint64_t m_revision = 100;
     std::uint64_t m_oldestRevision = 0;
+    Copy m_copy;
+    std::uint64_t m_era = 0;
     std::uint64_t m_calls = 0;
     Mode m_mode = Mode::Serving;
     std::shared_ptr<const bool> m_alive = std::make_shared<const bool>(true); ///< Ends with this object.
--- a/tests/object_feed_test.cpp
+++ b/tests/object_feed_test.cpp
@@ -44,9 +44,12 @@
         m_feed.start();
     }
 
-    void answer(const std::string& body)
+    void answer(const std::string& body, const std::string& era = "")
     {
         BackendResult result;
+        if (!era.empty()) {
+            result.headers.push_back({"Store-Era", era});
+        }
         result.progress = BackendProgress::Answered;
         result.status = 200;
         result.body = body;
@@ -127,6 +130,27 @@
     EXPECT_EQ(m_revision.asOf, 27U);
 }
 
+/// Guards against a state that stays that of a lost era, because the revisions of the restored store are lower.
+TEST_F(ObjectFeedTest, ListsAgainInANewEraWithLowerRevisions)
+{
+    answerFirstList(R"({"items":[)" + entry("a", 6) + "," + entry("b", 18) + R"(],"hasMore":false,"atRev":20})", 20);
+    m_feed.fetch();
+    answer(R"({"events":[],"atRev":9})", "1");
+    answer(R"({"items":[)" + entry("a", 6) + "," + entry("c", 8) + R"(],"hasMore":false,"atRev":9})", "1");
+    EXPECT_EQ(names(), "a@6 c@8 ");
+    EXPECT_EQ(m_revision.era, 1U);
+    EXPECT_EQ(m_revision.asOf, 9U);
+    FeedChange earlier = forwarded("d", 30, false, 9, 30);
+    m_feed.apply(earlier);
+    EXPECT_EQ(names(), "a@6 c@8 ") << "a change of an earlier era was applied";
+    earlier.era = 1;
+    m_feed.apply(earlier);
+    EXPECT_EQ(names(), "a@6 c@8 d@30 ");
+    m_feed.fetch();
+    answer(R"({"events":[],"atRev":40})"); // Sent before the restore.
+    EXPECT_EQ(m_revision.asOf, 30U);
+}
+
 /// Guards against a page that ends the list, or starts it again for ever, because of entries of other writers.
 TEST_F(ObjectFeedTest, FollowsAListWithUnreadableEntries)
 {
--- a/tests/ownership_exploration.cpp
+++ b/tests/ownership_exploration.cpp
@@ -27,13 +27,13 @@
     }
 }
 
-std::vector<Disruption> drawDisruptions(std::mt19937_64& random, std::size_t depth)
+std::vector<Disruption> drawDisruptions(std::mt19937_64& random, std::size_t depth, std::size_t restores)
 {
     std::vector<Disruption> disruptions;
     Milliseconds previous = firstDisruption;
     for (std::size_t i = 0; i < depth; ++i) {
         Disruption& disruption = disruptions.emplace_back();
-        disruption.kind = static_cast<Disruption::Kind>(chooseUpTo(random, disruptionKindCount - 1));
+        disruption.kind = static_cast<Disruption::Kind>(chooseUpTo(random, drawnKindCount - 1));
         disruption.at = chooseUpTo(random, 1) == 0 ? previous + Milliseconds(chooseUpTo(random, nearMs))
                                                    : firstDisruption + Milliseconds(chooseUpTo(random, disruptedMs));
         previous = disruption.at;
@@ -43,6 +43,14 @@
         disruption.target = static_cast<std::size_t>(chooseUpTo(random, static_cast<int>(targets) - 1));
         disruption.seed = random();
     }
+    for (std::size_t i = 0; i < restores; ++i) {
+        Disruption& disruption = disruptions.emplace_back();
+        disruption.kind = Disruption::Kind::StoreRestored;
+        disruption.at = firstDisruption + Milliseconds(chooseUpTo(random, disruptedMs));
+        disruption.length = Milliseconds(chooseUpTo(random, 5000));
+        disruption.target = static_cast<std::size_t>(chooseUpTo(random, OwnershipWorld::instanceCount - 1));
+        disruption.seed = random();
+    }
     std::stable_sort(
         disruptions.begin(), disruptions.end(), [](const Disruption& a, const Disruption& b) { return a.at < b.at; });
     return disruptions;
@@ -84,7 +92,7 @@
     worldSettings.countsLateGrants = settings.countsLateGrants;
     worldSettings.copiesHideLateCalls = settings.copiesHideLateCalls;
     worldSettings.reusesShiftedConnections = settings.reusesShiftedConnections;
-    const std::vector<Disruption> drawn = drawDisruptions(random, settings.depth);
+    const std::vector<Disruption> drawn = drawDisruptions(random, settings.depth, settings.restores);
     const std::optional<OwnershipLedger::Violation> violation = play(worldSettings, drawn);
     if (!violation) {
         return std::nullopt;
--- a/tests/ownership_exploration.h
+++ b/tests/ownership_exploration.h
@@ -14,6 +14,7 @@
     bool countsLateGrants = false; ///< See OwnershipLedger.
     bool copiesHideLateCalls = false; ///< See OwnershipWorldSettings, also for the next one.
     bool reusesShiftedConnections = true;
+    std::size_t restores = 0; ///< Restores of the store, in addition to the other disruptions.
 };
 
 /// An order of disruptions under which a rule of ownership is broken.
--- a/tests/ownership_exploration_test.cpp
+++ b/tests/ownership_exploration_test.cpp
@@ -42,6 +42,20 @@
     std::cout << seed - first << " orders, " << failures << " failed\n";
 }
 
+/// Guards against a key with two owners after a restore of the store, which loses records of grants.
+TEST(OwnershipExplorationTest, NoRestoreOfTheStoreGivesAKeyTwoOwners)
+{
+    ExplorationSettings settings;
+    settings.restores = numberFrom("EXPLORATION_RESTORES", 2);
+    settings.depth = numberFrom("EXPLORATION_DEPTH", settings.depth);
+    const std::uint64_t first = numberFrom("EXPLORATION_SEED", 1);
+    const std::uint64_t count = numberFrom("EXPLORATION_COUNT", 200);
+    for (std::uint64_t seed = first; seed < first + count; ++seed) {
+        const std::optional<BrokenOrder> broken = exploreOrder(seed, settings);
+        ASSERT_FALSE(broken) << broken->description;
+    }
+}
+
 /// Guards against the answer to one release, behind a copy of another one's, being taken for that to the next release.
 TEST(OwnershipExplorationTest, AnAnswerBehindACopyDoesNotEndAnotherRelease)
 {
--- a/tests/ownership_world.cpp
+++ b/tests/ownership_world.cpp
@@ -25,7 +25,7 @@
 constexpr std::array<std::string_view, disruptionKindCount> kindNames {"starts again under its id", "drains",
     "registration is carried out again late", "grants are lost", "grants are executed late", "releases are lost",
     "answers are doubled", "is turned away by the store", "store writes are late", "is cut from the other instance",
-    "pauses", "is killed"};
+    "pauses", "is killed", "sees late that the store is restored"};
 
 double fractionOf(std::mt19937_64& random) { return std::uniform_real_distribution<double>(0, 1)(random); }
 
@@ -203,6 +203,7 @@
             event.result.status = StoreStatus::Unavailable;
             if (reached) {
                 const auto it = m_records.find(record);
+                event.result.era = m_era;
                 event.result.status = it == m_records.end() ? StoreStatus::NotFound : StoreStatus::Ok;
                 if (it != m_records.end()) {
                     event.result.object = {record, it->second.first, it->second.second};
@@ -217,18 +218,30 @@
     const auto it = m_records.find(effect.name);
     const std::uint64_t version = it == m_records.end() ? 0 : it->second.first;
     if (version != effect.expectedVersion) {
-        return {StoreStatus::Conflict, 0};
+        return {StoreStatus::Conflict, 0, m_era};
     }
     m_records[effect.name] = {++m_version, effect.value};
-    return {StoreStatus::Ok, m_version};
+    m_copies[m_now] = {m_records, m_version};
+    return {StoreStatus::Ok, m_version, m_era};
+}
+
+void OwnershipWorld::restoreStore(Milliseconds age)
+{
+    const auto after = m_copies.upper_bound(m_now - age);
+    const Copy copy = after == m_copies.begin() ? Copy() : std::prev(after)->second;
+    m_records = copy.records;
+    m_version = copy.version;
+    m_copies.erase(after, m_copies.end());
+    m_copies[m_now] = copy;
+    ++m_era;
 }
 
 void OwnershipWorld::write(std::size_t index, const WriteRecord& effect)
 {
     Instance& instance = m_instances[index];
-    const auto answer = [this, index, incarnation = instance.incarnation, record = effect.name, startedAt = m_now](
-                            StoreWriteResult result) {
-        deliver(index, incarnation, RecordWritten {record, startedAt, result});
+    const auto answer = [this, index, incarnation = instance.incarnation, record = effect.name, startedAt = m_now,
+                            era = effect.era](StoreWriteResult result) {
+        deliver(index, incarnation, RecordWritten {record, startedAt, result, era});
     };
     if (instance.rejected) {
         return schedule(4ms, [answer] { answer({StoreStatus::Unavailable, 0}); });
@@ -622,6 +635,11 @@
                 }
             }
         });
+    case Disruption::Kind::StoreRestored:
+        restoreStore(length);
+        // The store turns the instance away until it has seen the new era from another instance, or for a while.
+        setRejected(target, true);
+        return schedule(Milliseconds(disruption.seed % 3000), [this, target] { setRejected(target, false); });
     case Disruption::Kind::InstanceRestarts:
         if (!m_instances[target].authority) {
             return;
--- a/tests/ownership_world.h
+++ b/tests/ownership_world.h
@@ -32,6 +32,7 @@
         PeersCut, ///< Messages between the instances are lost.
         InstancePauses,
         InstanceRestarts, ///< An instance is killed and starts again after a second.
+        StoreRestored, ///< The store returns to its state `length` earlier; an instance sees that late.
     };
 
     Kind kind = Kind::ServerRestarts;
@@ -41,7 +42,9 @@
     std::uint64_t seed = 0; ///< Of the choices within the disruption.
 };
 
-inline constexpr std::size_t disruptionKindCount = 12;
+inline constexpr std::size_t disruptionKindCount = 13;
+/// Kinds that every exploration draws; restores are drawn apart, so that earlier seeds give the same orders.
+inline constexpr std::size_t drawnKindCount = 12;
 [[nodiscard]] std::string describe(const Disruption& disruption);
 
 struct OwnershipWorldSettings {
@@ -142,6 +145,7 @@
     };
 
     void schedule(Milliseconds delay, std::function<void()> run);
+    void restoreStore(Milliseconds age);
     void begin(const Disruption& disruption);
     void start(std::size_t instance);
     void tick(std::size_t instance, std::uint64_t incarnation);
@@ -187,6 +191,12 @@
     std::deque<std::mt19937_64> m_writeRandoms;
     std::map<std::string, std::pair<std::uint64_t, std::string>> m_records; ///< Version and value, by name.
     std::uint64_t m_version = 0;
+    struct Copy {
+        std::map<std::string, std::pair<std::uint64_t, std::string>> records;
+        std::uint64_t version = 0;
+    };
+    std::map<MonotonicTime, Copy> m_copies; ///< State of the records after each write, by time.
+    std::uint64_t m_era = 0;
     unsigned m_peerCuts = 0;
     std::uint64_t m_handovers = 0;
     OwnershipLedger m_ledger;
--- a/tests/server_grace_test.cpp
+++ b/tests/server_grace_test.cpp
@@ -50,6 +50,20 @@
     EXPECT_TRUE(directory.servers()->empty());
 }
 
+/// Guards against the removal of servers that registered after the copy was made from which the store was restored.
+TEST(ServerDirectoryTest, RetainsEntriesThatARestoredStoreLacks)
+{
+    ServerDirectory directory(times);
+    directory.update({listed("a"), listed("b")}, start);
+    directory.onStoreRestored(start + 1s);
+    directory.update({listed("a")}, start + 1s);
+    ASSERT_EQ(directory.servers()->size(), 2U);
+    EXPECT_EQ(directory.servers()->back().state, ListedServerState::Missing);
+    directory.confirm(start + 2900ms);
+    EXPECT_TRUE(directory.applyTimeouts(start + 3s));
+    EXPECT_EQ(directory.servers()->size(), 1U);
+}
+
 /// A directory with the servers "a" and "b", whose list has been confirmed for 5 s.
 class ServerGraceTest : public testing::Test {
 protected:
--- a/tests/support/leading_authority.h
+++ b/tests/support/leading_authority.h
@@ -9,6 +9,7 @@
 #include <memory>
 #include <set>
 #include <string>
+#include <tuple>
 #include <utility>
 #include <vector>
 
@@ -65,6 +66,15 @@
             encodeLeaderRecord({m_authority.term() + 1, instance, incarnation, address, {"edge-1"}})};
     }
 
+    /// Remembers the records of the store as a copy.
+    void copyStore() { m_copy = {m_records, m_version}; }
+    /// Returns the store to the copy and begins a new era.
+    void restoreStore()
+    {
+        std::tie(m_records, m_version) = m_copy;
+        ++m_era;
+    }
+
     [[nodiscard]] std::uint64_t term() const { return m_authority.term(); }
 
     /// Handles one event, answers the resulting store calls, and records the resulting grants and messages.
@@ -77,9 +87,10 @@
                 reduce(RecordWritten {write->name, now, {StoreStatus::Unavailable, 0}});
             } else if (write != nullptr) {
                 m_records[write->name] = {write->name, ++m_version, write->value};
-                reduce(RecordWritten {write->name, now, {StoreStatus::Ok, m_version}});
+                reduce(RecordWritten {write->name, now, {StoreStatus::Ok, m_version, m_era}, write->era});
             } else if (auto* grant = std::get_if<GrantRange>(&effect)) {
                 unansweredGrants.push_back(grant->callId);
+                grants.push_back(*grant);
             } else if (auto* release = std::get_if<ReleaseRange>(&effect)) {
                 unansweredGrants.push_back(release->callId);
             } else if (auto* published = std::get_if<PublishRanges>(&effect)) {
@@ -114,6 +125,7 @@
     static inline const std::string service = "archive";
     MonotonicTime now {std::chrono::hours(1)};
     std::vector<std::uint64_t> unansweredGrants; ///< Call ids of grants and releases that were not answered yet.
+    std::vector<GrantRange> grants; ///< All that were sent.
     std::shared_ptr<const RangeTable> table; ///< The latest one; null before the first.
     std::vector<wire::Envelope> messages; ///< Sent to other instances.
     std::size_t answeredGrants = 0;
@@ -135,13 +147,15 @@
         }
         const auto it = m_records.find(name);
         if (it == m_records.end()) {
-            return {StoreStatus::NotFound, {}};
+            return {StoreStatus::NotFound, {}, m_era};
         }
-        return {StoreStatus::Ok, it->second};
+        return {StoreStatus::Ok, it->second, m_era};
     }
 
     RangeAuthority m_authority;
     std::map<std::string, StoredObject> m_records;
+    std::pair<std::map<std::string, StoredObject>, std::uint64_t> m_copy;
+    std::uint64_t m_era = 0;
     std::uint64_t m_version = 0;
 };
 
