Permits for requests to cold servers

In its slow start a server tolerates few requests per second. The leader divides a bounded rate among the instances by permits that expire; an instance without a valid permit sends nothing to a cold server, and cold servers get no key ranges while another one is ready. Only where coldOver and warmupPerS are set.

--- a/src/gateway/gateway_configuration.h
+++ b/src/gateway/gateway_configuration.h
@@ -52,6 +52,8 @@
     std::uint32_t maxConnections = 1; ///< Per backend server, over all gateway instances.
     bool keyed = false; ///< Whether requests carry a key and go to the one server that owns it.
     Milliseconds warmUp {0}; ///< How long a server is slow for keys that it takes over without a handover.
+    /// Requests per second that a server tolerates during its slow start; 0: not limited.
+    double warmUpRate = 0;
 };
 
 struct CallerLimits {
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -96,7 +96,7 @@
         , m_ports(makePorts(m_adapterTransport))
         , m_reducer(settings.reducer, randomSeed())
         , m_authority(LeaderRecord {0, settings.instance, m_incarnation, settings.controlAddress, {}},
-              rangeTimes(settings), leadershipTimes(settings), randomSeed())
+              rangeTimes(settings), leadershipTimes(settings), randomSeed(), settings.reducer.coldLimits)
         , m_directory({serverGracePeriod, settings.registrationExpiry, settings.shortestExpiringOutage})
         , m_reducerTimer([this] { onReducerTimer(); })
         , m_callerServer(callerServerLimits(settings),
@@ -578,6 +578,13 @@
 
     void executeRangeEffect(PublishRanges&& effect) { apply(RangeTableChanged {std::move(effect.table)}); }
     void executeRangeEffect(PublishLoads&& effect) { apply(ServerLoadsReported {std::move(effect.inFlight)}); }
+    void executeRangeEffect(PublishColdPermits&& effect)
+    {
+        m_gatewayMetrics.setColdPermits(effect.permits);
+        // The clock of the range events also counts suspended time.
+        const MonotonicTime validUntil = monotonicNow() + (effect.validUntil - boottimeNow());
+        apply(ColdPermitsReceived {std::move(effect.permits), validUntil});
+    }
     void executeRangeEffect(PublishInstanceCount&& effect) { apply(InstanceCountChanged {effect.instanceCount}); }
     void executeRangeEffect(SelectFeedSource&& effect)
     {
@@ -604,6 +611,7 @@
                 applyRangeEvent(KeysCounted {service, {counts.begin(), counts.end()}});
             }
             applyRangeEvent(SpeedsObserved {m_reducer.takeSpeeds()});
+            applyRangeEvent(ColdDemandsObserved {m_reducer.takeColdDemands()});
             const std::vector<ServerIdentity> leaving = m_reducer.leavingServers();
             applyRangeEvent(LeavingServersObserved {{leaving.begin(), leaving.end()}});
         }
--- a/src/gateway/gateway_event.h
+++ b/src/gateway/gateway_event.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/cold_servers.h"
 #include "gateway/gateway_configuration.h"
 #include "gateway/gateway_request.h"
 #include "gateway/listed_server.h"
@@ -90,6 +91,12 @@
     std::uint32_t instances = 1;
 };
 
+/// The leader's permits for cold servers; they replace all earlier ones.
+struct ColdPermitsReceived {
+    ColdPermits permits;
+    MonotonicTime validUntil;
+};
+
 /// The machine was suspended, which the clock of the events does not count.
 struct MachineSuspended {
     Milliseconds duration {0};
@@ -105,8 +112,8 @@
 struct GatewayTick { };
 
 using GatewayEvent = std::variant<RequestReceived, CallerDisconnected, ServerAnswered, SendFailed, GatewayConfigured,
-    ServersListed, EvacuationsListed, RangeTableChanged, ServerLoadsReported, InstanceCountChanged, MachineSuspended,
-    InstanceStopping, GatewayTick>;
+    ServersListed, EvacuationsListed, RangeTableChanged, ServerLoadsReported, InstanceCountChanged, ColdPermitsReceived,
+    MachineSuspended, InstanceStopping, GatewayTick>;
 /// @}
 
 /// @name Effects of the gateway's reducer
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -51,6 +51,19 @@
     m_evacuatedDomains->set(static_cast<double>(domains));
 }
 
+void GatewayMetrics::setColdPermits(const ColdPermits& permits)
+{
+    if (m_coldPermits == nullptr) {
+        m_coldPermits = &m_registry.gauge("jasminespread_gateway_cold_permits", "",
+            "Requests that this instance may send to servers in their slow start in any second.");
+    }
+    double requests = 0;
+    for (const ColdPermit& permit : permits) {
+        requests += permit.requests;
+    }
+    m_coldPermits->set(requests);
+}
+
 void GatewayMetrics::recordStoreCall(std::string_view purpose)
 {
     auto it = m_storeCalls.find(purpose);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -27,6 +27,8 @@
     void setLostLogLines(std::uint64_t lines);
     /// Sets the number of evacuated failure domains.
     void setEvacuatedDomains(std::size_t domains);
+    /// Sets this instance's permits for servers in their slow start.
+    void setColdPermits(const ColdPermits& permits);
     /// Counts a call to the platform's store.
     void recordStoreCall(std::string_view purpose);
 
@@ -39,6 +41,7 @@
     MetricsRegistry::Counter* m_requestedPauses = nullptr;
     MetricsRegistry::Counter* m_statedShutdowns = nullptr;
     MetricsRegistry::Gauge* m_evacuatedDomains = nullptr;
+    MetricsRegistry::Gauge* m_coldPermits = nullptr;
     std::map<std::string, MetricsRegistry::Histogram*> m_seconds; ///< By service.
     std::map<std::string, MetricsRegistry::Counter*, std::less<>> m_storeCalls; ///< By purpose.
 };
--- a/src/gateway/gateway_reducer.cpp
+++ b/src/gateway/gateway_reducer.cpp
@@ -97,6 +97,12 @@
     return leaving;
 }
 
+ColdDemands GatewayReducer::takeColdDemands()
+{
+    m_coldGate.forgetOld(m_now);
+    return m_coldGate.takeDemands();
+}
+
 std::optional<MonotonicTime> GatewayReducer::nextWake() const
 {
     std::optional<MonotonicTime> next;
@@ -272,6 +278,9 @@
         }
         server.availability.onLeavingStated(dispatch.startedAt);
     }
+    if (answer.statedWarmUpLeft && isColdRateLimited(server)) {
+        server.coldUntil = std::max(server.coldUntil, m_now + *answer.statedWarmUpLeft);
+    }
     if (answer.requestedPause) {
         server.availability.onPauseRequested(*answer.requestedPause, random(), m_now);
         m_effects.emplace_back(RecordServerStatement {server.listed.identity, job.request->id, answer.requestedPause});
@@ -351,7 +360,12 @@
             server.observation = ServerObservation();
             ++server.run;
             server.warmUpEndsAt = m_now + listed.warmUpLeft;
+            server.coldUntil = MonotonicTime();
         }
+        // The age of the listed time is unknown. An entry that is as before may be older than the server's statement.
+        const MonotonicTime coldUntil = m_now + listed.warmUpLeft;
+        const bool isSameEntry = server.listed.warmUpLeft == listed.warmUpLeft;
+        server.coldUntil = isSameEntry ? std::max(server.coldUntil, coldUntil) : coldUntil;
         server.availability.onListed(listed.state, changedAfter);
         server.listed = listed;
         server.isListed = true;
@@ -441,8 +455,11 @@
     configureBudgets();
 }
 
+void GatewayReducer::handle(ColdPermitsReceived&& event) { m_coldGate.setPermits(event.permits, event.validUntil); }
+
 void GatewayReducer::handle(MachineSuspended&& event)
 {
+    m_coldGate.onSuspended(event.duration);
     for (auto& [domain, since] : m_evacuatedSince) {
         if (since != MonotonicTime::min()) {
             since -= event.duration;
@@ -538,6 +555,10 @@
     if (job.waitingForOwnerSince != MonotonicTime()) {
         recordDecision(job, server->first, "owner-found", "");
     }
+    if (!maySendToCold(server->second)) {
+        m_coldGate.addDemand(*owner);
+        return refuse(job, "the owner of the key is cold", retryAfterFor(job, timing.latencyObjective));
+    }
     const Milliseconds expectedLatency = estimateLatency(candidateOf(server->second), timing.typicalLatency);
     if (!canFinishInTime(expectedLatency, timing)) {
         return refuse(job, "the owner of the key has too much work", retryAfterFor(job, expectedLatency));
@@ -589,6 +610,7 @@
 {
     std::vector<ServerCandidate> candidates;
     std::vector<double> jitter;
+    std::set<std::size_t> withoutPermit;
     const auto pool = m_serverPools.find(job.service);
     if (pool == m_serverPools.end()) {
         return std::nullopt;
@@ -602,11 +624,27 @@
         }
         ServerCandidate candidate = candidateOf(server);
         candidate.index = eligibleServers.size();
+        if (!maySendToCold(server)) {
+            withoutPermit.insert(candidate.index);
+        }
         eligibleServers.push_back(&server);
         candidates.push_back(candidate);
         jitter.push_back(random());
     }
-    return selectServer(candidates, timingOf(job), jitter);
+    std::optional<SelectedServer> selected = selectServer(candidates, timingOf(job), jitter);
+    if (!selected || !withoutPermit.contains(selected->index)) {
+        return selected;
+    }
+    m_coldGate.addDemand(eligibleServers[selected->index]->listed.identity);
+    std::vector<ServerCandidate> permitted;
+    std::vector<double> permittedJitter;
+    for (std::size_t i = 0; i < candidates.size(); ++i) {
+        if (!withoutPermit.contains(candidates[i].index)) {
+            permitted.push_back(candidates[i]);
+            permittedJitter.push_back(jitter[i]);
+        }
+    }
+    return selectServer(permitted, timingOf(job), permittedJitter);
 }
 
 std::optional<MonotonicTime> GatewayReducer::firstPauseEnd(const Job& job) const
@@ -648,6 +686,25 @@
     return job.route->allowsRegion(server.region) && (newerRoute == nullptr || newerRoute->allowsRegion(server.region));
 }
 
+bool GatewayReducer::isColdRateLimited(const Server& server) const
+{
+    if (!m_settings.coldLimits || !m_configuration) {
+        return false;
+    }
+    const auto service = m_configuration->services.find(server.listed.service);
+    return service != m_configuration->services.end() && service->second.warmUpRate > 0;
+}
+
+bool GatewayReducer::isCold(const Server& server, MonotonicTime now) const
+{
+    return now < server.coldUntil && isColdRateLimited(server);
+}
+
+bool GatewayReducer::maySendToCold(const Server& server) const
+{
+    return !isCold(server, m_now) || m_coldGate.mayDispatch(server.listed.identity, m_now);
+}
+
 /// Whether a server that is no longer listed may be listed again with the same run and must not get requests then.
 bool GatewayReducer::mustRemember(const Server& server) const
 {
@@ -670,7 +727,12 @@
     if (!isAtHome(job, newerRouteOf(job), server.listed)) {
         return false;
     }
-    return server.run != sent->serverRun || server.availability.maySend(scopeOf(job), now);
+    if (server.run != sent->serverRun) {
+        // A run that has been replaced is not known any more; its permits do not apply to the present one.
+        return !isCold(server, now);
+    }
+    return server.availability.maySend(scopeOf(job), now)
+        && (!isCold(server, now) || m_coldGate.maySend(server.listed.identity, sent->startedAt, now));
 }
 
 ServerCandidate GatewayReducer::candidateOf(const Server& server) const
@@ -687,7 +749,8 @@
     const auto service = m_configuration->services.find(server.listed.service);
     const std::uint32_t connections = service == m_configuration->services.end() ? 1 : service->second.maxConnections;
     candidate.maxInFlight = std::max(server.listed.slots, connections / std::max(1U, std::min(m_instanceCount, 8U)));
-    candidate.slowness = server.observation.slowness(m_now) * (m_now < server.warmUpEndsAt ? warmUpSlowness : 1);
+    candidate.slowness = server.observation.slowness(m_now)
+        * (m_now < server.warmUpEndsAt || isCold(server, m_now) ? warmUpSlowness : 1);
     candidate.failureShare = server.observation.failureShare(m_now);
     return candidate;
 }
@@ -716,6 +779,12 @@
     job.execution.onDispatched();
     m_jobsByDispatch.emplace(number, job.number);
     server.observation.recordStart();
+    if (isColdRateLimited(server)) {
+        m_coldGate.onDispatched(server.listed.identity, m_now);
+        if (isCold(server, m_now)) {
+            m_coldGate.addDemand(server.listed.identity);
+        }
+    }
     if (const std::optional<Milliseconds> leavingFor = server.availability.leavingFor(m_now)) {
         recordDecision(job, server.listed.identity.id, "sent-to-leaving-owner",
             "leaving for at most " + std::to_string(leavingFor->count()) + " ms");
--- a/src/gateway/gateway_reducer.h
+++ b/src/gateway/gateway_reducer.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/cold_server_gate.h"
 #include "gateway/execution_record.h"
 #include "gateway/gateway_event.h"
 #include "gateway/route_latency.h"
@@ -31,6 +32,8 @@
     /// How long after the evacuation of a failure domain its servers may still get requests; nothing: the platform
     /// does not evacuate failure domains.
     std::optional<Milliseconds> evacuationTime {};
+    /// Bound of the requests to a server during its slow start; nothing: they are not limited.
+    std::optional<ColdServerLimits> coldLimits {};
 };
 
 /// Decision logic of an instance's data path: routes each request to a backend server of its service, retries and
@@ -47,6 +50,8 @@
     [[nodiscard]] std::vector<ObservedSpeed> takeSpeeds();
     /// Returns the listed servers that have stated that they are shutting down.
     [[nodiscard]] std::vector<ServerIdentity> leavingServers() const;
+    /// Returns the demand for cold servers since the last call.
+    [[nodiscard]] ColdDemands takeColdDemands();
     /// Number of unanswered requests.
     [[nodiscard]] std::size_t requestsInFlight() const noexcept { return m_jobs.size() + m_heldRequests.size(); }
     /// Whether a SendToServer effect that has waited, e.g. for a connection, may still be executed at @p now.
@@ -65,7 +70,8 @@
         std::uint32_t run = 0; ///< Number of the server's run under its id, among those that were listed here.
         bool isListed = false; ///< In the latest list.
         MonotonicTime unlistedAt; ///< When it was last missing from a list for the first time.
-        MonotonicTime warmUpEndsAt; ///< End of its slow start.
+        MonotonicTime warmUpEndsAt; ///< End of its slow start, as of the first list with this run.
+        MonotonicTime coldUntil; ///< End of its slow start, as of the latest list or its own statement.
     };
 
     struct Service {
@@ -124,6 +130,7 @@
     void handle(RangeTableChanged&& event);
     void handle(ServerLoadsReported&& event);
     void handle(InstanceCountChanged&& event);
+    void handle(ColdPermitsReceived&& event);
     void handle(MachineSuspended&& event);
     void handle(InstanceStopping&& event);
     void handle(GatewayTick&& event);
@@ -176,6 +183,12 @@
     [[nodiscard]] static bool isAtHome(const Job& job, const HostRoute* newerRoute, const ListedServer& server);
     [[nodiscard]] bool mustRemember(const Server& server) const;
     void applyEvacuation(Server& server) const;
+    /// Whether the rate of requests to @p server during its slow start is limited.
+    [[nodiscard]] bool isColdRateLimited(const Server& server) const;
+    /// Whether that limit applies at @p now.
+    [[nodiscard]] bool isCold(const Server& server, MonotonicTime now) const;
+    /// Whether @p server is not cold, or this instance has a permit for one more request to it.
+    [[nodiscard]] bool maySendToCold(const Server& server) const;
     [[nodiscard]] ServerCandidate candidateOf(const Server& server) const;
     [[nodiscard]] RequestTiming timingOf(const Job& job);
     [[nodiscard]] Milliseconds typicalLatencyOf(const Job& job);
@@ -206,6 +219,7 @@
     GatewayEffects m_effects;
     std::shared_ptr<const GatewayConfiguration> m_configuration;
     std::uint32_t m_instanceCount;
+    ColdServerGate m_coldGate;
     std::map<std::string, Server> m_servers; ///< By id.
     std::map<std::string, std::vector<std::string>> m_serverPools; ///< Ids of usable servers by service.
     std::map<std::string, Service> m_services;
--- a/src/gateway/gateway_request.h
+++ b/src/gateway/gateway_request.h
@@ -52,6 +52,7 @@
     /// @name What the server states of itself, in an answer that is known to be its own
     /// @{
     bool statesLeaving = false; ///< It is shutting down.
+    std::optional<Milliseconds> statedWarmUpLeft; ///< Remaining time of its slow start.
     std::optional<Milliseconds> requestedPause; ///< It wants no further requests for this time, which is positive.
     /// @}
 };
--- a/src/ranges/key_load.cpp
+++ b/src/ranges/key_load.cpp
@@ -1,6 +1,7 @@
 #include "ranges/key_load.h"
 
 #include <cmath>
+#include <numbers>
 #include <numeric>
 
 namespace jasminespread {
@@ -41,4 +42,10 @@
 
 double KeyLoad::total() const { return std::accumulate(m_load.begin(), m_load.end(), 0.0); }
 
+double KeyLoad::requestsPerSecond() const
+{
+    // The decayed count of a steady rate is that of the requests of halfLifeMs / ln 2.
+    return total() * std::numbers::ln2 * 1000 / halfLifeMs;
+}
+
 } // namespace jasminespread
--- a/src/ranges/key_load.h
+++ b/src/ranges/key_load.h
@@ -20,6 +20,8 @@
     [[nodiscard]] double of(const KeyRange& range) const;
     [[nodiscard]] double ofKey(std::uint32_t key) const { return m_load.empty() ? 0 : m_load[key]; }
     [[nodiscard]] double total() const;
+    /// Rate of the requests, as long as it does not change.
+    [[nodiscard]] double requestsPerSecond() const;
 
 private:
     std::vector<float> m_load; ///< By key; empty until the first add().
--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -42,15 +42,28 @@
 constexpr std::size_t maxReportedKeys = 2048;
 /// Bound of another instance's clock, about 100 years, so that differences of two clocks stay in range.
 constexpr std::uint64_t maxClockMs = 3'000'000'000'000;
+/// Bound on the demand for one cold server in a report.
+constexpr std::uint32_t maxColdDemand = 100'000;
+
+/// Name under which permits are issued. A process that starts again under the same id does not know what the earlier
+/// one has just sent.
+std::string coldHolder(const std::string& instance, std::uint64_t incarnation)
+{
+    return instance + '/' + std::to_string(incarnation);
+}
+
+/// Tells the reports of one process from those of earlier ones under its id.
+std::uint32_t coldReportTag(std::uint64_t incarnation) { return static_cast<std::uint32_t>(incarnation); }
 
 } // namespace
 
-RangeAuthority::RangeAuthority(
-    LeaderRecord self, RangeTimes rangeTimes, LeadershipTimes leadershipTimes, std::uint64_t seed)
+RangeAuthority::RangeAuthority(LeaderRecord self, RangeTimes rangeTimes, LeadershipTimes leadershipTimes,
+    std::uint64_t seed, std::optional<ColdServerLimits> coldLimits)
     : m_self(std::move(self))
     , m_rangeTimes(rangeTimes)
     , m_leadershipTimes(leadershipTimes)
     , m_leadership(leadershipTimes, m_self, seed)
+    , m_coldLimits(coldLimits)
 {
 }
 
@@ -129,6 +142,13 @@
 void RangeAuthority::handle(RangeServersListed&& event)
 {
     m_servers = std::move(event.servers);
+    m_coldUntil.clear();
+    for (const ListedServer& server : *m_servers) {
+        if (m_coldLimits && server.warmUpLeft.count() > 0) {
+            m_coldUntil[server.identity] = m_now + server.warmUpLeft;
+        }
+    }
+    updateColdServers();
     for (auto& [service, keyedService] : m_services) {
         keyedService.keeper->setServers(m_servers);
     }
@@ -154,10 +174,14 @@
 {
     m_configured = true;
     m_keyedServices.clear();
+    m_warmUpRates.clear();
     for (const auto& [name, service] : event.configuration->services) {
         if (service.keyed) {
             m_keyedServices.insert(name);
         }
+        if (service.warmUpRate > 0) {
+            m_warmUpRates[name] = service.warmUpRate;
+        }
     }
 }
 
@@ -309,6 +333,13 @@
     }
 }
 
+void RangeAuthority::handle(ColdDemandsObserved&& event)
+{
+    for (const auto& [server, requests] : event.demands) {
+        m_unreportedColdDemands[server] += requests;
+    }
+}
+
 void RangeAuthority::handle(LeavingServersObserved&& event)
 {
     if (event.servers == m_ownLeavingServers) {
@@ -440,6 +471,7 @@
         }
         m_feedSelector.onLeaderHeartbeat(feedSummary, m_now);
     }
+    receiveColdPermits(message);
     ServerLoads busy;
     for (int i = 0; i < message.busy_servers_size() && i < message.busy_in_flight_size(); ++i) {
         busy[message.busy_servers(i)] = message.busy_in_flight(i);
@@ -454,6 +486,10 @@
 {
     Member& member = m_members[sender.id()];
     const bool isNewProcess = member.address != message.address() || member.incarnation != sender.incarnation();
+    if (isNewProcess) {
+        m_coldPermits.removeInstance(coldHolder(sender.id(), member.incarnation));
+        member.coldReportSentAtMs = 0;
+    }
     member.incarnation = sender.incarnation();
     member.address = message.address();
     member.lastReportAt = m_now;
@@ -475,6 +511,7 @@
     }
     if (m_term != 0) {
         addReportedLoads(message);
+        receiveColdDemands(message, sender.id(), member);
         std::set<ServerIdentity> leaving;
         for (const wire::ServerReference& server : message.leaving_servers()) {
             leaving.insert({server.id(), server.born_at()});
@@ -554,6 +591,7 @@
     m_counters.term = m_term;
     m_services.clear();
     m_tableSender = RangeTableSender();
+    m_coldPermits = ColdPermitAllocator(m_coldLimits.value_or(ColdServerLimits()));
     m_leavingServers = m_ownLeavingServers;
     m_superseded = false;
     const std::vector<std::string>& unconfirmed = m_leadership.leader()->unconfirmedLeaders;
@@ -652,6 +690,7 @@
         keyedService.keeper = std::make_unique<RangeKeeper>(service, m_rangeTimes, m_counters, m_effects);
         keyedService.keeper->setLeavingServers(m_leavingServers);
         keyedService.keeper->setEvacuatedDomains(m_evacuatedDomains);
+        keyedService.keeper->setColdServers(m_coldServers, warmUpRateOf(service));
     }
     if (!keyedService.adopted) {
         if (!keyedService.readInFlight && m_now >= keyedService.nextReadAt) {
@@ -683,6 +722,7 @@
     updateMembers();
     const ServerLoads busy = busyServers();
     m_effects.emplace_back(PublishLoads {busy});
+    allocateColdPermits();
     const wire::RangeLeaderHeartbeat heartbeat = makeHeartbeat(busy);
     for (auto& [id, member] : m_members) {
         sendHeartbeat(id, member, heartbeat);
@@ -720,9 +760,118 @@
     member.awaitsHeartbeat = false;
     wire::Envelope envelope;
     *envelope.mutable_range_leader_heartbeat() = heartbeat;
+    addColdPermits(to, member, *envelope.mutable_range_leader_heartbeat());
     m_effects.emplace_back(SendRangePeerMessage {to, std::move(envelope)});
 }
 
+double RangeAuthority::warmUpRateOf(const std::string& service) const
+{
+    const auto rate = m_warmUpRates.find(service);
+    return rate == m_warmUpRates.end() ? 0 : rate->second;
+}
+
+void RangeAuthority::updateColdServers()
+{
+    if (!m_coldLimits) {
+        return;
+    }
+    m_coldServers.clear();
+    for (const ListedServer& server : m_servers ? *m_servers : ServerList()) {
+        const auto coldUntil = m_coldUntil.find(server.identity);
+        const bool isListedCold = coldUntil != m_coldUntil.end() && m_now < coldUntil->second;
+        if (warmUpRateOf(server.service) > 0 && (isListedCold || m_coldPermits.isDemanded(server.identity))) {
+            m_coldServers.insert(server.identity);
+        }
+    }
+    for (auto& [service, keyedService] : m_services) {
+        if (keyedService.keeper) {
+            keyedService.keeper->setColdServers(m_coldServers, warmUpRateOf(service));
+        }
+    }
+}
+
+/// Divides the rates of the cold servers anew and publishes the permits of this instance.
+void RangeAuthority::allocateColdPermits()
+{
+    if (!m_coldLimits) {
+        return;
+    }
+    const std::string self = coldHolder(m_self.instance, m_self.incarnation);
+    m_coldPermits.onDemands(self, std::exchange(m_unreportedColdDemands, {}));
+    std::map<ServerIdentity, double> rates;
+    for (const ListedServer& server : m_servers ? *m_servers : ServerList()) {
+        if (const double rate = warmUpRateOf(server.service); rate > 0) {
+            rates[server.identity] = rate;
+        }
+    }
+    m_coldPermits.allocate(rates, m_now);
+    updateColdServers();
+    ColdPermits own = mayIssueColdPermits() ? m_coldPermits.take(self, m_now) : ColdPermits();
+    m_effects.emplace_back(PublishColdPermits {std::move(own), m_now + coldPermitTime});
+}
+
+/// The bound holds while two leaders issue permits, so the present one waits while two earlier ones may do so.
+bool RangeAuthority::mayIssueColdPermits() const
+{
+    return m_leadership.mayGrant(m_now) && m_unconfirmedLeaders.size() <= 1;
+}
+
+/// A permit expires by the clock of its receiver, a fixed time after it sent the report that is answered, so that
+/// neither the delay of messages nor a difference of clocks matters. The answer is an entry without a server.
+void RangeAuthority::addColdPermits(const std::string& to, const Member& member, wire::RangeLeaderHeartbeat& heartbeat)
+{
+    if (!m_coldLimits || member.coldReportSentAtMs == 0 || !mayIssueColdPermits()) {
+        return;
+    }
+    const ColdPermits permits = m_coldPermits.take(coldHolder(to, member.incarnation), m_now);
+    if (permits.empty()) {
+        return;
+    }
+    wire::ColdServerRate& report = *heartbeat.add_cold_permits();
+    report.set_born_at(member.coldReportSentAtMs);
+    report.set_requests(member.coldReportTag);
+    for (const ColdPermit& permit : permits) {
+        wire::ColdServerRate& rate = *heartbeat.add_cold_permits();
+        rate.set_server(permit.server.id);
+        rate.set_born_at(permit.server.startedAtUnixMs);
+        rate.set_requests(permit.requests);
+    }
+}
+
+void RangeAuthority::receiveColdPermits(const wire::RangeLeaderHeartbeat& message)
+{
+    if (!m_coldLimits) {
+        return;
+    }
+    MonotonicTime validUntil;
+    ColdPermits permits;
+    for (const wire::ColdServerRate& rate : message.cold_permits()) {
+        if (!rate.server().empty()) {
+            permits.push_back({{rate.server(), rate.born_at()}, rate.requests()});
+            continue;
+        }
+        const MonotonicTime sentAt {Milliseconds(std::min(rate.born_at(), maxClockMs))};
+        if (rate.requests() == coldReportTag(m_self.incarnation) && sentAt <= m_now) {
+            validUntil = sentAt + coldPermitTime;
+        }
+    }
+    m_effects.emplace_back(PublishColdPermits {std::move(permits), validUntil});
+}
+
+void RangeAuthority::receiveColdDemands(const wire::InstanceReport& message, const std::string& sender, Member& member)
+{
+    ColdDemands demands;
+    for (const wire::ColdServerRate& rate : message.cold_demands()) {
+        if (rate.server().empty()) {
+            member.coldReportSentAtMs = rate.born_at();
+            member.coldReportTag = rate.requests();
+        } else {
+            demands[{rate.server(), rate.born_at()}] = std::min(rate.requests(), maxColdDemand);
+        }
+    }
+    m_coldPermits.onDemands(coldHolder(sender, member.incarnation), demands);
+}
+
 wire::RangeLeaderHeartbeat RangeAuthority::makeHeartbeat(const ServerLoads& busy) const
 {
     wire::RangeLeaderHeartbeat heartbeat;
@@ -808,6 +957,7 @@
         const bool timedOut = m_now - entry.second.lastReportAt > memberTimeout;
         if (timedOut) {
             m_tableSender.forget(entry.first);
+            m_coldPermits.removeInstance(coldHolder(entry.first, entry.second.incarnation));
         }
         return timedOut;
     });
@@ -856,6 +1006,18 @@
         reported.set_slowness(static_cast<float>(speed.slowness));
         reported.set_in_flight(speed.inFlight);
     }
+    if (m_coldLimits) {
+        wire::ColdServerRate& sent = *report.add_cold_demands();
+        sent.set_born_at(
+            static_cast<std::uint64_t>(std::chrono::duration_cast<Milliseconds>(m_now.time_since_epoch()).count()));
+        sent.set_requests(coldReportTag(m_self.incarnation));
+    }
+    for (const auto& [server, requests] : std::exchange(m_unreportedColdDemands, {})) {
+        wire::ColdServerRate& demand = *report.add_cold_demands();
+        demand.set_server(server.id);
+        demand.set_born_at(server.startedAtUnixMs);
+        demand.set_requests(requests);
+    }
     for (const ServerIdentity& server : m_ownLeavingServers) {
         wire::ServerReference& reported = *report.add_leaving_servers();
         reported.set_id(server.id);
--- a/src/ranges/range_authority.h
+++ b/src/ranges/range_authority.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/cold_permit_allocator.h"
 #include "ranges/outdated_leaders.h"
 #include "ranges/range_event.h"
 #include "ranges/range_keeper.h"
@@ -21,7 +22,8 @@
 /// heartbeats stop. Reads no clock and does no I/O. Not thread-safe.
 class RangeAuthority {
 public:
-    RangeAuthority(LeaderRecord self, RangeTimes rangeTimes, LeadershipTimes leadershipTimes, std::uint64_t seed);
+    RangeAuthority(LeaderRecord self, RangeTimes rangeTimes, LeadershipTimes leadershipTimes, std::uint64_t seed,
+        std::optional<ColdServerLimits> coldLimits = std::nullopt);
 
     /// Applies one event and returns the effects for the caller to execute, in order.
     /// Precondition: event times never decrease.
@@ -46,6 +48,8 @@
         bool storeReachable = false;
         double fitness = 0; ///< Fitness to lead, from 0 to 1.
         std::map<std::string, std::uint32_t> inFlight; ///< Its requests in flight, by server id.
+        std::uint64_t coldReportSentAtMs = 0; ///< Of its latest report, by its own clock; 0: not stated.
+        std::uint32_t coldReportTag = 0; ///< Goes back with that time.
         bool awaitsHeartbeat = false; ///< It is new, or the latest message to it was not sent.
     };
 
@@ -67,6 +71,7 @@
     void handle(RangePeerMessage&& event);
     void handle(KeysCounted&& event);
     void handle(SpeedsObserved&& event);
+    void handle(ColdDemandsObserved&& event);
     void handle(LeavingServersObserved&& event);
     void handle(StoreReachabilityChanged&& event);
     void handle(FeedRevisionConfirmed&& event);
@@ -95,6 +100,13 @@
     void sendHeartbeats();
     void sendAwaitedHeartbeats();
     [[nodiscard]] wire::RangeLeaderHeartbeat makeHeartbeat(const ServerLoads& busy) const;
+    void updateColdServers();
+    [[nodiscard]] double warmUpRateOf(const std::string& service) const;
+    void allocateColdPermits();
+    [[nodiscard]] bool mayIssueColdPermits() const;
+    void addColdPermits(const std::string& to, const Member& member, wire::RangeLeaderHeartbeat& heartbeat);
+    void receiveColdPermits(const wire::RangeLeaderHeartbeat& message);
+    void receiveColdDemands(const wire::InstanceReport& message, const std::string& sender, Member& member);
     void sendHeartbeat(const std::string& to, Member& member, const wire::RangeLeaderHeartbeat& heartbeat);
     void sendReport();
     void connectPeers();
@@ -146,6 +158,12 @@
     std::set<ServerIdentity> m_ownLeavingServers; ///< Servers that have stated so in answers to this instance.
     std::set<ServerIdentity> m_leavingServers; ///< Stated to any instance, as known in the term that this one leads.
     std::map<std::string, std::uint32_t> m_ownInFlight; ///< Requests in flight of this instance, by server id.
+    std::optional<ColdServerLimits> m_coldLimits; ///< Nothing: requests to cold servers are not limited.
+    std::map<std::string, double> m_warmUpRates; ///< Of the services with a limited rate, by name.
+    ColdPermitAllocator m_coldPermits; ///< Of the term in which this instance leads.
+    std::map<ServerIdentity, MonotonicTime> m_coldUntil; ///< End of the slow starts, as listed.
+    std::set<ServerIdentity> m_coldServers; ///< As listed, or reported by an instance.
+    ColdDemands m_unreportedColdDemands;
     std::map<std::string, ObservedSpeed> m_unreportedSpeeds; ///< Not reported yet, by server id.
     std::map<std::string, std::map<std::uint16_t, std::uint32_t>>
         m_unreportedCounts; ///< Not reported yet, by service and key.
--- a/src/ranges/range_event.h
+++ b/src/ranges/range_event.h
@@ -1,5 +1,6 @@
 #pragma once
 
+#include "gateway/cold_servers.h"
 #include "gateway/gateway_configuration.h"
 #include "gateway/listed_server.h"
 #include "gateway/server_loads.h"
@@ -112,6 +113,11 @@
     std::vector<ObservedSpeed> speeds;
 };
 
+/// What this instance sent, or would have sent, to cold servers since the previous event.
+struct ColdDemandsObserved {
+    ColdDemands demands;
+};
+
 /// The listed servers that have stated in answers to this instance that they are shutting down.
 struct LeavingServersObserved {
     std::set<ServerIdentity> servers;
@@ -144,8 +150,9 @@
 };
 
 using RangeEvent = std::variant<RangeTick, RangeServersListed, RangeEvacuationsListed, RangeServicesConfigured,
-    RecordRead, RecordWritten, RangeCallEnded, RangePeerMessage, KeysCounted, SpeedsObserved, LeavingServersObserved,
-    StoreReachabilityChanged, FeedRevisionConfirmed, FeedChanged, RangeStopRequested, RangeMessageDropped>;
+    RecordRead, RecordWritten, RangeCallEnded, RangePeerMessage, KeysCounted, SpeedsObserved, ColdDemandsObserved,
+    LeavingServersObserved, StoreReachabilityChanged, FeedRevisionConfirmed, FeedChanged, RangeStopRequested,
+    RangeMessageDropped>;
 
 /// `now` includes time in which the machine was suspended; otherwise leases would seem valid after they expired.
 struct TimedRangeEvent {
@@ -208,6 +215,12 @@
     ServerLoads inFlight;
 };
 
+/// Publishes this instance's permits for cold servers; they replace all earlier ones.
+struct PublishColdPermits {
+    ColdPermits permits;
+    MonotonicTime validUntil; ///< By the clock of the events.
+};
+
 /// Publishes the number of running instances.
 struct PublishInstanceCount {
     std::uint32_t instanceCount = 1;
@@ -233,9 +246,9 @@
     std::string details;
 };
 
-using RangeEffect
-    = std::variant<ReadRecord, WriteRecord, GrantRange, ReleaseRange, SendRangePeerMessage, ConnectRangePeers,
-        PublishRanges, PublishLoads, PublishInstanceCount, SelectFeedSource, ApplyFeedChange, FetchFeed, WriteRangeLog>;
+using RangeEffect = std::variant<ReadRecord, WriteRecord, GrantRange, ReleaseRange, SendRangePeerMessage,
+    ConnectRangePeers, PublishRanges, PublishLoads, PublishColdPermits, PublishInstanceCount, SelectFeedSource,
+    ApplyFeedChange, FetchFeed, WriteRangeLog>;
 using RangeEffects = std::vector<RangeEffect>;
 /// @}
 
--- a/src/ranges/range_keeper.cpp
+++ b/src/ranges/range_keeper.cpp
@@ -36,6 +36,9 @@
 /// Changes of routes within this time are combined into one table, because each table is sent to every instance.
 constexpr Milliseconds publishInterval = 50ms;
 
+/// Loads are divided by capacities.
+constexpr double minColdCapacity = 0.01;
+
 RangeHolder holderOf(const ListedServer& server) { return {server.identity, server.address}; }
 
 } // namespace
@@ -128,9 +131,36 @@
                 lastMove == m_lastMoveAt.end() || m_now - lastMove->second >= moveInterval});
         }
     }
+    limitColdServers(servers);
     return servers;
 }
 
+void RangeKeeper::limitColdServers(std::vector<RangeServer>& servers) const
+{
+    const auto isCold = [this](const RangeServer& server) { return m_coldServers.contains(server.identity); };
+    const auto coldCount = static_cast<std::size_t>(std::count_if(servers.begin(), servers.end(), isCold));
+    if (coldCount == 0 || coldCount == servers.size()) {
+        return;
+    }
+    double capacity = 0;
+    for (const RangeServer& server : servers) {
+        capacity += isCold(server) ? 0 : server.capacity;
+    }
+    const double limit = coldCapacity(capacity, coldCount);
+    for (RangeServer& server : servers) {
+        if (isCold(server)) {
+            server.canReceiveRanges = false;
+            server.capacity = std::min(server.capacity, limit);
+        }
+    }
+}
+
+double RangeKeeper::coldCapacity(double capacity, std::size_t coldCount) const
+{
+    const double others = m_load.requestsPerSecond() - m_coldRate * static_cast<double>(coldCount);
+    return others > 0 ? std::max(minColdCapacity, capacity * m_coldRate / others) : capacity;
+}
+
 std::vector<PlacedRange> RangeKeeper::placedRanges(const std::vector<RangeServer>& servers) const
 {
     std::map<ServerIdentity, std::size_t> indexes;
@@ -166,7 +196,8 @@
 
 void RangeKeeper::createRanges()
 {
-    const std::vector<RangeServer> servers = placementServers();
+    std::vector<RangeServer> servers = placementServers();
+    std::erase_if(servers, [](const RangeServer& server) { return !server.canReceiveRanges; });
     for (const RangeMove& move : divideKeys(servers)) {
         RangeState& rangeState = m_ranges.emplace_back();
         rangeState.range = move.range;
--- a/src/ranges/range_keeper.h
+++ b/src/ranges/range_keeper.h
@@ -69,6 +69,13 @@
     /// Failure domains whose servers must get nothing. They get no ranges; those that they have move away as from a
     /// server that has stated that it is shutting down.
     void setEvacuatedDomains(std::set<std::string> domains) { m_evacuatedDomains = std::move(domains); }
+    /// Servers in their slow start, which tolerate @p rate requests per second each. They get no ranges while another
+    /// server is ready.
+    void setColdServers(std::set<ServerIdentity> servers, double rate)
+    {
+        m_coldServers = std::move(servers);
+        m_coldRate = rate;
+    }
     void addLoad(std::uint16_t key, double requests) { m_load.add(key, requests); }
     /// Adds an instance's latency measurement of a server; that of another service's server has no effect.
     void addSpeed(const ObservedSpeed& speed);
@@ -141,6 +148,9 @@
     [[nodiscard]] std::vector<PlacedRange> placedRanges(const std::vector<RangeServer>& servers) const;
     /// Slots divided by the relative latency.
     [[nodiscard]] double effectiveCapacity(const ListedServer& server) const;
+    void limitColdServers(std::vector<RangeServer>& servers) const;
+    /// Capacity at which each of @p coldCount cold servers has its rate as its share, beside servers of @p capacity.
+    [[nodiscard]] double coldCapacity(double capacity, std::size_t coldCount) const;
     void createRanges();
     void stepRange(RangeState& rangeState, bool mayGrant);
     void chooseTarget(RangeState& rangeState);
@@ -174,6 +184,8 @@
     std::unordered_map<std::string, const ListedServer*> m_listed; ///< Servers of the service in `m_servers`, by id.
     std::set<ServerIdentity> m_leavingServers;
     std::set<std::string> m_evacuatedDomains;
+    std::set<ServerIdentity> m_coldServers;
+    double m_coldRate = 0; ///< Requests per second that each of them tolerates.
     std::map<ServerIdentity, MonotonicTime> m_excludedUntil; ///< Servers that failed to answer grants.
     std::vector<RangeState> m_ranges; ///< Sorted by key, without gaps; empty until there are servers.
     KeyLoad m_load;
--- a/src/ranges/range_placement.cpp
+++ b/src/ranges/range_placement.cpp
@@ -133,6 +133,9 @@
 {
     std::optional<std::size_t> best;
     for (std::size_t i = 0; i < m_servers.size(); ++i) {
+        if (!m_servers[i].canReceiveRanges) {
+            continue;
+        }
         if (!best || m_loads[i] / m_servers[i].capacity < m_loads[*best] / m_servers[*best].capacity) {
             best = i;
         }
@@ -151,18 +154,19 @@
     std::vector<PlacedRange> placed = ranges;
     std::vector<double> loads = loadsOf(servers, ranges, smoothed);
     std::vector<bool> canReceive(servers.size());
+    std::vector<bool> canGive(servers.size());
     double total = 0;
     double capacity = 0;
     for (std::size_t i = 0; i < servers.size(); ++i) {
         total += loads[i];
         capacity += servers[i].capacity;
-        canReceive[i] = servers[i].canMoveRanges;
+        canGive[i] = servers[i].canMoveRanges;
+        canReceive[i] = servers[i].canMoveRanges && servers[i].canReceiveRanges;
     }
     const double mean = total / std::max(1.0, capacity);
     const double requestsPerCapacity = load.total() / std::max(1.0, capacity);
     const auto utilization = [&](std::size_t i) { return loads[i] / servers[i].capacity; };
     std::vector<RangeMove> moves;
-    std::vector<bool> canGive = canReceive;
     const auto maxMoves
         = std::max(minMoveLimit, static_cast<std::size_t>(movesPerServer * static_cast<double>(servers.size())));
     while (moves.size() < maxMoves) {
--- a/src/ranges/range_placement.h
+++ b/src/ranges/range_placement.h
@@ -15,6 +15,7 @@
     ServerIdentity identity;
     double capacity = 1; ///< Slots, reduced for a slow server.
     bool canMoveRanges = true; ///< Whether it may give or receive ranges; false shortly after a move.
+    bool canReceiveRanges = true; ///< False: it may only give ranges.
 };
 
 /// A range with its current owner.
--- a/tests/platform_adapter_test.cpp
+++ b/tests/platform_adapter_test.cpp
@@ -69,7 +69,7 @@
                "priority":1,"service":"wuno96b","maxAttempts":2},
         "r-2":{"host":"jepu9.example","pathPrefix":"/y/","kind":"idempotent","timeoutMs":1500,"targetLatencyMs":600,
                "priority":2,"trafficSplit":[{"service":"a","weight":90},{"service":"b","weight":10}],"maxAttempts":2}},
-        "services":{"a":{"healthPath":"/health","maxConns":110,"sharded":true,"warmS":2.0,"grants":"invoke"},
+        "services":{"a":{"healthPath":"/health","maxConns":110,"sharded":true,"warmS":2.0,"warmupPerS":4.5,"grants":"invoke"},
                     "b":{"healthPath":"/health","maxConns":110}},
         "limits":{"maxHeaderBytes":16384,"maxBodyBytes":67108864,"headerTimeoutMs":3000,"idleTimeoutMs":15000}})");
 }
@@ -86,6 +86,8 @@
     EXPECT_TRUE(decoded->services.at("a").keyed);
     EXPECT_EQ(decoded->services.at("a").warmUp, 2000ms);
     EXPECT_FALSE(decoded->services.at("b").keyed);
+    EXPECT_EQ(decoded->services.at("a").warmUpRate, 4.5);
+    EXPECT_EQ(decoded->services.at("b").warmUpRate, 0);
     EXPECT_EQ(decoded->limits.idleTimeout, 15'000ms);
 }
 
@@ -354,6 +356,23 @@
         "1");
 }
 
+/// Guards against a server that counts as cold because of an odd value, or because of an answer that is not its own.
+TEST(PlatformIngressTest, ReadsTheSlowStartThatAServerStates)
+{
+    const HeaderField id {"Request-Id", "1"};
+    const HeaderField seal {"Response-Seal", "s"};
+    const auto warmUp = [&](const std::string& value) {
+        return decodeServerAnswer(answeredWith(200, {id, seal, {"Warmup-Ms", value}})).statedWarmUpLeft;
+    };
+    EXPECT_EQ(warmUp("2500"), 2500ms);
+    EXPECT_EQ(warmUp("9000000000000000000"), 10min);
+    for (const char* odd : {"", "0", "-1", "1.5", "2 s", "99999999999999999999"}) {
+        EXPECT_EQ(warmUp(odd), std::nullopt) << odd;
+    }
+    EXPECT_EQ(decodeServerAnswer(answeredWith(200, {id, {"Warmup-Ms", "9"}})).statedWarmUpLeft, std::nullopt);
+    EXPECT_EQ(decodeServerAnswer(answeredWith(421, {id, {"Warmup-Ms", "9"}})).statedWarmUpLeft, std::nullopt);
+}
+
 /// Guards against pauses that no server asked for, and against values that stop the parser or overflow.
 TEST(PlatformIngressTest, ReadsThePauseThatAServerAsksFor)
 {
--- a/tests/range_authority_test.cpp
+++ b/tests/range_authority_test.cpp
@@ -392,6 +392,32 @@
     EXPECT_EQ(find<GrantRange>(granted)->server, holder("b"));
 }
 
+/// Guards against keys that are given to a server in its slow start, and against keys that nobody serves because all
+/// servers are in it.
+TEST_F(RangeKeeperTest, ColdServersGetNoKeysWhileAnotherOneIsReady)
+{
+    m_keeper.adopt(std::nullopt, 0, start);
+    listServers({server("a"), server("b")});
+    m_keeper.setColdServers({{"a", 1}}, 4.5);
+    for (const RangeEffect& effect : stepAndStore()) {
+        if (const auto* grant = std::get_if<GrantRange>(&effect)) {
+            EXPECT_EQ(grant->server, holder("b"));
+            EXPECT_EQ(grant->range.size(), keyCount);
+            (void)m_keeper.onCallEnded({grant->callId, GrantResult::Done, ""}, m_now, true);
+        }
+    }
+    ASSERT_NE(m_keeper.table(), nullptr);
+    // The owner of all keys becomes cold and keeps them, because there is no warm one.
+    m_keeper.setColdServers({{"a", 1}, {"b", 1}}, 4.5);
+    EXPECT_EQ(find<ReleaseRange>(stepAndStore(50ms)), nullptr);
+    // Its share of the load is more than it tolerates.
+    m_keeper.setColdServers({{"b", 1}}, 4.5);
+    for (std::uint32_t key = 0; key < keyCount; key += 64) {
+        m_keeper.addLoad(static_cast<std::uint16_t>(key), 1);
+    }
+    EXPECT_EQ(timeOfGrantTo("a", [] { return GrantResult::Done; }) != MonotonicTime(), true);
+}
+
 /// Guards against keys that lose their owner before the next one can be recorded, or without a next one.
 TEST_F(RangeKeeperTest, AServerThatStatesThatItLeavesServesOnUntilTheNextOwnerIsRecorded)
 {
@@ -904,6 +930,27 @@
     EXPECT_EQ(moves.front().to, 2U);
 }
 
+/// Guards against moves to a server that may only give ranges, and against one that keeps what it cannot serve.
+TEST(RangePlacementTest, AServerThatReceivesNothingGivesToTheOthers)
+{
+    KeyLoad load;
+    for (std::uint32_t key = 0; key < keyCount; key += 16) {
+        load.add(static_cast<std::uint16_t>(key), 1);
+    }
+    std::vector<RangeServer> all = servers(3);
+    all[0].canReceiveRanges = false;
+    all[0].capacity = 0.1;
+    const std::vector<PlacedRange> ranges {
+        {{0, 20'000}, 0, true}, {{20'001, 40'000}, 1, true}, {{40'001, maxKey}, 2, true}};
+    const std::vector<RangeMove> moves = planMoves(all, ranges, load);
+    ASSERT_FALSE(moves.empty());
+    for (const RangeMove& move : moves) {
+        EXPECT_NE(move.to, 0U);
+        EXPECT_LE(move.range.last, 20'000U);
+    }
+    EXPECT_NE(LeastLoadedPlacement(all, {}, load).assign({0, 10})->identity, all[0].identity);
+}
+
 TEST(RangeRecordTest, EncodingRoundTrips)
 {
     const RangesRecord record {
