A first start waits for no earlier leaders

Cause: where the store states an era from the beginning, a leader without a stored record took it for a lost one and granted nothing for 15.2 s. Change: the setting that the whole system starts for the first time reaches the leadership; the first era that a process learns of is not logged as a restore. Result: RangeEraTest.AFirstStartWaitsForNoEarlierLeaders.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -193,6 +193,7 @@
     {
         LeadershipTimes times;
         times.fitness = std::clamp(settings.processorShare / fullFitnessProcessorShare, 0.0, 1.0);
+        times.isFirstStart = settings.isFirstStart;
         return times;
     }
 
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -20,6 +20,7 @@
     std::string callerAddress; ///< IP address and port.
     std::string readinessAddress; ///< Answers the load balancer's readiness checks.
     std::string controlAddress; ///< Receives messages from other instances.
+    bool isFirstStart = false; ///< The whole system starts for the first time.
     std::uint64_t memoryBytes = 0; ///< Memory that the process may use; 0: not limited.
     std::uint32_t maxDescriptors = 0; ///< File descriptors that the process may open; 0: not stated.
     std::uint32_t maxPipelinedRequests = HttpServerLimits().maxPipelinedRequests; ///< Per caller's connection.
--- a/src/ranges/range_authority.cpp
+++ b/src/ranges/range_authority.cpp
@@ -89,7 +89,9 @@
     if (era <= m_era) {
         return;
     }
-    log(LogEvent::StoreRestored, "era=" + std::to_string(era) + " known-era=" + std::to_string(m_era));
+    if (m_storeAnswered) { // Otherwise it is the first era that this process learns of.
+        log(LogEvent::StoreRestored, "era=" + std::to_string(era) + " known-era=" + std::to_string(m_era));
+    }
     m_era = era;
     if (m_term != 0) {
         // Another instance may have taken over since this leader last confirmed its record. That one cannot have moved
@@ -222,6 +224,7 @@
         event.result.status = StoreStatus::Unavailable; // Sent before the restore.
     }
     learnEra(event.result.era);
+    m_storeAnswered = m_storeAnswered || answered;
     if (event.name == leaderRecordName) {
         m_leadership.onRead(event);
         return applyLeadership();
@@ -429,6 +432,7 @@
 void RangeAuthority::handle(FeedRevisionConfirmed&& event)
 {
     learnEra(event.revision.era);
+    m_storeAnswered = m_storeAnswered || event.fromStore;
     if (event.fromStore) {
         m_feedSelector.onStoreAnswer(event.feed, event.revision, m_now - event.maxReadDelay);
     } else {
--- a/src/ranges/range_authority.h
+++ b/src/ranges/range_authority.h
@@ -137,6 +137,7 @@
     bool m_configured = false;
     bool m_stopping = false;
     bool m_storeReachable = false;
+    bool m_storeAnswered = false; ///< Since the start of the process.
 
     std::uint64_t m_term = 0; ///< Term in which this instance leads; 0: none.
     RangeCounters m_counters;
--- a/src/ranges/range_leadership.cpp
+++ b/src/ranges/range_leadership.cpp
@@ -100,7 +100,8 @@
     m_writingRecord = m_self;
     const std::uint64_t known = m_leader ? m_leader->term : 0;
     m_writingRecord.term = std::max(std::max(known, m_storedTerm) + 1, firstTermOf(m_era) + m_skippedTerms);
-    if (m_era > 0 && (eraOfTerm(m_storedTerm) < m_era || m_storedTerm < known)) {
+    const bool isFirstRecord = m_times.isFirstStart && known == 0 && m_storedTerm == 0;
+    if (m_era > 0 && !isFirstRecord && (eraOfTerm(m_storedTerm) < m_era || m_storedTerm < known)) {
         m_writingRecord.unconfirmedLeaders = {std::string(unknownLeaders)};
     } else if (m_leader) {
         m_writingRecord.unconfirmedLeaders = m_leader->unconfirmedLeaders;
--- a/src/ranges/range_leadership.h
+++ b/src/ranges/range_leadership.h
@@ -21,6 +21,8 @@
     /// Fitness to lead, from 0 to 1: instances with more processor time wait less, because leading costs processor
     /// time.
     double fitness = 1;
+    /// The whole system starts for the first time: where no record is stored, none was lost.
+    bool isFirstStart = false;
     Milliseconds verifyInterval {1000}; ///< Time between the leader's reads of its own record.
     Milliseconds callRetryInterval {500}; ///< Time between calls to the store while they fail.
     Milliseconds leaderLease {12'000}; ///< How long a leader may grant after it last confirmed its record in the store.
--- a/tests/home_regions_test.cpp
+++ b/tests/home_regions_test.cpp
@@ -116,7 +116,8 @@
     table->service = "planner";
     table->term = 1;
     table->version = 1;
-    table->routes = {{{0, 99}, {"near", 1}, "10.0.0.1:80", false}, {{100, keyCount - 1}, {"far", 1}, "10.0.0.1:80", false}};
+    table->routes
+        = {{{0, 99}, {"near", 1}, "10.0.0.1:80", false}, {{100, keyCount - 1}, {"far", 1}, "10.0.0.1:80", false}};
     (void)apply(RangeTableChanged {table});
     expectNotRun(sendRequest(1, "/plan/x", 7));
     EXPECT_EQ(serverOf(sendRequest(2, "/plan/x", 100)), "far");
--- a/tests/range_era_test.cpp
+++ b/tests/range_era_test.cpp
@@ -96,5 +96,29 @@
     EXPECT_TRUE(leadership.step(now).read);
 }
 
+/// Guards against a first start that waits for the leases of leaders that never were, because the store states an era.
+TEST(RangeEraTest, AFirstStartWaitsForNoEarlierLeaders)
+{
+    for (const bool isFirstStart : {true, false}) {
+        LeadershipTimes times;
+        times.isFirstStart = isFirstStart;
+        RangeLeadership leadership(times, LeaderRecord {0, "edge-1", 7, "10.0.0.1:7200", {}}, 1);
+        MonotonicTime now {1h};
+        leadership.onNewEra(1, now);
+        std::optional<WriteRecord> write;
+        for (int i = 0; i < 100 && !write; ++i, now += 100ms) {
+            const RangeLeadership::Step step = leadership.step(now);
+            write = step.write;
+            if (step.read) {
+                leadership.onRead({std::string(leaderRecordName), now, {StoreStatus::NotFound, {}, 1}});
+            }
+        }
+        ASSERT_TRUE(write);
+        const Result<LeaderRecord> record = parseLeaderRecord(write->value);
+        ASSERT_TRUE(record);
+        EXPECT_EQ(record->unconfirmedLeaders.empty(), isFirstStart);
+    }
+}
+
 } // namespace
 } // namespace jasminespread
