--- a/daemons/jasminespread-gateway.cpp
+++ b/daemons/jasminespread-gateway.cpp
@@ -52,6 +52,7 @@
     BOOST_LEAF_ASSIGN(
         gateway.maxPipelinedRequests, countOption(values, "max-pipelined-requests", maxPipelinedRequestsLimit));
     BOOST_LEAF_ASSIGN(gateway.maxPipelinedBytes, countOption(values, "max-pipelined-bytes", maxPipelinedBytesLimit));
+    gateway.minBodyBytesPerSecond = values["min-body-bytes-per-second"].as<std::uint32_t>();
     if (values.contains("check")) {
         std::cout << path << ": settings are valid\n";
         return Success;
@@ -80,7 +81,10 @@
         "debug, info, warning or error")("max-pipelined-requests",
         po::value<std::uint32_t>()->default_value(defaults.maxPipelinedRequests)->value_name("N"),
         "requests of one caller's connection that may wait for their answers; then no more are read")(
-        "max-pipelined-bytes", po::value<std::uint32_t>()->default_value(defaults.maxPipelinedBytes)->value_name("N"),
+        "min-body-bytes-per-second",
+        po::value<std::uint32_t>()->default_value(defaults.minBodyBytesPerSecond)->value_name("N"),
+        "lowest average rate of a request's body after its first 15 s; 0: none")("max-pipelined-bytes",
+        po::value<std::uint32_t>()->default_value(defaults.maxPipelinedBytes)->value_name("N"),
         "bytes of waiting requests and answers of one caller's connection; then no more requests are read")("check",
         "check the settings and exit")("version", "print the version and exit")("help", "print this help and exit");
     po::variables_map values;
--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -161,6 +161,7 @@
         HttpServerLimits limits;
         limits.maxPipelinedRequests = settings.maxPipelinedRequests;
         limits.maxPipelinedBytes = settings.maxPipelinedBytes;
+        limits.minBodyBytesPerSecond = settings.minBodyBytesPerSecond;
         return limits;
     }
 
@@ -392,6 +393,7 @@
         if (request.path == metricsPath) {
             answer.headers.push_back({"Content-Type", "text/plain; version=0.0.4"});
             m_gatewayMetrics.setLostLogLines(lostLogLines());
+            m_gatewayMetrics.setClientUsage(m_clientAccount->usage());
             answer.body = m_metrics.exposition();
             return m_readinessServer.answer(caller, std::move(answer));
         }
--- a/src/gateway/gateway_daemon.h
+++ b/src/gateway/gateway_daemon.h
@@ -25,6 +25,8 @@
     std::uint32_t maxDescriptors = 0; ///< File descriptors that the process may open; 0: not stated.
     std::uint32_t maxPipelinedRequests = HttpServerLimits().maxPipelinedRequests; ///< Per caller's connection.
     std::uint32_t maxPipelinedBytes = HttpServerLimits().maxPipelinedBytes; ///< Per caller's connection.
+    /// Average rate at which a request's body must arrive; see HttpServerLimits.
+    std::uint32_t minBodyBytesPerSecond = HttpServerLimits().minBodyBytesPerSecond;
     GatewayReducerSettings reducer;
     Milliseconds stopTimeout {6000}; ///< From the stop signal until the process is killed.
     /// How long service discovery lists a server that writes nothing more.
--- a/src/gateway/gateway_metrics.cpp
+++ b/src/gateway/gateway_metrics.cpp
@@ -64,6 +64,32 @@
     m_coldPermits->set(requests);
 }
 
+void GatewayMetrics::setClientUsage(const std::vector<ClientAccount::Usage>& listeners)
+{
+    for (const ClientAccount::Usage& usage : listeners) {
+        const std::string listener = "listener=\"" + usage.name + '"';
+        ClientCells& cells = m_clients[usage.name];
+        if (cells.bytes == nullptr) {
+            cells.bytes = &m_registry.gauge(
+                "jasminespread_gateway_client_bytes", listener, "Memory that clients make the process hold.");
+            cells.connections = &m_registry.gauge(
+                "jasminespread_gateway_client_connections", listener, "Open connections of clients.");
+        }
+        cells.bytes->set(static_cast<double>(usage.bytes));
+        cells.connections->set(static_cast<double>(usage.connections));
+        for (const auto& [reason, total] : {std::pair<std::string_view, std::uint64_t>("memory", usage.endedForMemory),
+                 {"connections", usage.endedForConnections}, {"complete-request", usage.refusedRequests}}) {
+            auto& [counter, known] = cells.ended[reason];
+            if (counter == nullptr) {
+                counter = &m_registry.counter("jasminespread_gateway_clients_ended_total",
+                    listener + ",reason=\"" + std::string(reason) + '"',
+                    "Clients that were refused or closed for lack of memory or connections.");
+            }
+            counter->add(total - std::exchange(known, total));
+        }
+    }
+}
+
 void GatewayMetrics::recordStoreCall(std::string_view purpose)
 {
     auto it = m_storeCalls.find(purpose);
--- a/src/gateway/gateway_metrics.h
+++ b/src/gateway/gateway_metrics.h
@@ -1,6 +1,7 @@
 #pragma once
 
 #include "gateway/gateway_event.h"
+#include "http/client_account.h"
 
 #include <jasminespread/metrics_registry.h>
 
@@ -8,6 +9,7 @@
 #include <string>
 #include <string_view>
 #include <utility>
+#include <vector>
 
 namespace jasminespread {
 
@@ -29,10 +31,18 @@
     void setEvacuatedDomains(std::size_t domains);
     /// Sets this instance's permits for servers in their slow start.
     void setColdPermits(const ColdPermits& permits);
+    /// Sets what the clients of each listener hold, and adds those that were ended since the last call.
+    void setClientUsage(const std::vector<ClientAccount::Usage>& listeners);
     /// Counts a call to the platform's store.
     void recordStoreCall(std::string_view purpose);
 
 private:
+    struct ClientCells {
+        MetricsRegistry::Gauge* bytes = nullptr;
+        MetricsRegistry::Gauge* connections = nullptr;
+        std::map<std::string_view, std::pair<MetricsRegistry::Counter*, std::uint64_t>> ended; ///< Cell and value.
+    };
+
     MetricsRegistry& m_registry;
     MetricsRegistry::Counter* m_lostLogLines = nullptr;
     std::uint64_t m_knownLostLogLines = 0;
@@ -42,6 +52,7 @@
     MetricsRegistry::Counter* m_statedShutdowns = nullptr;
     MetricsRegistry::Gauge* m_evacuatedDomains = nullptr;
     MetricsRegistry::Gauge* m_coldPermits = nullptr;
+    std::map<std::string, ClientCells> m_clients; ///< By listener.
     std::map<std::string, MetricsRegistry::Histogram*> m_seconds; ///< By service.
     std::map<std::string, MetricsRegistry::Counter*, std::less<>> m_storeCalls; ///< By purpose.
 };
