--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -670,7 +670,7 @@
 TEST_F(GatewayTest, KeepsServingAfterTheStoreIsRestored)
 {
     m_store.takeCopy();
-    m_store.put("config", "main", configuration(6, "/new/"));
+    m_store.put("config", "main", gatewayConfiguration(6, "/new/"));
     EXPECT_TRUE(runUntil(2s, [&] { return call(0, "/new/1").status == 200 && call(1, "/new/1").status == 200; }));
     m_store.restoreCopy();
     EXPECT_TRUE(runUntil(4s, [&] {
@@ -683,7 +683,7 @@
         EXPECT_EQ(call(i % 2, "/plan/1", static_cast<int>(i) * 3000).status, 200U);
         (void)runUntil(200ms, [] { return false; });
     }
-    m_store.put("config", "main", configuration(7, "/newer/"));
+    m_store.put("config", "main", gatewayConfiguration(7, "/newer/"));
     EXPECT_TRUE(runUntil(2s, [&] { return call(0, "/newer/1").status == 200 && call(1, "/newer/1").status == 200; }));
 }
 
