Lint of feed revisions and of the log of evacuations

Cause: clang-tidy takes a defaulted three-way comparison for a null pointer, and flags chained concatenations in a loop. Change: explicit comparisons; the details are built in one place.

--- a/src/gateway/gateway_daemon.cpp
+++ b/src/gateway/gateway_daemon.cpp
@@ -276,16 +276,21 @@
 
     void logEvacuations(const std::set<std::string>& domains, std::optional<Milliseconds> maxChangeAge) const
     {
-        const std::string age = " max-age-ms=" + (maxChangeAge ? std::to_string(maxChangeAge->count()) : "unknown");
+        const auto logChange = [maxChangeAge](const std::string& domain, bool evacuated) {
+            std::string details = "domain=" + domain;
+            details += evacuated ? " evacuated=yes" : " evacuated=no";
+            details += " max-age-ms=" + (maxChangeAge ? std::to_string(maxChangeAge->count()) : "unknown");
+            logEvent(LogEvent::DomainEvacuationChanged, details);
+        };
         const std::set<std::string> before = m_evacuatedDomains.value_or(std::set<std::string>());
         for (const std::string& domain : domains) {
             if (!before.contains(domain)) {
-                logEvent(LogEvent::DomainEvacuationChanged, "domain=" + domain + " evacuated=yes" + age);
+                logChange(domain, true);
             }
         }
         for (const std::string& domain : before) {
             if (!domains.contains(domain)) {
-                logEvent(LogEvent::DomainEvacuationChanged, "domain=" + domain + " evacuated=no" + age);
+                logChange(domain, false);
             }
         }
     }
--- a/src/ranges/feed_source_selector.cpp
+++ b/src/ranges/feed_source_selector.cpp
@@ -31,7 +31,7 @@
 {
     Feed& state = m_feeds[feed];
     state.revision = revision;
-    if (completeUpTo(revision) >= state.leaderRevision) {
+    if (!(completeUpTo(revision) < state.leaderRevision)) {
         state.laggingSince.reset();
     }
 }
@@ -48,10 +48,10 @@
     for (const auto& [name, revision] : summary.revisions) {
         Feed& state = m_feeds[name];
         state.leaderRevision = std::max(state.leaderRevision, revision);
-        if (state.leaderRevision > completeUpTo(state.revision) && !state.laggingSince) {
+        if (completeUpTo(state.revision) < state.leaderRevision && !state.laggingSince) {
             state.laggingSince = now;
         }
-        const bool hasLeadersState = state.revision.asOf != 0 && completeUpTo(state.revision) >= state.leaderRevision;
+        const bool hasLeadersState = state.revision.asOf != 0 && !(completeUpTo(state.revision) < state.leaderRevision);
         if (hasLeadersState) {
             state.confirmedAsOf = std::max(state.confirmedAsOf.value_or(viewAsOf), viewAsOf);
         }
--- a/src/ranges/feed_source_selector.h
+++ b/src/ranges/feed_source_selector.h
@@ -4,11 +4,11 @@
 #include <jasminespread/time.h>
 
 #include <array>
-#include <compare>
 #include <cstdint>
 #include <map>
 #include <optional>
 #include <string>
+#include <tuple>
 #include <vector>
 
 namespace jasminespread {
@@ -47,7 +47,11 @@
     std::uint64_t era = 0;
     std::uint64_t revision = 0;
 
-    auto operator<=>(const FeedChangeRevision&) const = default;
+    bool operator==(const FeedChangeRevision&) const = default;
+    [[nodiscard]] bool operator<(const FeedChangeRevision& other) const
+    {
+        return std::tie(era, revision) < std::tie(other.era, other.revision);
+    }
 };
 
 /// Feed revisions that the leader sends with each heartbeat.
