--- a/tests/client_account_test.cpp
+++ b/tests/client_account_test.cpp
@@ -18,6 +18,7 @@
 std::vector<std::uint64_t> numbersOf(const std::vector<ClientHolding>& clients)
 {
     std::vector<std::uint64_t> numbers;
+    numbers.reserve(clients.size());
     for (const ClientHolding& client : clients) {
         numbers.push_back(client.connection);
     }
