--- a/src/transport/beast_backend_transport.cpp
+++ b/src/transport/beast_backend_transport.cpp
@@ -104,6 +104,7 @@
     GIOCondition condition {};
     bool connected = false;
     bool reused = false; ///< Has already carried an exchange, or an answer to another one.
+    int writeError = 0; ///< errno of the write that failed; 0 when none has.
     BackendTransport::Handle exchange = 0; ///< Handle of its exchange; 0 while idle.
     std::unique_ptr<ResponseParser> parser;
     std::string input; ///< Received bytes that the parser has not consumed.
@@ -367,6 +368,7 @@
             }
             if (exchange.writtenBytes > 0) {
                 // The server may have answered before it closed, for example with a refusal.
+                connection.writeError = errno;
                 return watch(connection, G_IO_IN);
             }
             return handleConnectionLoss(connection, g_strerror(errno));
@@ -396,6 +398,14 @@
         write(connection);
     }
 
+    /// Returns whether the server ended its side before the connection was lost. Precondition: a read reported the end,
+    /// which it also does behind a write that failed, because that write has cleared the error of the socket. Linux
+    /// reports EPIPE for a reset behind an orderly end, and ECONNRESET for any other.
+    static bool endedInOrder(const Connection& connection)
+    {
+        return connection.writeError == 0 || connection.writeError == EPIPE;
+    }
+
     void read(Connection& connection)
     {
         const ssize_t n = recv(connection.socketHandle.fd, m_readBuffer.data(), m_readBuffer.size(), MSG_DONTWAIT);
@@ -406,14 +416,16 @@
             // The server closed an idle connection or sent unsolicited bytes.
             return closeConnection(connection.number);
         }
-        if (n == 0 && connection.parser && connection.parser->got_some()
+        if (n == 0 && endedInOrder(connection) && connection.parser && connection.parser->got_some()
             && m_exchanges.at(connection.exchange)->acceptsCloseDelimitedAnswer) {
             if (!connection.parser->readEnd() && connection.parser->is_done()) {
                 return finish(connection);
             }
         }
         if (n <= 0) {
-            return handleConnectionLoss(connection, n == 0 ? "the server closed the connection" : g_strerror(errno));
+            const int error = n < 0 ? errno : connection.writeError;
+            return handleConnectionLoss(
+                connection, error == 0 ? "the server closed the connection" : g_strerror(error));
         }
         connection.input.append(m_readBuffer.data(), static_cast<std::size_t>(n));
         parse(connection);
--- /dev/null
+++ b/tests/broken_answer_test.cpp
@@ -0,0 +1,87 @@
+#include "support/early_server.h"
+#include "support/main_context_fixture.h"
+
+#include <jasminespread/backend_transports.h>
+
+#include <gtest/gtest.h>
+
+#include <optional>
+#include <thread>
+
+namespace jasminespread {
+namespace {
+
+using namespace std::chrono_literals;
+using test::EarlyServer;
+
+class BrokenAnswerTest : public test::MainContextFixture {
+protected:
+    static BackendRequest order(const std::string& address, std::size_t bodyBytes)
+    {
+        BackendRequest request;
+        request.address = address;
+        request.method = "POST";
+        request.target = "/order";
+        request.body.resize(bodyBytes, 'a');
+        request.deadline = monotonicNow() + 5s;
+        request.acceptsCloseDelimitedAnswer = true;
+        return request;
+    }
+
+    /// Returns the result of a request to @p server, of which the rest is written when the server has ended the
+    /// connection.
+    BackendResult uploadBeyondTheEnd(const EarlyServer& server)
+    {
+        BackendRequest request = order(server.address(), 20'000'000);
+        request.mayWrite = [&server, writes = 0]() mutable {
+            const MonotonicTime end = monotonicNow() + 5s;
+            for (++writes; writes == 2 && server.ended() == 0 && monotonicNow() < end;) {
+                std::this_thread::sleep_for(1ms);
+            }
+            return true;
+        };
+        return exchange(std::move(request));
+    }
+
+    BackendResult exchange(BackendRequest request)
+    {
+        std::optional<BackendResult> received;
+        m_transport.send(std::move(request), [&](BackendResult result) { received = std::move(result); });
+        EXPECT_TRUE(runUntil([&] { return received.has_value(); }, 6s));
+        return received.value_or(BackendResult {});
+    }
+
+    BackendTransport m_transport = makeBeastBackendTransport({100'000});
+};
+
+// Guards against taking the part of an answer that arrived before a reset for a complete one: a write that fails clears
+// the error of the socket, and the next read then reports an orderly end.
+TEST_F(BrokenAnswerTest, AResetWhileTheRequestIsWrittenDoesNotCompleteTheAnswer)
+{
+    const EarlyServer server("HTTP/1.1 200 OK\r\n\r\nthe first part", EarlyServer::End::Reset);
+    const BackendResult result = uploadBeyondTheEnd(server);
+    EXPECT_EQ(result.progress, BackendProgress::Broken);
+    EXPECT_EQ(result.body, "");
+    EXPECT_FALSE(result.timedOut);
+}
+
+// Guards against the same behind a request that was written as a whole.
+TEST_F(BrokenAnswerTest, AResetBehindTheRequestDoesNotCompleteTheAnswer)
+{
+    const EarlyServer server("HTTP/1.1 200 OK\r\n\r\nthe first part", EarlyServer::End::Reset);
+    const BackendResult result = exchange(order(server.address(), 10));
+    EXPECT_EQ(result.progress, BackendProgress::Broken);
+    EXPECT_EQ(result.body, "");
+}
+
+// Guards against losing a whole answer whose server does not read the rest of the request.
+TEST_F(BrokenAnswerTest, AnAnswerThatEndsBeforeTheResetIsComplete)
+{
+    const EarlyServer server("HTTP/1.1 200 OK\r\n\r\nthe whole answer", EarlyServer::End::CloseThenReset);
+    const BackendResult result = uploadBeyondTheEnd(server);
+    EXPECT_EQ(result.progress, BackendProgress::Answered);
+    EXPECT_EQ(result.body, "the whole answer");
+}
+
+} // namespace
+} // namespace jasminespread
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -5,6 +5,7 @@
 
 #include "base/socket_address.h"
 #include "ranges/range_record.h"
+#include "support/early_server.h"
 
 #include <jasminespread/backend_transports.h>
 
@@ -158,9 +159,8 @@
         std::ofstream(clockShiftFile(index)) << shift.count() << "\n";
     }
 
-    /// Sends a request. The result is set while the main context runs.
-    std::shared_ptr<std::optional<BackendResult>> send(unsigned gateway, const std::string& path,
-        const std::string& id = "", std::optional<unsigned> key = std::nullopt, unsigned port = 8381)
+    [[nodiscard]] BackendRequest makeRequest(unsigned gateway, const std::string& path, const std::string& id = "",
+        std::optional<unsigned> key = std::nullopt, unsigned port = 8381)
     {
         BackendRequest request;
         request.address = address(21 + gateway, port);
@@ -173,11 +173,23 @@
         }
         request.deadline = monotonicNow() + 4s;
         request.connectTimeout = 500ms;
+        return request;
+    }
+
+    /// Sends a request. The result is set while the main context runs.
+    std::shared_ptr<std::optional<BackendResult>> send(BackendRequest&& request)
+    {
         auto result = std::make_shared<std::optional<BackendResult>>();
         m_transport.send(std::move(request), [result](BackendResult answer) { *result = std::move(answer); });
         return result;
     }
 
+    std::shared_ptr<std::optional<BackendResult>> send(unsigned gateway, const std::string& path,
+        const std::string& id = "", std::optional<unsigned> key = std::nullopt, unsigned port = 8381)
+    {
+        return send(makeRequest(gateway, path, id, key, port));
+    }
+
     BackendResult call(
         unsigned gateway, const std::string& path, std::optional<unsigned> key = std::nullopt, unsigned port = 8381)
     {
@@ -337,6 +349,44 @@
     EXPECT_EQ(log.takeViolations("odd messages", MonotonicTime::max()), 0U);
 }
 
+/// Guards against a success that holds the part of an answer that a server sent before it reset the connection.
+TEST_F(GatewayTest, ACallerGetsNoPartOfAnAnswerThatWasReset)
+{
+    constexpr unsigned uploads = 300;
+    const std::string part = "the first part";
+    const auto answerWithoutLength = [&part](const std::string& request) {
+        const Message message {request.substr(0, request.find("\r\n\r\n") + 2), ""};
+        return "HTTP/1.1 200 X\r\nRequest-Id: " + message.field("Request-Id") + "\r\nResponse-Seal: s\r\n\r\n" + part;
+    };
+    EarlyServer early(address(15, 8080), answerWithoutLength, EarlyServer::End::Reset);
+    ASSERT_TRUE(early.listens());
+    json::object entry = m_deskA.storeEntry("desk").as_object();
+    entry["address"] = address(15, 8080);
+    m_store.put("servers", "desk-c", entry);
+    for (ServerFake* server : {&m_deskA, &m_deskB}) {
+        server->setServiceTime(200ms); // The third one would get no requests beside faster ones.
+    }
+    std::vector<std::shared_ptr<std::optional<BackendResult>>> results;
+    for (unsigned i = 0; i < uploads; ++i) {
+        BackendRequest request = makeRequest(0, "/order/1");
+        request.method = "POST";
+        request.body.resize(900'000, 'a');
+        results.push_back(send(std::move(request)));
+        (void)runUntil(10ms, [] { return false; });
+    }
+    ASSERT_TRUE(runUntil(5s, [&] {
+        return std::all_of(results.begin(), results.end(), [](const auto& result) { return result->has_value(); });
+    }));
+    EXPECT_GT(early.ended(), 0U);
+    std::map<unsigned, unsigned> statuses;
+    for (const auto& result : results) {
+        ++statuses[(*result)->status];
+        EXPECT_FALSE((*result)->status == 200 && (*result)->body == part);
+    }
+    EXPECT_GT(statuses[502], 0U); // These orders may have been executed.
+    EXPECT_EQ(statuses[200] + statuses[502], results.size());
+}
+
 /// Guards against a gateway that answers nothing more while nobody reads its log, and against missing lines that nobody
 /// learns of.
 TEST_F(GatewayTest, ServesWhileNobodyReadsItsLog)
