--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -25,9 +25,10 @@
     std::string reason; ///< Text for logs.
 };
 
-/// Reads one HTTP/1.1 message of a peer. Beast's parser checks the framing; everything that is kept of the message is
-/// limited here: its head, its body, its trailer, and each line of the framing of a chunked body. No input makes it
-/// throw: what Beast or a container throws while it reads is a failure of this message. Not thread-safe.
+/// Reads one HTTP/1.1 message of a peer. Beast's parser checks the framing and the fields; an answer whose status is
+/// outside of 100 to 599 is Malformed. Everything that is kept of the message is limited here: its head, its body, its
+/// trailer, and each line of the framing of a chunked body. No input makes it throw: what Beast or a container throws
+/// while it reads is a failure of this message. Not thread-safe.
 template <bool isRequest>
 class MessageParser : private boost::beast::http::parser<isRequest, boost::beast::http::string_body> {
     using Base = boost::beast::http::parser<isRequest, boost::beast::http::string_body>;
@@ -111,6 +112,19 @@
         return {ec == http::error::body_limit ? ParseError::BodyTooLarge : ParseError::Malformed, ec.message()};
     }
 
+    void on_header_impl(boost::system::error_code& ec) override
+    {
+        ec = {};
+        if constexpr (!isRequest) {
+            // Beast takes any three digits for a status. Those outside of 100 to 599 are invalid (RFC 9110, section
+            // 15).
+            const unsigned status = Base::get().result_int();
+            if (status < 100 || status > 599) {
+                ec = boost::beast::http::error::bad_status;
+            }
+        }
+    }
+
     /// Keeps the fields itself, because Beast's container throws for a field above 64 KiB, whatever the limit is.
     void on_field_impl(boost::beast::http::field, boost::beast::string_view name, boost::beast::string_view value,
         boost::system::error_code& ec) override
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -13,6 +13,7 @@
 
 using namespace std::chrono_literals;
 using test::EarlyServer;
+using test::TestBackend;
 
 class BrokenAnswerTest : public test::MainContextFixture {
 protected:
@@ -23,7 +24,7 @@
         request.method = "POST";
         request.target = "/order";
         request.body.resize(bodyBytes, 'a');
-        request.deadline = monotonicNow() + 5s;
+        request.deadline = monotonicNow() + 2s;
         request.acceptsCloseDelimitedAnswer = true;
         return request;
     }
@@ -47,7 +48,7 @@
     {
         std::optional<BackendResult> received;
         m_transport.send(std::move(request), [&](BackendResult result) { received = std::move(result); });
-        EXPECT_TRUE(runUntil([&] { return received.has_value(); }, 6s));
+        EXPECT_TRUE(runUntil([&] { return received.has_value(); }));
         return received.value_or(BackendResult {});
     }
 
@@ -83,5 +84,30 @@
     EXPECT_EQ(result.body, "the whole answer");
 }
 
+// Guards against passing on an answer whose status is none, and against a request that waits for its deadline behind
+// such an answer.
+TEST_F(BrokenAnswerTest, AnAnswerWithoutAValidStatusEndsItsRequestAtOnce)
+{
+    const std::string rest = " X\r\nContent-Length: 5\r\n\r\nhello";
+    const std::pair<const char*, std::string> forms[] = {
+        {"with a length", rest},
+        {"without a body", " X\r\nContent-Length: 0\r\n\r\n"},
+        {"without a length", " X\r\n\r\nhello<cut>"},
+        {"before a valid answer", " X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200" + rest},
+        {"behind an interim answer", " X\r\n\r\n"},
+    };
+    for (const std::string status : {"000", "001", "099", "600", "999"}) {
+        for (const auto& [form, text] : forms) {
+            const bool isBehindInterim = form == std::string("behind an interim answer");
+            const std::string answer
+                = (isBehindInterim ? "HTTP/1.1 103 X\r\n\r\n" : "") + ("HTTP/1.1 " + status) + text;
+            TestBackend backend([&answer](const std::string&) { return answer; });
+            const BackendResult result = exchange(order(backend.address(), 10));
+            EXPECT_EQ(result.progress, BackendProgress::Broken) << status << " " << form;
+            EXPECT_FALSE(result.timedOut) << status << " " << form;
+        }
+    }
+}
+
 } // namespace
 } // namespace jasminespread
