An answer that switches protocols is broken

What callers saw: a server answered 101 to a request that asked for no upgrade. The request waited until its deadline; if bytes followed that look like an answer, the caller got them, though they belong to the other protocol.

Cause: 101 was dropped as an interim answer, and the bytes behind it were read as the next one.

Evidence: BrokenAnswerTest.AnAnswerThatSwitchesProtocolsEndsItsRequestAtOnce.

Change: the transport ends the request at once as broken.

After: all three forms end at once as broken.

Ruled out: to do this in MessageParser, which does not know what a request has asked for.

--- a/src/transport/beast_backend_transport.cpp
+++ b/src/transport/beast_backend_transport.cpp
@@ -443,6 +443,9 @@
             if (isExpected(connection)) {
                 return finish(connection);
             }
+            if (connection.parser->startLine().result() == boost::beast::http::status::switching_protocols) {
+                return failUnreadable(connection, {ParseError::Malformed, "an upgrade that was not asked for"});
+            }
             dropAnswer(connection);
             resetParser(connection);
         }
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -109,5 +109,17 @@
     }
 }
 
+// Guards against reading on in another protocol: an upgrade is never asked for.
+TEST_F(BrokenAnswerTest, AnAnswerThatSwitchesProtocolsEndsItsRequestAtOnce)
+{
+    const std::string head = "HTTP/1.1 101 X\r\nConnection: Upgrade\r\nUpgrade: x\r\n\r\n";
+    for (const std::string& rest : {std::string(), std::string("x"), TestBackend::answer("hello")}) {
+        TestBackend backend([&](const std::string&) { return head + rest; });
+        const BackendResult result = exchange(order(backend.address(), 10));
+        EXPECT_EQ(result.progress, BackendProgress::Broken) << rest;
+        EXPECT_FALSE(result.timedOut) << rest;
+    }
+}
+
 } // namespace
 } // namespace jasminespread
