Tests of answers with lines that cannot be read

What callers could see elsewhere: an answer in whose head the name of a field holds a blank or a control byte, with that line passed on, or with a body that is not the server's. The transport of the gateway and of jasminespread-entry already rejects it: Beast takes only the characters of a token for a name. Nothing is changed for it.

Also: the lint of the test of statuses asks for append where strings are joined in a loop.

--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -1,3 +1,4 @@
+#include "support/broken_answers.h"
 #include "support/early_server.h"
 #include "support/main_context_fixture.h"
 
@@ -5,8 +6,10 @@
 
 #include <gtest/gtest.h>
 
+#include <cctype>
 #include <optional>
 #include <thread>
+#include <tuple>
 
 namespace jasminespread {
 namespace {
@@ -89,19 +92,18 @@
 TEST_F(BrokenAnswerTest, AnAnswerWithoutAValidStatusEndsItsRequestAtOnce)
 {
     const std::string rest = " X\r\nContent-Length: 5\r\n\r\nhello";
-    const std::pair<const char*, std::string> forms[] = {
-        {"with a length", rest},
-        {"without a body", " X\r\nContent-Length: 0\r\n\r\n"},
-        {"without a length", " X\r\n\r\nhello<cut>"},
-        {"before a valid answer", " X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200" + rest},
-        {"behind an interim answer", " X\r\n\r\n"},
+    const std::tuple<const char*, std::string, std::string> forms[] = {
+        {"with a length", "", rest},
+        {"without a body", "", " X\r\nContent-Length: 0\r\n\r\n"},
+        {"without a length", "", " X\r\n\r\nhello<cut>"},
+        {"before a valid answer", "", " X\r\nContent-Length: 0\r\n\r\nHTTP/1.1 200" + rest},
+        {"behind an interim answer", "HTTP/1.1 103 X\r\n\r\n", " X\r\n\r\n"},
     };
     for (const std::string status : {"000", "001", "099", "600", "999"}) {
-        for (const auto& [form, text] : forms) {
-            const bool isBehindInterim = form == std::string("behind an interim answer");
-            const std::string answer
-                = (isBehindInterim ? "HTTP/1.1 103 X\r\n\r\n" : "") + ("HTTP/1.1 " + status) + text;
-            TestBackend backend([&answer](const std::string&) { return answer; });
+        for (const auto& [form, before, behind] : forms) {
+            std::string bytes = before;
+            bytes.append("HTTP/1.1 ").append(status).append(behind);
+            TestBackend backend([&bytes](const std::string&) { return bytes; });
             const BackendResult result = exchange(order(backend.address(), 10));
             EXPECT_EQ(result.progress, BackendProgress::Broken) << status << " " << form;
             EXPECT_FALSE(result.timedOut) << status << " " << form;
@@ -121,5 +123,34 @@
     }
 }
 
+// Guards against passing on an answer with a line that cannot be read, or with a body that a misread line delimits.
+TEST_F(BrokenAnswerTest, AnAnswerWithALineThatCannotBeReadIsBroken)
+{
+    for (const test::BrokenAnswer& answer : test::answersWithBrokenLines("Request-Id: 1\r\n", "hello")) {
+        TestBackend backend([&answer](const std::string&) { return answer.bytes + "<cut>"; });
+        const BackendResult result = exchange(order(backend.address(), 10));
+        EXPECT_EQ(result.progress, BackendProgress::Broken) << answer.form;
+        EXPECT_FALSE(result.timedOut) << answer.form;
+    }
+}
+
+// Guards against a byte in the name of a field that is taken for a part of it.
+TEST_F(BrokenAnswerTest, OnlyTheCharactersOfATokenFormAName)
+{
+    const std::string others = "!#$%&'*+-.^_`|~";
+    for (unsigned byte = 0; byte < 256; ++byte) {
+        const char c = static_cast<char>(byte);
+        const bool isAlphanumeric = byte < 128 && std::isalnum(static_cast<int>(byte)) != 0;
+        const bool isToken = isAlphanumeric || others.find(c) != std::string::npos;
+        const std::string name = std::string("X") + c + "Y";
+        TestBackend backend([&name](const std::string&) { return TestBackend::answer("hello", name + ": 1\r\n"); });
+        const BackendResult result = exchange(order(backend.address(), 10));
+        // A colon ends the name.
+        const bool isRead = isToken || c == ':';
+        EXPECT_EQ(result.progress, isRead ? BackendProgress::Answered : BackendProgress::Broken) << byte;
+        EXPECT_FALSE(result.timedOut) << byte;
+    }
+}
+
 } // namespace
 } // namespace jasminespread
--- a/tests/integration/gateway_test.cpp
+++ b/tests/integration/gateway_test.cpp
@@ -5,6 +5,7 @@
 
 #include "base/socket_address.h"
 #include "ranges/range_record.h"
+#include "support/broken_answers.h"
 #include "support/early_server.h"
 
 #include <jasminespread/backend_transports.h>
@@ -387,6 +388,50 @@
     EXPECT_EQ(statuses[200] + statuses[502], results.size());
 }
 
+/// Guards against a caller who gets an answer that no reader can be sure of, and against one who waits behind it.
+TEST_F(GatewayTest, ACallerGetsNoAnswerThatCannotBeRead)
+{
+    std::vector<BrokenAnswer> forms = answersWithBrokenLines("Request-Id: <id>\r\nResponse-Seal: s\r\n", "hello");
+    for (const std::string status : {"000", "099", "101", "600", "999"}) {
+        forms.push_back({"status " + status,
+            "HTTP/1.1 " + status + " X\r\nRequest-Id: <id>\r\nResponse-Seal: s\r\nContent-Length: 5\r\n\r\nhello"});
+    }
+    constexpr std::size_t answersPerForm = 3; // The others are sound: no requests come to a server that serves none.
+    std::size_t answered = 0;
+    const auto answer = [&](const std::string& request) {
+        const Message message {request.substr(0, request.find("\r\n\r\n") + 2), ""};
+        const std::string& broken = forms[answered / answersPerForm % forms.size()].bytes;
+        std::string bytes = answered++ % answersPerForm == 0
+            ? broken
+            : "HTTP/1.1 200 X\r\nRequest-Id: <id>\r\nResponse-Seal: s\r\nContent-Length: 5\r\n\r\nsound";
+        return bytes.replace(bytes.find("<id>"), sizeof("<id>") - 1, message.field("Request-Id"));
+    };
+    EarlyServer server(address(15, 8080), answer, EarlyServer::End::CloseThenReset);
+    ASSERT_TRUE(server.listens());
+    json::object entry = m_deskA.storeEntry("desk").as_object();
+    entry["address"] = address(15, 8080);
+    m_store.put("servers", "desk-c", entry);
+    m_store.remove("servers", "desk-a");
+    m_store.remove("servers", "desk-b");
+    std::vector<std::shared_ptr<std::optional<BackendResult>>> results;
+    const MonotonicTime end = monotonicNow() + 20s;
+    while (server.ended() < answersPerForm * forms.size() && monotonicNow() < end) {
+        results.push_back(send(0, "/order/1"));
+        (void)runUntil(20ms, [] { return false; });
+    }
+    EXPECT_GE(server.ended(), answersPerForm * forms.size());
+    ASSERT_TRUE(runUntil(2s, [&] { // Before their deadline.
+        return std::all_of(results.begin(), results.end(), [](const auto& result) { return result->has_value(); });
+    }));
+    std::map<unsigned, unsigned> statuses;
+    for (const auto& result : results) {
+        ++statuses[(*result)->status];
+        EXPECT_NE((*result)->body, "hello");
+    }
+    EXPECT_GE(statuses[502], forms.size()); // These orders may have been executed.
+    EXPECT_EQ(statuses[200] + statuses[502] + statuses[503], results.size());
+}
+
 /// Guards against a gateway that answers nothing more while nobody reads its log, and against missing lines that nobody
 /// learns of.
 TEST_F(GatewayTest, ServesWhileNobodyReadsItsLog)
