--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -3,6 +3,7 @@
 #include "support/main_context_fixture.h"
 
 #include <jasminespread/backend_transports.h>
+#include <jasminespread/http_object_store.h>
 
 #include <gtest/gtest.h>
 
@@ -152,5 +153,28 @@
     }
 }
 
+// Guards against a record, or the outcome of a write, that is taken from an answer that cannot be read.
+TEST_F(BrokenAnswerTest, TheStoreStatesNothingInAnAnswerThatCannotBeRead)
+{
+    const std::string body = R"({"version":8,"value":"v","objects":[],"instances":[]})";
+    for (const test::BrokenAnswer& answer : test::answersWithBrokenLines("", body)) {
+        TestBackend backend([&answer](const std::string&) { return answer.bytes + "<cut>"; });
+        const ObjectStore store = makeHttpObjectStore("http://" + backend.address(), 2000ms);
+        std::optional<StoreReadResult> read;
+        store.read("group", "a.0", [&](StoreReadResult result) { read = std::move(result); });
+        std::optional<StoreListResult> list;
+        store.list("group", [&](StoreListResult result) { list = std::move(result); });
+        std::optional<InstanceListResult> instances;
+        store.instances([&](InstanceListResult result) { instances = std::move(result); });
+        std::optional<StoreWriteResult> write;
+        store.write("group", "a.0", 7, "{}", [&](StoreWriteResult result) { write = result; });
+        ASSERT_TRUE(runUntil([&] { return read && list && instances && write; })) << answer.form;
+        EXPECT_EQ(read->status, StoreStatus::Unavailable) << answer.form;
+        EXPECT_EQ(list->status, StoreStatus::Unavailable) << answer.form;
+        EXPECT_EQ(instances->status, StoreStatus::Unavailable) << answer.form;
+        EXPECT_EQ(write->status, StoreStatus::Unknown) << answer.form;
+    }
+}
+
 } // namespace
 } // namespace jasminespread
