--- a/src/grants/grant_client.h
+++ b/src/grants/grant_client.h
@@ -28,7 +28,7 @@
 
 private:
     struct State;
-    std::shared_ptr<State> m_state;
+    std::unique_ptr<State> m_state;
 };
 
 } // namespace jasminespread
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -1,3 +1,4 @@
+#include "grants/grant_client.h"
 #include "support/broken_answers.h"
 #include "support/early_server.h"
 #include "support/main_context_fixture.h"
@@ -176,5 +177,31 @@
     }
 }
 
+// Guards against a grant that counts as confirmed by an answer that cannot be read.
+TEST_F(BrokenAnswerTest, AnAnswerThatCannotBeReadConfirmsNoGrant)
+{
+    GrantBatch batch;
+    batch.server = "planner1";
+    batch.granter = {"a", 7};
+    batch.grants.push_back({{"desk", 2}, 3, 1, 2000ms, {}});
+    GrantReply reply;
+    reply.server = batch.server;
+    reply.incarnation = 5;
+    reply.nonce = "n1";
+    for (const test::BrokenAnswer& answer : test::answersWithBrokenLines("", encodeGrantReply(reply))) {
+        TestBackend backend([&answer](const std::string&) { return answer.bytes + "<cut>"; });
+        batch.address = backend.address();
+        GrantClient client(2000ms);
+        bool ended = false;
+        std::optional<GrantReply> received;
+        client.send(batch, [&](std::optional<GrantReply> end) {
+            ended = true;
+            received = std::move(end);
+        });
+        ASSERT_TRUE(runUntil([&] { return ended; })) << answer.form;
+        EXPECT_FALSE(received) << answer.form;
+    }
+}
+
 } // namespace
 } // namespace jasminespread
