An answer with a line that cannot be read is lost for operators (jasminespreadctl)

What could be seen: jasminespreadctl reported an instance's answer although a line of it could not be read, or its status was 600 or above.

Cause: as with the store, libsoup's reader skips such lines.

Instances answer within seconds and the default is 20 s.

After: none of the 39 forms counts as an answer.

--- a/src/ctl/command_line.cpp
+++ b/src/ctl/command_line.cpp
@@ -72,8 +72,8 @@
     if ((groups & serverOptions) != 0) {
         options.add_options()("server", po::value<std::vector<std::string>>(),
             "operator address (IP address and port) of an instance; can be repeated: the next instance is tried only "
-            "if no connection could be made")("timeout", po::value<std::string>()->default_value("20s"),
-            "longest time without progress of a request to an instance");
+            "if no connection could be made")(
+            "timeout", po::value<std::string>()->default_value("20s"), "time limit of a request to an instance");
     }
     if ((groups & changeOptions) != 0) {
         options.add_options()(
--- a/src/ctl/command_line.h
+++ b/src/ctl/command_line.h
@@ -64,7 +64,7 @@
     std::vector<std::string> arguments;
     std::vector<std::string> operatorAddresses; ///< Of instances, in the order of connection attempts.
     OutputFormat outputFormat = OutputFormat::Text;
-    Milliseconds timeout {20'000}; ///< Longest time without progress of a request to an instance.
+    Milliseconds timeout {20'000}; ///< Time limit of a request to an instance.
     std::optional<std::string> baseRevision; ///< Revision number or "current"; the load command only.
     std::string author;
     std::string changeId; ///< Empty: generate one.
--- a/src/ctl/http_operator_caller.cpp
+++ b/src/ctl/http_operator_caller.cpp
@@ -1,56 +1,62 @@
 #include "ctl/operator_call.h"
 
-#include <libsoup/soup.h>
+#include "base/glib_pointer.h"
 
-#include <algorithm>
-#include <memory>
+#include <jasminespread/backend_transports.h>
+
+#include <optional>
+#include <utility>
 
 namespace jasminespread {
 namespace {
 
-template <typename T> struct GObjectUnref {
-    void operator()(T* object) const noexcept { g_object_unref(object); }
+/// Makes a main context the default one of its thread while it exists.
+class ThreadDefaultContext {
+public:
+    ThreadDefaultContext() { g_main_context_push_thread_default(m_context.get()); }
+    ~ThreadDefaultContext() { g_main_context_pop_thread_default(m_context.get()); }
+    ThreadDefaultContext(const ThreadDefaultContext&) = delete;
+    ThreadDefaultContext& operator=(const ThreadDefaultContext&) = delete;
+
+    void waitForEvent() const { g_main_context_iteration(m_context.get(), TRUE); }
+
+private:
+    GMainContextPointer m_context {g_main_context_new()};
 };
-template <typename T> using GObjectPointer = std::unique_ptr<T, GObjectUnref<T>>;
 
-OperatorReply sendRequest(const OperatorCall& call, Milliseconds timeout)
+CallProgress progressOf(BackendProgress progress)
 {
-    OperatorReply reply;
-    const GObjectPointer<SoupMessage> message(
-        soup_message_new(call.method.c_str(), ("http://" + call.operatorAddress + call.target).c_str()));
-    if (!message) {
-        reply.failure = "address and path do not form a valid URL";
-        return reply;
+    switch (progress) {
+    case BackendProgress::Answered:
+        return CallProgress::Answered;
+    case BackendProgress::NotSent:
+        return CallProgress::NotConnected;
+    case BackendProgress::Broken:
+        break;
     }
+    return CallProgress::AnswerLost;
+}
+
+OperatorReply sendRequest(const OperatorCall& call, Milliseconds timeout)
+{
+    BackendRequest request;
+    request.address = call.operatorAddress;
+    request.method = call.method;
+    request.target = call.target;
     if (!call.body.empty()) {
-        GBytes* bytes = g_bytes_new(call.body.data(), call.body.size());
-        soup_message_set_request_body_from_bytes(message.get(), "application/json", bytes);
-        g_bytes_unref(bytes);
+        request.headers.push_back({"Content-Type", "application/json"});
     }
-    // libsoup emits this signal when the connection is established, right before it writes the first byte.
-    bool isConnected = false;
-    g_signal_connect(message.get(), "starting",
-        G_CALLBACK(+[](SoupMessage*, gpointer flag) { *static_cast<bool*>(flag) = true; }), &isConnected);
-
-    // Use one session per call: libsoup may retry a request on its own if it was written to a reused connection.
-    const GObjectPointer<SoupSession> session(soup_session_new());
-    const auto seconds = std::max<std::int64_t>(1, std::chrono::ceil<std::chrono::seconds>(timeout).count());
-    soup_session_set_timeout(session.get(), static_cast<guint>(seconds));
-    GError* error = nullptr;
-    GBytes* answer = soup_session_send_and_read(session.get(), message.get(), nullptr, &error);
-    if (error != nullptr) {
-        reply.progress = isConnected ? CallProgress::AnswerLost : CallProgress::NotConnected;
-        reply.failure = error->message;
-        g_error_free(error);
-        return reply;
+    request.body = call.body;
+    request.deadline = monotonicNow() + timeout;
+
+    const ThreadDefaultContext context;
+    const BackendTransport transport = makeBeastBackendTransport({});
+    std::optional<BackendResult> result;
+    transport.send(std::move(request), [&result](BackendResult received) { result = std::move(received); });
+    while (!result) {
+        context.waitForEvent();
     }
-    gsize size = 0;
-    const char* data = static_cast<const char*>(g_bytes_get_data(answer, &size));
-    reply.body.assign(data == nullptr ? "" : data, size);
-    g_bytes_unref(answer);
-    reply.progress = CallProgress::Answered;
-    reply.status = soup_message_get_status(message.get());
-    return reply;
+    return {progressOf(result->progress), result->status, std::move(result->body), std::move(result->failure)};
 }
 
 } // namespace
--- a/src/ctl/operator_call.h
+++ b/src/ctl/operator_call.h
@@ -32,8 +32,8 @@
 /// Sends one request and blocks until it is answered or has failed.
 using OperatorCaller = std::function<OperatorReply(const OperatorCall&)>;
 
-/// Returns a caller that uses HTTP. A call fails after @p timeout without progress; the timeout is rounded up to whole
-/// seconds. Use it on one thread.
+/// Returns a caller that uses HTTP. A call that takes longer than @p timeout fails, and an answer that cannot be read
+/// is lost. Thread-safe.
 [[nodiscard]] OperatorCaller makeHttpOperatorCaller(Milliseconds timeout);
 
 } // namespace jasminespread
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -1,3 +1,4 @@
+#include "ctl/operator_call.h"
 #include "grants/grant_client.h"
 #include "support/broken_answers.h"
 #include "support/early_server.h"
@@ -203,5 +204,18 @@
     }
 }
 
+// Guards against telling an operator what an instance did not state.
+TEST_F(BrokenAnswerTest, AnAnswerThatCannotBeReadIsLostForOperators)
+{
+    const OperatorCaller call = makeHttpOperatorCaller(2000ms);
+    for (const test::BrokenAnswer& answer : test::answersWithBrokenLines("", "{}")) {
+        TestBackend backend([&answer](const std::string&) { return answer.bytes + "<cut>"; });
+        const OperatorReply reply = call({backend.address(), "POST", "/v1/configuration", "{}"});
+        EXPECT_EQ(reply.progress, CallProgress::AnswerLost) << answer.form;
+        EXPECT_FALSE(reply.failure.empty()) << answer.form;
+        EXPECT_EQ(reply.body, "") << answer.form;
+    }
+}
+
 } // namespace
 } // namespace jasminespread
