--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -26,9 +26,9 @@
 };
 
 /// Reads one HTTP/1.1 message of a peer. Beast's parser checks the framing and the fields; an answer whose status is
-/// outside of 100 to 599 is Malformed. Everything that is kept of the message is limited here: its head, its body, its
-/// trailer, and each line of the framing of a chunked body. No input makes it throw: what Beast or a container throws
-/// while it reads is a failure of this message. Not thread-safe.
+/// outside of 100 to 599, or whose transfer encoding is not "chunked", is Malformed. Everything that is kept of the
+/// message is limited here: its head, its body, its trailer, and each line of the framing of a chunked body. No input
+/// makes it throw: what Beast or a container throws while it reads is a failure of this message. Not thread-safe.
 template <bool isRequest>
 class MessageParser : private boost::beast::http::parser<isRequest, boost::beast::http::string_body> {
     using Base = boost::beast::http::parser<isRequest, boost::beast::http::string_body>;
@@ -126,9 +126,16 @@
     }
 
     /// Keeps the fields itself, because Beast's container throws for a field above 64 KiB, whatever the limit is.
-    void on_field_impl(boost::beast::http::field, boost::beast::string_view name, boost::beast::string_view value,
+    void on_field_impl(boost::beast::http::field field, boost::beast::string_view name, boost::beast::string_view value,
         boost::system::error_code& ec) override
     {
+        if constexpr (!isRequest) {
+            // Beast leaves the body in any other encoding, whose field is not passed on. No request asks for one.
+            if (field == boost::beast::http::field::transfer_encoding && !boost::beast::iequals(value, "chunked")) {
+                ec = boost::beast::http::error::bad_transfer_encoding;
+                return;
+            }
+        }
         const std::size_t bytes = name.size() + value.size();
         if (!Base::is_header_done()) { // Beast has checked the limit of the head.
             m_headers.push_back({std::string(name), std::string(value)});
--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -155,6 +155,37 @@
     }
 }
 
+// Guards against a body that the caller takes for the server's although it is still encoded: the encodings of a
+// transfer are not passed on, and none but "chunked" is understood.
+TEST_F(BrokenAnswerTest, AnAnswerInAnUnknownTransferEncodingIsBroken)
+{
+    const std::string length = "Content-Length: 5\r\n";
+    const std::string chunks = "5\r\nhello\r\n0\r\n\r\n";
+    const std::pair<std::string, std::string> forms[] = {
+        {"Transfer-Encoding: gzip\r\n", "hello"},
+        {"Transfer-Encoding: gzip\r\n" + length, "hello"},
+        {"Transfer-Encoding: identity\r\n" + length, "hello"},
+        {"Transfer-Encoding: gzip, chunked\r\n", chunks},
+        {"Transfer-Encoding: gzip\r\nTransfer-Encoding: chunked\r\n", chunks},
+        {"Transfer-Encoding: chunked, gzip\r\n", "hello"},
+        {"Transfer-Encoding: chunked, chunked\r\n", chunks},
+        {"Transfer-Encoding: chunked;a=b\r\n", chunks},
+        {"Transfer-Encoding:\r\n" + length, "hello"},
+        {"Transfer-Encoding: chunked\r\n" + length, chunks},
+        {length + "Transfer-Encoding: chunked\r\n", chunks},
+    };
+    for (const auto& [fields, body] : forms) {
+        TestBackend backend([&fields = fields, &body = body](const std::string&) {
+            return "HTTP/1.1 200 X\r\n" + fields + "\r\n" + body + "<cut>";
+        });
+        const BackendResult result = exchange(order(backend.address(), 10));
+        EXPECT_EQ(result.progress, BackendProgress::Broken) << fields << result.body;
+    }
+    TestBackend backend(
+        [&](const std::string&) { return "HTTP/1.1 200 X\r\ntransfer-encoding:  Chunked \r\n\r\n" + chunks; });
+    EXPECT_EQ(exchange(order(backend.address(), 10)).body, "hello");
+}
+
 // Guards against a record, or the outcome of a write, that is taken from an answer that cannot be read.
 TEST_F(BrokenAnswerTest, TheStoreStatesNothingInAnAnswerThatCannotBeRead)
 {
