The soak plays answers that are reset, have no valid status or a blank in a name

Cause: no form of the soak's servers broke an answer in these ways beside other disruptions. Change: three forms more, which run the request first.

--- a/tests/integration/odd_server.cpp
+++ b/tests/integration/odd_server.cpp
@@ -346,6 +346,13 @@
         return send(chunkedAnswer(sealed(200), body, "X: " + std::string(longFieldBytes, 'x')));
     case AnswerForm::RunLongTrailerName:
         return send(chunkedAnswer(sealed(200), body, std::string(longFieldBytes, 'x') + ": x"));
+    case AnswerForm::RunPartReset:
+        connection.reset();
+        return send("HTTP/1.1 200 X\r\n" + sealed(200) + "\r\n" + body.substr(0, body.size() - 3)) && false;
+    case AnswerForm::RunStatusZero:
+        return send("HTTP/1.1 000" + success.substr(sizeof("HTTP/1.1 200") - 1));
+    case AnswerForm::RunBlankInName:
+        return send(answerText(200, sealed(200) + "Content-Encoding : identity\r\n", body));
     case AnswerForm::RunReset:
         connection.reset();
         return false;
--- a/tests/integration/odd_server.h
+++ b/tests/integration/odd_server.h
@@ -34,6 +34,9 @@
     RunInterim503,
     RunLongTrailerValue, ///< Its answer has a trailer field that exceeds the limits.
     RunLongTrailerName,
+    RunPartReset, ///< Its answer states no length, and is reset before its end.
+    RunStatusZero,
+    RunBlankInName, ///< The name of a field of its answer ends with a blank.
     Interim,
     Unsealed,
     ServedStatingNotRun,
@@ -46,16 +49,18 @@
     MisdirectedStated
 };
 
-inline constexpr std::array<EnumName<AnswerForm>, 23> formNames {
+inline constexpr std::array<EnumName<AnswerForm>, 26> formNames {
     {{AnswerForm::Served, "served"}, {AnswerForm::Run503, "run-503"}, {AnswerForm::Run429, "run-429"},
         {AnswerForm::Run408, "run-408"}, {AnswerForm::Run500, "run-500"}, {AnswerForm::RunReset, "run-reset"},
         {AnswerForm::RunSilence, "run-silence"}, {AnswerForm::RunLate, "run-late"},
         {AnswerForm::RunCutHead, "run-cut-head"}, {AnswerForm::RunCutBody, "run-cut-body"},
         {AnswerForm::RunInterim503, "run-interim-503"}, {AnswerForm::RunLongTrailerValue, "run-long-trailer-value"},
-        {AnswerForm::RunLongTrailerName, "run-long-trailer-name"}, {AnswerForm::Interim, "interim"},
-        {AnswerForm::Unsealed, "unsealed"}, {AnswerForm::ServedStatingNotRun, "served-stating-not-run"},
-        {AnswerForm::Refused503, "refused-503"}, {AnswerForm::Refused429, "refused-429"},
-        {AnswerForm::RefusedCut, "refused-cut"}, {AnswerForm::RefusedCopyWithId, "refused-copy-with-id"},
+        {AnswerForm::RunLongTrailerName, "run-long-trailer-name"}, {AnswerForm::RunPartReset, "run-part-reset"},
+        {AnswerForm::RunStatusZero, "run-status-zero"}, {AnswerForm::RunBlankInName, "run-blank-in-name"},
+        {AnswerForm::Interim, "interim"}, {AnswerForm::Unsealed, "unsealed"},
+        {AnswerForm::ServedStatingNotRun, "served-stating-not-run"}, {AnswerForm::Refused503, "refused-503"},
+        {AnswerForm::Refused429, "refused-429"}, {AnswerForm::RefusedCut, "refused-cut"},
+        {AnswerForm::RefusedCopyWithId, "refused-copy-with-id"},
         {AnswerForm::RefusedCopyWithoutId, "refused-copy-without-id"}, {AnswerForm::Misdirected, "misdirected"},
         {AnswerForm::MisdirectedStated, "misdirected-stated"}}};
 
