--- a/include/jasminespread/backend_transport.h
+++ b/include/jasminespread/backend_transport.h
@@ -37,7 +37,7 @@
     /// Opens a new connection for this request. A copy of an earlier answer that arrives late on a kept connection can
     /// then not be taken for the answer to this request.
     bool needsNewConnection = false;
-    /// Accepts an answer whose body ends with the connection; otherwise such an answer is Broken.
+    /// Accepts an answer whose body ends with an orderly end of the connection; otherwise such an answer is Broken.
     bool acceptsCloseDelimitedAnswer = false;
     /// Longest body of its answer, if that is less than the transport's own limit.
     std::uint64_t maxAnswerBytes = std::numeric_limits<std::uint64_t>::max();
--- a/include/jasminespread/backend_transports.h
+++ b/include/jasminespread/backend_transports.h
@@ -20,9 +20,10 @@
 ///
 /// An answer is complete only when Content-Length, chunked encoding or its status determines its end. One that ends
 /// with the connection is Broken unless BackendRequest::acceptsCloseDelimitedAnswer is set and the server ended the
-/// connection in order. An answer is also Broken when its status is outside of 100 to 599, when it switches protocols,
-/// and when a line of its head, its trailer, its framing or an interim answer cannot be read. The trailer and each line
-/// of the framing are limited as the head is, to 64 KiB. What cannot be read ends its connection only.
+/// connection in order. An answer is also Broken when its status is outside of 100 to 599, when it switches protocols
+/// or has another transfer encoding, and when a line of its head, its trailer, its framing or an interim answer cannot
+/// be read. The trailer and each line of the framing are limited as the head is, to 64 KiB. What cannot be read ends
+/// its connection only.
 [[nodiscard]] BackendTransport makeBeastBackendTransport(AnswerLimits limits);
 
 } // namespace jasminespread
--- a/src/http/message_parser.h
+++ b/src/http/message_parser.h
@@ -116,8 +116,7 @@
     {
         ec = {};
         if constexpr (!isRequest) {
-            // Beast takes any three digits for a status. Those outside of 100 to 599 are invalid (RFC 9110, section
-            // 15).
+            // Beast takes any three digits for a status. RFC 9110, section 15: others than these are invalid.
             const unsigned status = Base::get().result_int();
             if (status < 100 || status > 599) {
                 ec = boost::beast::http::error::bad_status;
