--- a/tests/broken_answer_test.cpp
+++ b/tests/broken_answer_test.cpp
@@ -175,9 +175,9 @@
         {length + "Transfer-Encoding: chunked\r\n", chunks},
     };
     for (const auto& [fields, body] : forms) {
-        TestBackend backend([&fields = fields, &body = body](const std::string&) {
-            return "HTTP/1.1 200 X\r\n" + fields + "\r\n" + body + "<cut>";
-        });
+        std::string bytes = "HTTP/1.1 200 X\r\n";
+        bytes.append(fields).append("\r\n").append(body).append("<cut>");
+        TestBackend backend([&bytes](const std::string&) { return bytes; });
         const BackendResult result = exchange(order(backend.address(), 10));
         EXPECT_EQ(result.progress, BackendProgress::Broken) << fields << result.body;
     }
